--- /dev/null
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Check, show and change configuration from a terminal."""
--- /dev/null
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Hold one module for each command."""
--- /dev/null
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/apply.py
@@ -0,0 +1,104 @@
+"""Apply a folder."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+from ragworthollow.checks import render_messages
+from ragworthollow.configuration.change_request import (
+    ChangeAnswer,
+    ChangeRequest,
+)
+from ragworthollow.configuration.snapshot import Snapshot
+from ragworthollow.utils import make_identifier
+from result import Err
+
+from ragworthollow_ctl.difference import compare
+from ragworthollow_ctl.folder import read_base, read_folder, write_base
+from ragworthollow_ctl.service_client import ServiceClient, make_client
+
+_INVALID = 2
+_REFUSED = 1
+_UNSETTLED = 3
+
+
+def apply(
+    folder: Path,
+    *,
+    owner: str,
+    entry: list[str] | None = None,
+    prune: bool = False,
+    yes: bool = False,
+    change_id: str = '',
+) -> None:
+    """
+    Show the difference, then put the owner's files of a folder in force.
+
+    Exit codes: 0 in force, 1 refused, 2 bad input, 3 not known whether it
+    is in force: apply again with the printed change id to settle it.
+
+    Parameters
+    ----------
+    folder
+        Folder of configuration files.
+    owner
+        Owner whose files are applied; the service checks the key.
+    entry
+        Base address of an entry; may be given several times.
+    prune
+        Remove files of this owner that the folder lacks.
+    yes
+        Do not ask before applying.
+    change_id
+        Of an earlier apply whose answer was lost.
+    """
+    read = read_folder(folder)
+    if isinstance(read, Err):
+        sys.stderr.write(f'{render_messages([read.err_value])}\n')
+        sys.exit(_INVALID)
+    client = make_client(entry or ())
+    snapshot = asyncio.run(client.get('snapshot', Snapshot))
+    found = compare(read.ok_value, snapshot, owner=owner, prune=prune)
+    if found.is_empty() and not change_id:
+        _remember(folder, snapshot)
+        sys.stdout.write('nothing to change\n')
+        return
+    sys.stdout.write('\n'.join(found.lines))
+    sys.stdout.write('\n')
+    if not yes and input('apply? [y/N] ').strip().lower() != 'y':
+        sys.exit(_REFUSED)
+    request = ChangeRequest(
+        change_id=change_id or make_identifier(),
+        base=read_base(folder),
+        puts=found.puts,
+        removals=found.removals,
+    )
+    answer = asyncio.run(client.post('changes', request, ChangeAnswer))
+    _report(folder, client, request, answer)
+
+
+def _report(
+    folder: Path,
+    client: ServiceClient,
+    request: ChangeRequest,
+    answer: ChangeAnswer,
+) -> None:
+    if answer.problems:
+        sys.stderr.write(f'{render_messages(answer.problems)}\n')
+    if answer.accepted:
+        snapshot = asyncio.run(client.get('snapshot', Snapshot))
+        _remember(folder, snapshot)
+        sys.stdout.write(f'generation {answer.generation} is in force\n')
+        return
+    sys.stderr.write(f'{answer.reason}: {answer.detail}\n')
+    if answer.may_have_applied:
+        sys.stderr.write(f'change id: {request.change_id}\n')
+        sys.exit(_UNSETTLED)
+    sys.exit(_REFUSED)
+
+
+def _remember(folder: Path, snapshot: Snapshot) -> None:
+    write_base(
+        folder,
+        {entry.name: entry.sha256 for entry in snapshot.manifest.files},
+    )
--- /dev/null
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/show.py
@@ -0,0 +1,37 @@
+"""Show a merged folder and where each value came from."""
+
+import sys
+from pathlib import Path
+
+import msgspec
+from ragworthollow.checks import render_messages
+from ragworthollow.configuration.checks import check_files
+from ragworthollow.configuration.merge import SECTIONS
+from result import Err
+
+from ragworthollow_ctl.folder import read_folder
+
+_INVALID = 2
+
+
+def show(folder: Path) -> None:
+    """
+    Show the merged result of a folder, and the file behind each value.
+
+    Parameters
+    ----------
+    folder
+        Folder of configuration files.
+    """
+    read = read_folder(folder)
+    if isinstance(read, Err):
+        sys.stderr.write(f'{render_messages([read.err_value])}\n')
+        sys.exit(_INVALID)
+    merged = check_files(read.ok_value)
+    for section in SECTIONS:
+        for name, declared in getattr(merged.deployment, section).items():
+            path = f'{section}.{name}'
+            text = msgspec.json.encode(declared).decode()
+            sys.stdout.write(f'{path}  # {merged.origins[path]}\n  {text}\n')
+    if merged.problems:
+        sys.stderr.write(f'{render_messages(merged.problems)}\n')
--- /dev/null
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/status.py
@@ -0,0 +1,48 @@
+"""Show the generation in force in every process."""
+
+import asyncio
+import sys
+
+from ragworthollow.configuration.snapshot import Snapshot
+from ragworthollow.utils.message import Message
+
+from ragworthollow_ctl.service_client import make_client
+
+_BEHIND = 1
+
+
+class FleetLine(Message):
+    """
+    Read what one process has in force.
+
+    Attributes
+    ----------
+    instance, address : str
+        Which process.
+    generation : int or None
+        None when it did not answer.
+    """
+
+    instance: str
+    address: str
+    generation: int | None = None
+
+
+def status(*, entry: list[str] | None = None) -> None:
+    """
+    Show the generation in force in each process; exit 1 when any is behind.
+
+    Parameters
+    ----------
+    entry
+        Base address of an entry; may be given several times.
+    """
+    client = make_client(entry or ())
+    newest = asyncio.run(client.get('snapshot', Snapshot)).manifest.generation
+    lines = asyncio.run(client.get('fleet', tuple[FleetLine, ...]))
+    for line in lines:
+        known = '-' if line.generation is None else line.generation
+        mark = '' if line.generation == newest else '  behind'
+        sys.stdout.write(f'{line.instance}  {line.address}  {known}{mark}\n')
+    if any(line.generation != newest for line in lines):
+        sys.exit(_BEHIND)
--- /dev/null
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/folder.py
@@ -0,0 +1,67 @@
+"""Read and write the operators' folder."""
+
+import json
+from pathlib import Path
+
+from ragworthollow.checks.check_message import CheckMessage
+from ragworthollow.conf import global_settings
+from ragworthollow.configuration.merge import SourceFile
+from result import Err, Ok, Result
+
+BASE_NAME = '.ragworthollow-base.json'
+_PATTERN = '*.yaml'
+
+
+def read_folder(folder: Path) -> Result[list[SourceFile], CheckMessage]:
+    """
+    Read all configuration files of a folder.
+
+    Parameters
+    ----------
+    folder : Path
+        The folder.
+
+    Returns
+    -------
+    Result
+        Files in name order, or the first that cannot be read.
+    """
+    if not folder.is_dir():
+        return Err(_explain(folder, 'is not a folder'))
+    files: list[SourceFile] = []
+    for path in sorted(folder.glob(_PATTERN)):
+        try:
+            source = path.read_bytes()
+        except OSError as error:
+            return Err(_explain(path, f'cannot be read: {error.strerror}'))
+        limit = global_settings.MAX_CONFIGURATION_FILE_BYTES
+        if len(source) > limit:
+            return Err(_explain(path, f'is over the limit of {limit} bytes'))
+        try:
+            text = source.decode('utf-8')
+        except UnicodeDecodeError as error:
+            return Err(_explain(path, f'is not UTF-8 at byte {error.start}'))
+        files.append(SourceFile(name=path.name, text=text))
+    return Ok(files)
+
+
+def read_base(folder: Path) -> dict[str, str]:
+    """Return the hash of each file as last seen from the service."""
+    try:
+        return json.loads((folder / BASE_NAME).read_text())
+    except (OSError, ValueError):
+        return {}
+
+
+def write_base(folder: Path, base: dict[str, str]) -> None:
+    """Remember the hash of each file as just seen from the service."""
+    (folder / BASE_NAME).write_text(json.dumps(base, indent=1, sort_keys=True))
+
+
+def _explain(path: Path, text: str) -> CheckMessage:
+    return CheckMessage(
+        check_id='folder.E001',
+        text=text,
+        hint='files end in .yaml and hold one YAML mapping in UTF-8',
+        where=str(path),
+    )
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Receive callers' requests and see each of them through its stages."""
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/event_stream.py
@@ -0,0 +1,65 @@
+"""Send server-sent events to a caller."""
+
+import msgspec
+from aiohttp import web
+from ragworthollow.utils.message import Message
+
+from ragworthollow_daemon.entry.messages import PipelineAnswer, TokenEvent
+
+
+class EventStream:
+    """
+    Send tokens and then the one answer.
+
+    Nothing is sent before the first token, so that a request refused until
+    then still gets its proper status code.
+
+    Parameters
+    ----------
+    request : Request
+        The caller's request.
+    """
+
+    def __init__(self, *, request: web.Request) -> None:
+        self._request = request
+        self._response = web.StreamResponse(
+            headers={
+                'Content-Type': 'text/event-stream',
+                'Cache-Control': 'no-store',
+            },
+        )
+
+    @property
+    def is_started(self) -> bool:
+        """Tell whether the status line has been sent."""
+        return self._response.prepared
+
+    async def send_token(self, event: TokenEvent) -> None:
+        """Send one token."""
+        await self._send('token', event)
+
+    async def finish(self, answer: PipelineAnswer) -> web.StreamResponse:
+        """
+        Send the closing event.
+
+        Parameters
+        ----------
+        answer : PipelineAnswer
+            The one answer; a stream without this event is incomplete.
+
+        Returns
+        -------
+        StreamResponse
+            For the server.
+        """
+        name = 'answer' if answer.refusal is None else 'refusal'
+        await self._send(name, answer)
+        await self._response.write_eof()
+        return self._response
+
+    async def _send(self, name: str, message: Message) -> None:
+        if not self._response.prepared:
+            await self._response.prepare(self._request)
+        event = f'event: {name}\ndata: '.encode()
+        body = msgspec.json.encode(message)
+        await self._response.write(event + body + b'\n\n')
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/key_router.py
@@ -0,0 +1,160 @@
+"""Find the owner of a key and ask it."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+from ragworthollow.conf import global_settings
+from ragworthollow.once import Assignment, LookupAnswer, LookupState
+from ragworthollow.platform.instance_list import InstanceEntry
+from ragworthollow.routing import PeerState
+from ragworthollow.transport import OnceKey
+from ragworthollow.utils.message import Message
+
+from ragworthollow_daemon.entry.pool_router import PoolRouter
+from ragworthollow_daemon.process_context import ProcessContext, get_timeout
+
+_LOOKUP_ATTEMPTS = 3
+_SAMPLE = 3
+_MILLISECONDS = 1000
+_UNCERTAIN = LookupAnswer(state=LookupState.uncertain)
+_FAILURES = (
+    aiohttp.ClientError,
+    asyncio.TimeoutError,
+    msgspec.DecodeError,
+    OSError,
+)
+
+
+class KeyRouter:
+    """
+    Learn assignments from the sidecars themselves.
+
+    An entry needs no call to the platform for this: whoever is asked in
+    error says so, and every member knows the newest record or an older one.
+
+    Parameters
+    ----------
+    context : ProcessContext
+        Of this process.
+    pools : PoolRouter
+        Sidecars of every pool.
+    """
+
+    def __init__(self, *, context: ProcessContext, pools: PoolRouter) -> None:
+        self._context = context
+        self._pools = pools
+        self._assignments: dict[str, Assignment] = {}
+
+    async def find_owner(self, pool: str, key: str) -> PeerState | None:
+        """Return the sidecar that owns a key, as far as is known."""
+        if pool not in self._assignments:
+            await self.refresh(pool)
+        known = self._assignments.get(pool, Assignment())
+        owner = known.get_owner(key)
+        member = known.get_member(owner.instance) if owner else None
+        if member is None:
+            return None
+        return self._pools.get_peer(
+            InstanceEntry(
+                instance=member.instance,
+                pool=pool,
+                failure_domain='',
+                address=member.address,
+            ),
+        )
+
+    async def look_up(
+        self,
+        pool: str,
+        once: OnceKey,
+        wait_ms: float,
+    ) -> LookupAnswer:
+        """
+        Ask the owner of a key what it knows.
+
+        Parameters
+        ----------
+        pool : str
+            Pool of the non-repeatable stage.
+        once : OnceKey
+            The key.
+        wait_ms : float
+            How long to wait for a call of the key that is running.
+
+        Returns
+        -------
+        LookupAnswer
+            `uncertain` when no owner can be reached.
+        """
+        for _ in range(_LOOKUP_ATTEMPTS):
+            owner = await self.find_owner(pool, once.key)
+            if owner is not None:
+                answer = await self._ask(owner, once, wait_ms)
+                if answer is not None:
+                    if answer.state is not LookupState.not_owner:
+                        return answer
+            await self.refresh(pool)
+            await asyncio.sleep(global_settings.KEYED_RETRY_MS / _MILLISECONDS)
+        return _UNCERTAIN
+
+    async def refresh(self, pool: str) -> None:
+        """Take the newest record that some members of a pool know."""
+        members = self._context.peers.get_pool(pool)
+        size = min(_SAMPLE, len(members))
+        asked = self._context.rng.sample(members, size)
+        replies = await asyncio.gather(
+            *(self._read_assignment(member.address) for member in asked),
+        )
+        for reply in replies:
+            known = self._assignments.get(pool, Assignment())
+            if reply is not None and reply.epoch > known.epoch:
+                self._assignments[pool] = reply
+
+    async def _ask(
+        self,
+        owner: PeerState,
+        once: OnceKey,
+        wait_ms: float,
+    ) -> LookupAnswer | None:
+        limit_ms = wait_ms + global_settings.ONCE_LOOKUP_TIMEOUT_MS
+        return await self._fetch(
+            'POST',
+            f'http://{owner.instance.address}/v1/once/lookups'
+            f'?wait_ms={wait_ms}',
+            limit_ms,
+            LookupAnswer,
+            once,
+        )
+
+    async def _read_assignment(self, address: str) -> Assignment | None:
+        return await self._fetch(
+            'GET',
+            f'http://{address}/v1/once/assignment',
+            global_settings.ONCE_LOOKUP_TIMEOUT_MS,
+            Assignment,
+        )
+
+    async def _fetch(
+        self,
+        method: str,
+        url: str,
+        limit_ms: float,
+        answer_type: type,
+        message: Message | None = None,
+    ):
+        body = msgspec.json.encode(message) if message is not None else None
+        try:
+            async with self._context.session.request(
+                method,
+                url,
+                data=body,
+                timeout=get_timeout(limit_ms),
+                raise_for_status=True,
+            ) as response:
+                return msgspec.json.decode(
+                    await response.read(),
+                    type=answer_type,
+                )
+        except _FAILURES:
+            return None
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/pipeline_runner.py
@@ -0,0 +1,327 @@
+"""Run all stages of a request and compose its one answer."""
+
+import msgspec
+from ragworthollow.admission.estimate import get_retry_after_ms
+from ragworthollow.conf import global_settings
+from ragworthollow.configuration import Stage
+from ragworthollow.once import KeyRecord, LookupState, RecordState
+from ragworthollow.outcomes import Outcome, Reason, Refusal
+from ragworthollow.transport import StageAnswer
+from ragworthollow.utils import get_monotonic_ms
+
+from ragworthollow_daemon.entry.admitted_request import AdmittedRequest
+from ragworthollow_daemon.entry.effect_tracker import EffectTracker
+from ragworthollow_daemon.entry.estimates import Estimates
+from ragworthollow_daemon.entry.key_router import KeyRouter
+from ragworthollow_daemon.entry.messages import PipelineAnswer
+from ragworthollow_daemon.entry.pool_router import PoolRouter
+from ragworthollow_daemon.entry.stage_runner import StageRunner, StageWork
+from ragworthollow_daemon.process_context import ProcessContext
+
+_NOTHING = msgspec.Raw(b'null')
+_UNSURE_RETRY_MS = 1000
+
+
+class StageInput(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    Hold what an upstream gets to read.
+
+    Attributes
+    ----------
+    input : Raw
+        What the caller sent for this stage.
+    previous : Raw
+        Output of the stage before, or null.
+    """
+
+    input: msgspec.Raw
+    previous: msgspec.Raw
+
+
+class PipelineRunner:
+    """
+    See requests through their pipelines.
+
+    Parameters
+    ----------
+    context : ProcessContext
+        Of this process.
+    pools : PoolRouter
+        Sidecars of every pool.
+    """
+
+    def __init__(self, *, context: ProcessContext, pools: PoolRouter) -> None:
+        self._context = context
+        self._name = context.settings.instance
+        self._estimates = Estimates()
+        self._keys = KeyRouter(context=context, pools=pools)
+        self._stages = StageRunner(
+            context=context,
+            pools=pools,
+            keys=self._keys,
+            estimates=self._estimates,
+        )
+
+    async def run(self, request: AdmittedRequest) -> PipelineAnswer:
+        """
+        Run one request to its one answer.
+
+        Parameters
+        ----------
+        request : AdmittedRequest
+            From the door.
+
+        Returns
+        -------
+        PipelineAnswer
+            Whole, or a refusal as soon as nothing more can be tried.
+        """
+        started_ms = get_monotonic_ms()
+        answer = None
+        if request.is_keyed():
+            answer = await self._settle_key(request)
+        if answer is None:
+            answer = self._check_time(request)
+        if answer is None:
+            answer = await self._run_stages(request)
+        elapsed_ms = get_monotonic_ms() - started_ms
+        refusal = answer.refusal
+        self._context.metrics.count_request(
+            request.pipeline_name,
+            answer.outcome,
+            refusal.reason if refusal else None,
+        )
+        self._context.metrics.latency.record('request', elapsed_ms)
+        return msgspec.structs.replace(answer, elapsed_ms=elapsed_ms)
+
+    async def _settle_key(
+        self,
+        request: AdmittedRequest,
+    ) -> PipelineAnswer | None:
+        """
+        Answer a repeat, or make sure that the key has never run.
+
+        Only after an owner has said so may a later refusal of this request
+        claim that it was not run.
+        """
+        stage = next(
+            one for one in request.pipeline.stages if not one.repeatable
+        )
+        found = await self._keys.look_up(
+            stage.pool,
+            request.once,
+            request.get_remaining_ms(),
+        )
+        if found.state is LookupState.absent:
+            return None
+        if found.record is not None:
+            return self._repeat(request, stage, found.record)
+        is_running = found.state is LookupState.running
+        return self._refuse(
+            request,
+            Refusal(
+                outcome=Outcome.unknown,
+                reason=(
+                    Reason.attempt_timeout
+                    if is_running
+                    else Reason.ownership_unsure
+                ),
+                step=stage.name,
+                peer=stage.pool,
+                detail='whether this key has run cannot be told now; ask'
+                ' again with the same key',
+                retry_after_ms=_UNSURE_RETRY_MS,
+            ),
+        )
+
+    def _repeat(
+        self,
+        request: AdmittedRequest,
+        stage: Stage,
+        record: KeyRecord,
+    ) -> PipelineAnswer:
+        if record.fingerprint != request.once.fingerprint:
+            return self._refuse(
+                request,
+                self._make_refusal(
+                    stage.name,
+                    Reason.key_in_use,
+                    'this key belongs to a request with other inputs',
+                ),
+            )
+        if record.state is RecordState.done:
+            return PipelineAnswer(
+                request_id=request.request_id,
+                outcome=Outcome.done,
+                answer={**record.earlier, stage.name: record.output},
+                replayed=True,
+            )
+        return self._refuse(
+            request,
+            msgspec.structs.replace(
+                self._make_refusal(
+                    stage.name,
+                    Reason.upstream_error,
+                    record.detail,
+                ),
+                outcome=Outcome(record.state.value),
+            ),
+        )
+
+    def _check_time(self, request: AdmittedRequest) -> PipelineAnswer | None:
+        """Refuse at once what cannot be finished in time."""
+        needed_ms = self._get_needed_ms(request, request.pipeline.stages)
+        if needed_ms <= request.get_remaining_ms():
+            return None
+        return self._refuse(
+            request,
+            msgspec.structs.replace(
+                self._make_refusal(
+                    'admission',
+                    Reason.deadline_too_short,
+                    f'the stages take about {needed_ms:.0f} ms at present',
+                ),
+                retry_after_ms=get_retry_after_ms(needed_ms),
+            ),
+        )
+
+    async def _run_stages(self, request: AdmittedRequest) -> PipelineAnswer:
+        effects = EffectTracker()
+        outputs: dict[str, msgspec.Raw] = {}
+        previous = _NOTHING
+        is_replayed = False
+        stages = request.pipeline.stages
+        for position, stage in enumerate(stages):
+            later = stages[position + 1 :]
+            later_ms = self._get_needed_ms(request, later)
+            work = StageWork(
+                request=request,
+                stage=stage,
+                payload=_render_input(request, stage, previous),
+                earlier=dict(outputs),
+                later_ms=later_ms,
+                cost_ms=self._get_needed_ms(request, (stage,)) + later_ms,
+                effects=effects,
+            )
+            stage_answer = await self._stages.run(work)
+            if stage_answer.outcome is not Outcome.done:
+                return self._give_up(request, effects, stage_answer)
+            if stage_answer.replayed:
+                # The whole answer of the first request with this key, so
+                # that a dossier always matches its custody entry.
+                outputs = dict(stage_answer.earlier)
+                is_replayed = True
+            previous = _get_output(work, stage_answer)
+            outputs[stage.name] = previous
+        return self._compose(request, outputs, is_replayed=is_replayed)
+
+    def _compose(
+        self,
+        request: AdmittedRequest,
+        outputs: dict[str, msgspec.Raw],
+        *,
+        is_replayed: bool,
+    ) -> PipelineAnswer:
+        names = {stage.name for stage in request.pipeline.stages}
+        is_whole = self._context.monitor.require(
+            holds=set(outputs) == names,
+            invariant='answer.whole',
+            step=request.pipeline_name,
+            peer=self._name,
+            detail=request.request_id,
+        )
+        if not is_whole:
+            return self._refuse(
+                request,
+                msgspec.structs.replace(
+                    self._make_refusal('answer', Reason.invariant_violated, ''),
+                    outcome=Outcome.unknown,
+                ),
+            )
+        return PipelineAnswer(
+            request_id=request.request_id,
+            outcome=Outcome.done,
+            answer=outputs,
+            replayed=is_replayed,
+        )
+
+    def _give_up(
+        self,
+        request: AdmittedRequest,
+        effects: EffectTracker,
+        last: StageAnswer,
+    ) -> PipelineAnswer:
+        outcome = effects.get_outcome(last.outcome)
+        retry_after_ms = last.refusal.retry_after_ms
+        if retry_after_ms is None:
+            retry_after_ms = global_settings.RETRY_AFTER_FLOOR_MS
+        return self._refuse(
+            request,
+            msgspec.structs.replace(
+                last.refusal,
+                outcome=outcome,
+                retry_after_ms=retry_after_ms,
+            ),
+            is_safe=effects.is_safe_to_retry(),
+        )
+
+    def _get_needed_ms(
+        self,
+        request: AdmittedRequest,
+        stages: tuple[Stage, ...],
+    ) -> float:
+        now_ms = get_monotonic_ms()
+        return sum(
+            self._estimates.get_ms(
+                f'{request.pipeline_name}/{stage.name}',
+                now_ms,
+            )
+            for stage in stages
+        )
+
+    def _refuse(
+        self,
+        request: AdmittedRequest,
+        refusal: Refusal,
+        *,
+        is_safe: bool | None = None,
+    ) -> PipelineAnswer:
+        if is_safe is None:
+            is_safe = refusal.outcome is Outcome.not_run
+        return PipelineAnswer(
+            request_id=request.request_id,
+            outcome=refusal.outcome,
+            refusal=refusal,
+            safe_to_retry=is_safe,
+        )
+
+    def _make_refusal(self, step: str, reason: Reason, detail: str) -> Refusal:
+        return Refusal(
+            outcome=Outcome.not_run,
+            reason=reason,
+            step=step,
+            peer=self._name,
+            detail=detail,
+        )
+
+
+def _render_input(
+    request: AdmittedRequest,
+    stage: Stage,
+    previous: msgspec.Raw,
+) -> msgspec.Raw:
+    stage_input = StageInput(
+        input=request.inputs.get(stage.name, _NOTHING),
+        previous=previous,
+    )
+    return msgspec.Raw(msgspec.json.encode(stage_input))
+
+
+def _get_output(work: StageWork, answer: StageAnswer) -> msgspec.Raw:
+    """Return the whole output, also of a generation that was resumed."""
+    if not work.tokens:
+        return answer.output
+    text = ''.join(work.tokens)
+    return msgspec.Raw(
+        msgspec.json.encode({'text': text, 'tokens': len(work.tokens)}),
+    )
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/pool_router.py
@@ -0,0 +1,134 @@
+"""Know the sidecars of every pool and choose among them."""
+
+import asyncio
+
+from ragworthollow.conf import global_settings
+from ragworthollow.engines import get_carriers
+from ragworthollow.platform.instance_list import InstanceEntry, InstanceState
+from ragworthollow.retries import RetryBudget
+from ragworthollow.routing import (
+    PeerState,
+    choose_peer,
+    choose_subset,
+    find_stragglers,
+)
+from ragworthollow.routing.choice import Wish
+from ragworthollow.utils import get_monotonic_ms
+
+from ragworthollow_daemon.process_context import ProcessContext
+
+_MILLISECONDS = 1000
+
+
+class PoolRouter:
+    """
+    Keep the state of the sidecars this entry talks to.
+
+    Parameters
+    ----------
+    context : ProcessContext
+        Of this process.
+    """
+
+    def __init__(self, *, context: ProcessContext) -> None:
+        self._context = context
+        self._states: dict[str, PeerState] = {}
+        self._subsets: dict[tuple[str, str], list[PeerState]] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._revision = -1
+        context.store.listen(self._subsets.clear)
+
+    async def run(self) -> None:
+        """Eject stragglers until cancelled."""
+        while True:
+            await asyncio.sleep(
+                global_settings.EJECTION_INTERVAL_MS / _MILLISECONDS,
+            )
+            for subset in self._subsets.values():
+                self._eject(subset)
+
+    def get_budget(self, pool: str) -> RetryBudget:
+        """Return the budget for further attempts at a pool."""
+        return self._budgets.setdefault(pool, RetryBudget())
+
+    def choose(
+        self,
+        pool: str,
+        model: str,
+        wish: Wish,
+    ) -> PeerState | None:
+        """
+        Choose the sidecar for one attempt.
+
+        Parameters
+        ----------
+        pool, model : str
+            Pool of the stage, and its model if it generates.
+        wish : Wish
+            Affinity, and what to avoid.
+
+        Returns
+        -------
+        PeerState or None
+            None when nothing is left to try.
+        """
+        return choose_peer(
+            self._get_subset(pool, model),
+            wish,
+            get_monotonic_ms(),
+            self._context.rng,
+        )
+
+    def get_peer(self, instance: InstanceEntry) -> PeerState:
+        """Return the state of one sidecar, listed or not."""
+        state = self._states.get(instance.instance)
+        if state is None or state.instance.address != instance.address:
+            state = PeerState(instance=instance)
+            self._states[instance.instance] = state
+        return state
+
+    def _get_subset(self, pool: str, model: str) -> list[PeerState]:
+        listed = self._context.peers.listed
+        if listed.revision != self._revision:
+            self._revision = listed.revision
+            self._subsets.clear()
+            self._forget(listed.instances)
+        subset = self._subsets.get((pool, model))
+        if subset is None:
+            live = self._get_carriers(pool, model)
+            chosen = choose_subset(
+                self._context.settings.instance,
+                live,
+                global_settings.SUBSET_SIZE,
+            )
+            subset = [self.get_peer(one) for one in chosen]
+            self._subsets[pool, model] = subset
+        return subset
+
+    def _get_carriers(self, pool: str, model: str) -> list[InstanceEntry]:
+        members = self._context.peers.get_pool(pool)
+        live = [one for one in members if one.state is InstanceState.live]
+        if not model:
+            return live
+        carriers = get_carriers(
+            self._context.store.deployment,
+            model,
+            [one.instance for one in members],
+        )
+        return [one for one in live if one.instance in carriers]
+
+    def _forget(self, listed: tuple[InstanceEntry, ...]) -> None:
+        names = {one.instance for one in listed}
+        self._states = {
+            name: state
+            for name, state in self._states.items()
+            if name in names or state.in_flight
+        }
+
+    def _eject(self, subset: list[PeerState]) -> None:
+        now_ms = get_monotonic_ms()
+        for straggler in find_stragglers(subset):
+            straggler.avoid_until_ms = now_ms + global_settings.EJECTION_MS
+            # It is judged anew by what it does after its return.
+            straggler.samples = 0
+            self._context.metrics.count_event('straggler_ejected')
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/request_routes.py
@@ -0,0 +1,147 @@
+"""Serve callers."""
+
+import dataclasses
+import math
+
+from aiohttp import web
+from ragworthollow.logs.events import log_event
+from ragworthollow.outcomes import Outcome, Reason, Refusal
+from ragworthollow.utils import make_identifier
+from result import Err
+
+from ragworthollow_daemon.entry.admitted_request import AdmittedRequest
+from ragworthollow_daemon.entry.door import Door
+from ragworthollow_daemon.entry.event_stream import EventStream
+from ragworthollow_daemon.entry.messages import PipelineAnswer
+from ragworthollow_daemon.entry.pipeline_runner import PipelineRunner
+from ragworthollow_daemon.process_context import ProcessContext
+from ragworthollow_daemon.web.responses import respond
+
+_MILLISECONDS = 1000
+_OVERLOADED = 503
+_CONFLICT = 409
+_STATUSES = {
+    Reason.bad_request: 400,
+    Reason.bad_deadline: 400,
+    Reason.bad_idempotency_key: 400,
+    Reason.deadline_exceeded: 400,
+    Reason.unauthorized: 401,
+    Reason.unknown_pipeline: 404,
+    Reason.body_too_large: 413,
+    Reason.key_in_use: _CONFLICT,
+    Reason.overloaded: 429,
+    Reason.shed: 429,
+    Reason.deadline_too_short: 429,
+}
+_GATEWAY_ERROR = 502
+
+
+class RequestRoutes:
+    """
+    Receive requests and send their answers.
+
+    Parameters
+    ----------
+    context : ProcessContext
+        Of this process.
+    door : Door
+        Checks requests.
+    runner : PipelineRunner
+        Runs them.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: ProcessContext,
+        door: Door,
+        runner: PipelineRunner,
+    ) -> None:
+        self._context = context
+        self._door = door
+        self._runner = runner
+
+    def add_to(self, application: web.Application) -> None:
+        """Add the routes."""
+        application.router.add_post(
+            '/v1/pipelines/{pipeline}',
+            self.run_pipeline,
+        )
+
+    async def run_pipeline(self, request: web.Request) -> web.StreamResponse:
+        """Run one pipeline for one caller."""
+        with self._context.drain.serving():
+            admitted = await self._door.admit(request)
+            if isinstance(admitted, Err):
+                return self._refuse(admitted.err_value)
+            if admitted.ok_value.is_stream:
+                return await self._stream(request, admitted.ok_value)
+            answer = await self._run(admitted.ok_value)
+            return _render(answer)
+
+    async def _run(self, admitted: AdmittedRequest) -> PipelineAnswer:
+        answer = await self._runner.run(admitted)
+        refusal = answer.refusal
+        log_event(
+            'request_ended',
+            request_id=answer.request_id,
+            organisation=admitted.organisation,
+            pipeline=admitted.pipeline_name,
+            outcome=answer.outcome,
+            reason=refusal.reason if refusal else None,
+            step=refusal.step if refusal else 'answer',
+            peer=refusal.peer if refusal else self._context.settings.instance,
+            elapsed_ms=round(answer.elapsed_ms, 1),
+        )
+        return answer
+
+    async def _stream(
+        self,
+        request: web.Request,
+        admitted: AdmittedRequest,
+    ) -> web.StreamResponse:
+        stream = EventStream(request=request)
+        answer = await self._run(
+            dataclasses.replace(admitted, emit=stream.send_token),
+        )
+        if not stream.is_started and answer.outcome is not Outcome.done:
+            return _render(answer)
+        return await stream.finish(answer)
+
+    def _refuse(self, refusal: Refusal) -> web.Response:
+        self._context.metrics.count_request('', refusal.outcome, refusal.reason)
+        request_id = make_identifier()
+        log_event(
+            'request_refused',
+            request_id=request_id,
+            reason=refusal.reason,
+            step=refusal.step,
+            peer=refusal.peer,
+        )
+        return _render(
+            PipelineAnswer(
+                request_id=request_id,
+                outcome=refusal.outcome,
+                refusal=refusal,
+                safe_to_retry=refusal.outcome is Outcome.not_run,
+            ),
+        )
+
+
+def _render(answer: PipelineAnswer) -> web.Response:
+    response = respond(answer, status=_get_status(answer))
+    refusal = answer.refusal
+    if refusal is not None and refusal.retry_after_ms is not None:
+        seconds = math.ceil(refusal.retry_after_ms / _MILLISECONDS)
+        response.headers['Retry-After'] = str(seconds)
+    return response
+
+
+def _get_status(answer: PipelineAnswer) -> int:
+    if answer.refusal is None:
+        return web.HTTPOk.status_code
+    if answer.outcome is Outcome.not_run:
+        return _STATUSES.get(answer.refusal.reason, _OVERLOADED)
+    if answer.refusal.reason is Reason.bad_idempotency_key:
+        return _STATUSES[Reason.bad_idempotency_key]
+    return _GATEWAY_ERROR
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/role.py
@@ -0,0 +1,62 @@
+"""Assemble the entry."""
+
+import asyncio
+
+from aiohttp import web
+
+from ragworthollow_daemon.entry.door import Door
+from ragworthollow_daemon.entry.operator_routes import OperatorRoutes
+from ragworthollow_daemon.entry.pipeline_runner import PipelineRunner
+from ragworthollow_daemon.entry.pool_router import PoolRouter
+from ragworthollow_daemon.entry.request_routes import RequestRoutes
+from ragworthollow_daemon.process_context import ProcessContext
+
+_MILLISECONDS = 1000
+
+
+class EntryRole:
+    """
+    Serve callers and operators.
+
+    Parameters
+    ----------
+    context : ProcessContext
+        Of this process.
+    """
+
+    def __init__(self, *, context: ProcessContext) -> None:
+        self._context = context
+        self._pools = PoolRouter(context=context)
+
+    def add_to(self, application: web.Application) -> None:
+        """Add the routes of the role."""
+        RequestRoutes(
+            context=self._context,
+            door=Door(
+                instance=self._context.settings.instance,
+                store=self._context.store,
+            ),
+            runner=PipelineRunner(context=self._context, pools=self._pools),
+        ).add_to(application)
+        OperatorRoutes(context=self._context).add_to(application)
+
+    async def start(self) -> None:
+        """Start the loops."""
+        self._context.spawn(self._pools.run())
+
+    async def stop(self, limit_ms: float) -> None:
+        """
+        Wait until the balancer has moved away and nothing is served.
+
+        The balancer asks for readiness only now and then, so that requests
+        keep coming for a while after the first negative answer; they are
+        served like any other.
+
+        Parameters
+        ----------
+        limit_ms : float
+            Longest wait.
+        """
+        lag_ms = self._context.settings.balancer_lag_ms
+        await asyncio.sleep(min(lag_ms, limit_ms) / _MILLISECONDS)
+        await self._context.drain.wait_quiet(limit_ms)
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/stage_runner.py
@@ -0,0 +1,343 @@
+"""Run one stage of a request, with further attempts where they are safe."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import msgspec
+from ragworthollow.conf import global_settings
+from ragworthollow.configuration import Stage, StageKind
+from ragworthollow.outcomes import Outcome, Reason
+from ragworthollow.routing import PeerState
+from ragworthollow.routing.choice import Wish
+from ragworthollow.transport import StageAnswer, StageCall, StreamLine
+from ragworthollow.transport.stage_answer import refuse
+from ragworthollow.utils import get_monotonic_ms
+
+from ragworthollow_daemon.entry.admitted_request import AdmittedRequest
+from ragworthollow_daemon.entry.effect_tracker import EffectTracker
+from ragworthollow_daemon.entry.estimates import Estimates
+from ragworthollow_daemon.entry.key_router import KeyRouter
+from ragworthollow_daemon.entry.messages import TokenEvent
+from ragworthollow_daemon.entry.pool_router import PoolRouter
+from ragworthollow_daemon.entry.stage_caller import StageCaller
+from ragworthollow_daemon.process_context import ProcessContext
+
+_MILLISECONDS = 1000
+
+# Nothing has run and another instance may well do it.
+_ELSEWHERE = frozenset(
+    (
+        Reason.connect_failed,
+        Reason.leaving,
+        Reason.draining,
+        Reason.not_owner,
+        Reason.not_configured,
+        Reason.model_not_loaded,
+        Reason.no_instance,
+        Reason.ownership_unsure,
+    ),
+)
+# The instance is busy; the pool as a whole may be.
+_BUSY = frozenset(
+    (Reason.overloaded, Reason.shed, Reason.deadline_too_short),
+)
+
+
+@dataclass(kw_only=True, slots=True)
+class StageWork:
+    """
+    Gather what one stage of a request has tried.
+
+    Attributes
+    ----------
+    request : AdmittedRequest
+        The request.
+    stage : Stage
+        The stage.
+    payload : Raw
+        Its input.
+    earlier : dict
+        Outputs of the stages before.
+    later_ms, cost_ms : float
+        Estimated time of the later stages, and of this one and them.
+    effects : EffectTracker
+        Account of the whole request.
+    attempts : int
+        Attempts made so far.
+    busy_refusals : int
+        Refusals of busy instances so far.
+    tried : set of str
+        Instances not to be tried again.
+    tokens : list of str
+        Tokens received so far; a further attempt resumes behind them.
+    """
+
+    request: AdmittedRequest
+    stage: Stage
+    payload: msgspec.Raw
+    earlier: dict[str, msgspec.Raw]
+    later_ms: float
+    cost_ms: float
+    effects: EffectTracker
+    attempts: int = 0
+    busy_refusals: int = 0
+    tried: set[str] = field(default_factory=set)
+    tokens: list[str] = field(default_factory=list)
+
+    def get_key(self) -> str:
+        """Return the name under which estimates are kept."""
+        return f'{self.request.pipeline_name}/{self.stage.name}'
+
+
+class StageRunner:
+    """
+    See one stage through.
+
+    Parameters
+    ----------
+    context : ProcessContext
+        Of this process.
+    pools : PoolRouter
+        Chooses sidecars.
+    keys : KeyRouter
+        Finds owners of keys.
+    estimates : Estimates
+        Learns how long stages take.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: ProcessContext,
+        pools: PoolRouter,
+        keys: KeyRouter,
+        estimates: Estimates,
+    ) -> None:
+        self._context = context
+        self._pools = pools
+        self._keys = keys
+        self._estimates = estimates
+        self._caller = StageCaller(context=context)
+
+    async def run(self, work: StageWork) -> StageAnswer:
+        """
+        Try a stage until it is done or nothing more can be tried.
+
+        Parameters
+        ----------
+        work : StageWork
+            The stage of one request.
+
+        Returns
+        -------
+        StageAnswer
+            The answer that ended it.
+        """
+        pool = work.stage.pool
+        self._pools.get_budget(pool).earn()
+        while True:
+            answer = await self._try_once(work)
+            work.effects.note(work.stage, answer)
+            if answer.outcome is Outcome.done:
+                return answer
+            if not self._may_retry(work, answer):
+                return answer
+            self._context.metrics.count_retry(
+                work.stage.name,
+                answer.refusal.reason,
+            )
+            if work.request.is_keyed() and not work.stage.repeatable:
+                await self._keys.refresh(pool)
+                await asyncio.sleep(
+                    global_settings.KEYED_RETRY_MS / _MILLISECONDS,
+                )
+
+    async def _try_once(self, work: StageWork) -> StageAnswer:
+        if work.request.get_remaining_ms() <= 0:
+            return self._refuse(work, Reason.deadline_exceeded)
+        peer = await self._choose(work)
+        if peer is None:
+            return self._refuse(work, Reason.no_instance)
+        started_ms = get_monotonic_ms()
+        if work.stage.repeatable and work.stage.kind is not StageKind.generate:
+            answer = await self._hedge(work, peer)
+        else:
+            answer = await self._attempt(work, peer)
+        now_ms = get_monotonic_ms()
+        if answer.outcome is Outcome.done and not answer.replayed:
+            elapsed_ms = now_ms - started_ms
+            self._estimates.record(work.get_key(), elapsed_ms, now_ms)
+        return answer
+
+    async def _choose(self, work: StageWork) -> PeerState | None:
+        request = work.request
+        if request.is_keyed() and not work.stage.repeatable:
+            return await self._keys.find_owner(
+                work.stage.pool, request.once.key
+            )
+        affinity = ''
+        if work.stage.kind is StageKind.generate:
+            # Requests of one organisation and pipeline share their prompt's
+            # prefix; rivals never do.
+            affinity = f'{request.organisation}/{request.pipeline_name}'
+        wish = Wish(affinity_key=affinity, avoid=frozenset(work.tried))
+        return self._pools.choose(work.stage.pool, work.stage.model, wish)
+
+    async def _hedge(self, work: StageWork, peer: PeerState) -> StageAnswer:
+        """Start a second attempt when the first takes unusually long."""
+        first = asyncio.ensure_future(self._attempt(work, peer))
+        running = {first}
+        try:
+            delay_ms = self._get_hedge_delay_ms(work)
+            await asyncio.wait(running, timeout=delay_ms / _MILLISECONDS)
+            if not first.done():
+                second = self._start_hedge(work)
+                if second is not None:
+                    running.add(second)
+            return await _take_first(running)
+        finally:
+            # The loser is cancelled by closing its connection.
+            for task in running:
+                task.cancel()
+
+    def _start_hedge(self, work: StageWork) -> asyncio.Task | None:
+        peer = self._pools.choose(
+            work.stage.pool,
+            work.stage.model,
+            Wish(avoid=frozenset(work.tried)),
+        )
+        if peer is None:
+            return None
+        if not self._pools.get_budget(work.stage.pool).spend():
+            return None
+        self._context.metrics.count_retry(work.stage.name, 'hedge')
+        return asyncio.ensure_future(self._attempt(work, peer))
+
+    async def _attempt(self, work: StageWork, peer: PeerState) -> StageAnswer:
+        work.attempts += 1
+        work.tried.add(peer.instance.instance)
+        call = self._make_call(work)
+
+        async def emit(line: StreamLine) -> None:
+            self._check_offset(work, line, peer)
+            work.tokens.append(line.token)
+            await work.request.emit(
+                TokenEvent(
+                    stage=work.stage.name,
+                    offset=line.offset,
+                    token=line.token,
+                ),
+            )
+
+        return await self._caller.call(
+            peer,
+            call,
+            emit,
+            self._get_timeout_ms(work),
+        )
+
+    def _check_offset(
+        self,
+        work: StageWork,
+        line: StreamLine,
+        peer: PeerState,
+    ) -> None:
+        self._context.monitor.require(
+            holds=line.offset == len(work.tokens),
+            invariant='stream.offset_without_gap',
+            step=work.stage.name,
+            peer=peer.instance.instance,
+            detail=work.request.request_id,
+        )
+
+    def _make_call(self, work: StageWork) -> StageCall:
+        request = work.request
+        stage = work.stage
+        is_once = not stage.repeatable
+        return StageCall(
+            request_id=request.request_id,
+            stage=stage.name,
+            attempt=work.attempts,
+            remaining_ms=request.get_remaining_ms() - work.later_ms,
+            organisation=request.organisation,
+            pipeline=request.pipeline_name,
+            kind=stage.kind,
+            pool=stage.pool,
+            payload=work.payload,
+            operation=stage.operation,
+            model=stage.model,
+            adapter=stage.adapter,
+            max_tokens=stage.max_tokens,
+            resume_offset=len(work.tokens),
+            worth=request.worth,
+            cost_ms=work.cost_ms,
+            once=request.once if is_once else None,
+            earlier=work.earlier if is_once and request.is_keyed() else {},
+        )
+
+    def _may_retry(self, work: StageWork, answer: StageAnswer) -> bool:
+        reason = answer.refusal.reason
+        if work.request.get_remaining_ms() <= 0:
+            return False
+        if answer.outcome is Outcome.not_run:
+            if reason in _BUSY:
+                # Further knocking would only add to the load of a pool that
+                # is busy as a whole.
+                work.busy_refusals += 1
+                return work.busy_refusals < global_settings.OVERLOAD_RETRIES
+            if reason not in _ELSEWHERE:
+                return False
+            is_keyed = work.request.is_keyed() and not work.stage.repeatable
+            if is_keyed:
+                return True
+            return work.attempts < global_settings.MAX_ATTEMPTS
+        if not work.stage.repeatable:
+            return False
+        if work.attempts >= global_settings.MAX_ATTEMPTS:
+            return False
+        return self._pools.get_budget(work.stage.pool).spend()
+
+    def _get_timeout_ms(self, work: StageWork) -> float:
+        remaining_ms = work.request.get_remaining_ms()
+        if not work.stage.repeatable:
+            return remaining_ms
+        known_ms = self._estimates.get_ms(work.get_key(), get_monotonic_ms())
+        if work.stage.kind is StageKind.generate:
+            floor_ms = global_settings.STREAM_SILENCE_FLOOR_MS
+            factor = global_settings.STREAM_SILENCE_FACTOR
+        else:
+            floor_ms = global_settings.CALL_TIMEOUT_FLOOR_MS
+            factor = global_settings.CALL_TIMEOUT_FACTOR
+        return min(remaining_ms, max(floor_ms, known_ms * factor))
+
+    def _get_hedge_delay_ms(self, work: StageWork) -> float:
+        known_ms = self._estimates.get_ms(work.get_key(), get_monotonic_ms())
+        return max(
+            known_ms * global_settings.HEDGE_QUANTILE_FACTOR,
+            global_settings.HEDGE_DELAY_FLOOR_MS,
+        )
+
+    def _refuse(self, work: StageWork, reason: Reason) -> StageAnswer:
+        return refuse(
+            self._make_call(work),
+            outcome=Outcome.not_run,
+            reason=reason,
+            peer=self._context.settings.instance,
+        )
+
+
+async def _take_first(running: set[asyncio.Task]) -> StageAnswer:
+    """Return the first whole result, or the last refusal."""
+    pending = set(running)
+    answer = None
+    while pending:
+        done, pending = await asyncio.wait(
+            pending,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        answers = [task.result() for task in done]
+        answers.sort(key=lambda one: one.outcome is not Outcome.done)
+        answer = answers[0]
+        if answer.outcome is Outcome.done:
+            break
+    return answer
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/main.py
@@ -0,0 +1,67 @@
+"""Run `ragworthd`."""
+
+import gc
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import uvloop
+from aiomisc import entrypoint
+from cyclopts import App, Parameter
+from ragworthollow import __version__
+from ragworthollow.checks import render_messages
+from ragworthollow.conf.loading import load_settings
+from ragworthollow.logs import set_up_logging
+from result import Err
+
+from ragworthollow_daemon.daemon_service import DaemonService
+
+_USAGE_ERROR = 2
+_COLLECTION_THRESHOLD = 20_000
+
+app = App(
+    name='ragworthd',
+    help='Run one process of ragworthollow: an entry, which receives'
+    " callers' requests, or a sidecar, which guards one upstream instance.",
+    version=__version__,
+)
+
+
+@app.default
+def run(
+    *,
+    settings: Annotated[Path, Parameter(help='YAML settings of this process.')],
+    check: Annotated[
+        bool,
+        Parameter(help='Check the settings and exit.', negative=''),
+    ] = False,
+) -> None:
+    """
+    Run until TERM, which stops gracefully; a second TERM stops at once.
+
+    Exit codes: 0 stopped, 1 cut by a second signal, 2 bad settings.
+    """
+    loaded = load_settings(settings)
+    if isinstance(loaded, Err):
+        sys.stderr.write(f'{render_messages([loaded.err_value])}\n')
+        sys.exit(_USAGE_ERROR)
+    if check:
+        sys.stdout.write('settings are valid\n')
+        return
+    set_up_logging(instance=loaded.ok_value.instance)
+    # Most objects live for one request and die by reference count.
+    gc.set_threshold(_COLLECTION_THRESHOLD)
+    service = DaemonService(settings=loaded.ok_value)
+    with entrypoint(
+        service,
+        loop_factory=uvloop.new_event_loop,
+        pool_size=1,
+        log_config=False,
+        catch_signals=(),
+    ) as loop:
+        loop.run_until_complete(service.serve())
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/process_context.py
@@ -0,0 +1,114 @@
+"""Hold what both roles of a daemon need."""
+
+import asyncio
+import random
+
+import aiohttp
+from ragworthollow.conf import DaemonSettings
+from ragworthollow.configuration.follower import Follower
+from ragworthollow.configuration.store import ConfigurationStore
+from ragworthollow.logs.events import log_error
+from ragworthollow.membership import Peers
+from ragworthollow.metrics import InvariantMonitor, Metrics
+from ragworthollow.platform import InstanceList, InstancePoller, KeyValue
+from ragworthollow.transport.session import make_plain_session, make_session
+from ragworthollow.utils import make_identifier
+
+from ragworthollow_daemon.drain import DrainState
+
+
+class ProcessContext:
+    """
+    Own the sessions, the metrics and the followed state of one process.
+
+    To be made inside the running loop.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Checked settings.
+    """
+
+    def __init__(self, *, settings: DaemonSettings) -> None:
+        self.settings = settings
+        self.incarnation = make_identifier()
+        self.metrics = Metrics()
+        self.monitor = InvariantMonitor(metrics=self.metrics)
+        self.drain = DrainState()
+        self.rng = random.Random(self.incarnation)  # noqa: S311
+        self.session = make_session(settings.cluster_key)
+        self.plain_session = make_plain_session()
+        self.store = ConfigurationStore(instance=settings.instance)
+        self.peers = Peers(
+            instance=settings.instance,
+            failure_domain=settings.failure_domain,
+            rng=self.rng,
+        )
+        self.key_value = KeyValue(
+            session=self.plain_session,
+            base_url=settings.platform.kv_url,
+            prefix=settings.platform.prefix,
+        )
+        self.poller = InstancePoller(
+            session=self.plain_session,
+            url=settings.platform.instances_url,
+            on_change=self._take_instances,
+        )
+        self.follower = Follower(
+            key_value=self.key_value,
+            store=self.store,
+            peers=self.peers,
+            session=self.session,
+            count_event=self.metrics.count_event,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Learn the instances and the configuration, then follow both."""
+        await self.poller.poll()
+        await self.follower.start()
+        self.spawn(self.poller.run())
+        self.spawn(self.follower.run())
+
+    def spawn(self, coroutine) -> None:
+        """Run a loop of this process until it closes."""
+        task = asyncio.ensure_future(coroutine)
+        task.add_done_callback(_report_end)
+        self._tasks.append(task)
+
+    async def close(self) -> None:
+        """End the loops and the sessions."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.session.close()
+        await self.plain_session.close()
+
+    def _take_instances(self, listed: InstanceList) -> None:
+        self.peers.listed = listed
+
+
+def _report_end(task: asyncio.Task[None]) -> None:
+    """Say that a loop has ended with an error, which is always a defect."""
+    if task.cancelled():
+        return
+    error = task.exception()
+    if error is not None:
+        log_error('loop_failed', step='lifecycle', error=repr(error))
+
+
+def get_timeout(total_ms: float) -> aiohttp.ClientTimeout:
+    """
+    Make a timeout for a whole exchange.
+
+    Parameters
+    ----------
+    total_ms : float
+        Milliseconds from the first byte to the last.
+
+    Returns
+    -------
+    ClientTimeout
+        In the library's own unit, seconds.
+    """
+    return aiohttp.ClientTimeout(total=total_ms / 1000)
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""Guard one upstream instance."""
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_gate.py
@@ -0,0 +1,277 @@
+"""Run keyed calls at most once."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from ragworthollow.once import (
+    KeyRecord,
+    Ledger,
+    LookupAnswer,
+    LookupState,
+    Ownership,
+    RecordState,
+)
+from ragworthollow.once.ownership import Standing
+from ragworthollow.outcomes import Outcome, Reason
+from ragworthollow.transport import OnceKey, StageAnswer, StageCall
+from ragworthollow.transport.stage_answer import refuse
+from ragworthollow.utils import get_monotonic_ms
+
+from ragworthollow_daemon.process_context import ProcessContext
+
+Execute = Callable[[StageCall], Awaitable[StageAnswer]]
+
+_MILLISECONDS = 1000
+_OWNERSHIP_RETRY_MS = 1000
+_REASONS = {
+    Standing.not_owner: Reason.not_owner,
+    Standing.unsure: Reason.ownership_unsure,
+    Standing.born_before: Reason.born_before_ownership,
+}
+
+
+class OnceGate:
+    """
+    Stand between keyed calls and the upstream.
+
+    Parameters
+    ----------
+    context : ProcessContext
+        Of this process.
+    ownership : Ownership
+        What this process may be certain of.
+    ledger : Ledger
+        What it remembers.
+    execute : callable
+        Runs a call on the upstream.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: ProcessContext,
+        ownership: Ownership,
+        ledger: Ledger,
+        execute: Execute,
+    ) -> None:
+        self._context = context
+        self._ownership = ownership
+        self._ledger = ledger
+        self._execute = execute
+        self._name = context.settings.instance
+        self._running: dict[str, asyncio.Task[StageAnswer]] = {}
+
+    async def run(self, call: StageCall, once: OnceKey) -> StageAnswer:
+        """
+        Run a call, join it while it runs, or repeat its result.
+
+        A caller that goes away does not cancel a call that may have had its
+        effect: the task goes on and its result is kept for the repeat.
+
+        Parameters
+        ----------
+        call : StageCall
+            The call.
+        once : OnceKey
+            Its key.
+
+        Returns
+        -------
+        StageAnswer
+            The one answer of this key.
+        """
+        if once.fresh:
+            # Nobody else has ever seen the key, so that no other process
+            # can have run it and no repeat of it can come.
+            return await asyncio.shield(
+                asyncio.ensure_future(self._execute(call)),
+            )
+        record = self._ledger.get(once.key)
+        if record is None:
+            refused = self._check(call, once)
+            if refused is not None:
+                return refused
+            self._start(call, once)
+        elif record.fingerprint != once.fingerprint:
+            return self._refuse(call, Outcome.not_run, Reason.key_in_use)
+        elif record.state is not RecordState.running:
+            return self._replay(call, record)
+        return await self._join(call, once.key)
+
+    async def look_up(self, once: OnceKey, wait_ms: float) -> LookupAnswer:
+        """
+        Say what is known of a key.
+
+        Parameters
+        ----------
+        once : OnceKey
+            The key.
+        wait_ms : float
+            How long to wait for a call that is still running.
+
+        Returns
+        -------
+        LookupAnswer
+            `absent` only when it is certain that the key never ran.
+        """
+        task = self._running.get(once.key)
+        if task is not None:
+            await asyncio.wait([task], timeout=wait_ms / _MILLISECONDS)
+        record = self._ledger.get(once.key)
+        if record is not None:
+            if record.state is RecordState.running:
+                return LookupAnswer(state=LookupState.running)
+            return LookupAnswer(state=LookupState.finished, record=record)
+        standing = self._get_standing(once)
+        if standing is Standing.owner:
+            return LookupAnswer(state=LookupState.absent)
+        if standing is Standing.not_owner:
+            return LookupAnswer(state=LookupState.not_owner)
+        return LookupAnswer(state=LookupState.uncertain)
+
+    def _get_standing(self, once: OnceKey) -> Standing:
+        return self._ownership.get_standing(
+            once.key,
+            once.born_ms,
+            get_monotonic_ms(),
+        )
+
+    def _check(self, call: StageCall, once: OnceKey) -> StageAnswer | None:
+        standing = self._get_standing(once)
+        if standing is Standing.born_before:
+            return self._refuse(call, Outcome.unknown, _REASONS[standing])
+        if standing is not Standing.owner:
+            return self._refuse(
+                call,
+                Outcome.not_run,
+                _REASONS[standing],
+                retry_after_ms=_OWNERSHIP_RETRY_MS,
+            )
+        if self._ledger.is_full():
+            return self._refuse(
+                call,
+                Outcome.not_run,
+                Reason.overloaded,
+                retry_after_ms=_OWNERSHIP_RETRY_MS,
+            )
+        return None
+
+    def _start(self, call: StageCall, once: OnceKey) -> None:
+        self._ledger.put(
+            KeyRecord(
+                key=once.key,
+                born_ms=once.born_ms,
+                state=RecordState.running,
+                request_id=call.request_id,
+                fingerprint=once.fingerprint,
+                earlier=call.earlier,
+            ),
+        )
+        self._context.monitor.require(
+            holds=once.key not in self._running,
+            invariant='once.single_execution',
+            step=call.stage,
+            peer=self._name,
+            detail=call.request_id,
+        )
+        task = asyncio.ensure_future(self._run_recorded(call, once))
+        self._running[once.key] = task
+        task.add_done_callback(lambda _: self._running.pop(once.key, None))
+
+    async def _run_recorded(
+        self,
+        call: StageCall,
+        once: OnceKey,
+    ) -> StageAnswer:
+        try:
+            answer = await self._execute(call)
+        except BaseException:
+            self._record(call, once, RecordState.unknown)
+            raise
+        if answer.outcome is Outcome.not_run:
+            self._ledger.remove(once.key)
+        else:
+            self._record(
+                call,
+                once,
+                RecordState(answer.outcome.value),
+                answer,
+            )
+        return answer
+
+    def _record(
+        self,
+        call: StageCall,
+        once: OnceKey,
+        state: RecordState,
+        answer: StageAnswer | None = None,
+    ) -> None:
+        refusal = answer.refusal if answer else None
+        self._ledger.put(
+            KeyRecord(
+                key=once.key,
+                born_ms=once.born_ms,
+                state=state,
+                request_id=call.request_id,
+                fingerprint=once.fingerprint,
+                output=answer.output if answer else msgspec.Raw(b'null'),
+                earlier=call.earlier,
+                detail=refusal.detail if refusal else '',
+            ),
+        )
+
+    async def _join(self, call: StageCall, key: str) -> StageAnswer:
+        task = self._running.get(key)
+        if task is not None:
+            await asyncio.wait(
+                [task],
+                timeout=max(call.remaining_ms, 0) / _MILLISECONDS,
+            )
+        record = self._ledger.get(key)
+        if record is None and task is not None and task.done():
+            # It provably never started; so says the answer to each of us.
+            return msgspec.structs.replace(
+                task.result(),
+                request_id=call.request_id,
+                attempt=call.attempt,
+            )
+        if record is None or record.state is RecordState.running:
+            return self._refuse(call, Outcome.unknown, Reason.attempt_timeout)
+        return self._replay(call, record)
+
+    def _replay(self, call: StageCall, record: KeyRecord) -> StageAnswer:
+        if record.state is RecordState.done:
+            return StageAnswer(
+                request_id=call.request_id,
+                stage=call.stage,
+                attempt=call.attempt,
+                outcome=Outcome.done,
+                output=record.output,
+                earlier=record.earlier,
+                replayed=record.request_id != call.request_id,
+            )
+        return self._refuse(
+            call,
+            Outcome(record.state.value),
+            Reason.upstream_error,
+            detail=record.detail,
+        )
+
+    def _refuse(
+        self,
+        call: StageCall,
+        outcome: Outcome,
+        reason: Reason,
+        *,
+        detail: str = '',
+        retry_after_ms: int | None = None,
+    ) -> StageAnswer:
+        return refuse(
+            call,
+            outcome=outcome,
+            reason=reason,
+            peer=self._name,
+            detail=detail,
+            retry_after_ms=retry_after_ms,
+        )
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/application.py
@@ -0,0 +1,99 @@
+"""Make the HTTP application of a process."""
+
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from ragworthollow.conf import ListenSettings, global_settings
+from ragworthollow.transport.authentication import is_authentic
+
+from ragworthollow_daemon.process_context import ProcessContext
+from ragworthollow_daemon.web.configuration_routes import ConfigurationRoutes
+from ragworthollow_daemon.web.health_routes import HealthRoutes
+from ragworthollow_daemon.web.responses import Problem, respond
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+# Paths that callers, operators, scrapers and the balancer use; all others
+# are for processes of this deployment only.
+_OPEN_PATHS = ('/v1/pipelines/', '/v1/operator/', '/healthz', '/readyz')
+_SCRAPED_PATHS = ('/metrics', '/status')
+
+
+def make_application(context: ProcessContext) -> web.Application:
+    """
+    Make the application with the routes of both roles.
+
+    Parameters
+    ----------
+    context : ProcessContext
+        Of this process.
+
+    Returns
+    -------
+    Application
+        To which a role adds its own routes.
+    """
+
+    @web.middleware
+    async def authenticate(
+        request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        is_open = request.path.startswith((*_OPEN_PATHS, *_SCRAPED_PATHS))
+        cluster_key = context.settings.cluster_key
+        if not is_open and not is_authentic(request.headers, cluster_key):
+            context.metrics.count_event('unauthenticated_peer')
+            return respond(Problem(error='unauthenticated'), status=401)
+        response = await handler(request)
+        if context.drain.is_draining and not response.prepared:
+            # The next request of this connection goes to another process.
+            response.force_close()
+        return response
+
+    application = web.Application(
+        middlewares=[authenticate],
+        client_max_size=global_settings.MAX_BODY_BYTES,
+    )
+    HealthRoutes(context=context).add_to(application)
+    ConfigurationRoutes(context=context).add_to(application)
+    return application
+
+
+async def run_site(
+    application: web.Application,
+    listen: ListenSettings,
+) -> web.AppRunner:
+    """
+    Start to listen.
+
+    Parameters
+    ----------
+    application : Application
+        What to serve.
+    listen : ListenSettings
+        Where.
+
+    Returns
+    -------
+    AppRunner
+        To be cleaned up by the caller.
+    """
+    runner = web.AppRunner(
+        application,
+        access_log=None,
+        handler_cancellation=True,
+        max_field_size=global_settings.MAX_HEADER_BYTES,
+        max_line_size=global_settings.MAX_HEADER_BYTES,
+        keepalive_timeout=2 * global_settings.KEEPALIVE_MS / 1000,
+        shutdown_timeout=1,
+    )
+    await runner.setup()
+    site = web.TCPSite(
+        runner,
+        listen.host,
+        listen.port,
+        backlog=global_settings.MAX_CONNECTIONS,
+        reuse_address=True,
+    )
+    await site.start()
+    return runner
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/health_routes.py
@@ -0,0 +1,116 @@
+"""Serve health, readiness, metrics and status."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+from ragworthollow.utils.message import Message
+
+from ragworthollow_daemon.process_context import ProcessContext
+from ragworthollow_daemon.web.responses import Problem, respond
+
+_UNAVAILABLE = 503
+
+
+class Status(Message, omit_defaults=False):
+    """
+    Show the state of a process.
+
+    Attributes
+    ----------
+    instance, incarnation, role, failure_domain : str
+        Which process it is.
+    generation : int
+        Configuration generation in force.
+    draining : bool
+        Whether it is stopping.
+    in_flight : int
+        Calls it serves now.
+    platform_calls : int
+        Calls to the key-value service since the start.
+    violations : int
+        Violated invariants since the start; any is a defect.
+    details : dict
+        What the role adds.
+    """
+
+    instance: str
+    incarnation: str
+    role: str
+    failure_domain: str
+    generation: int
+    draining: bool
+    in_flight: int
+    platform_calls: int
+    violations: int
+    details: dict[str, object] = {}
+
+
+class HealthRoutes:
+    """
+    Answer those who watch this process.
+
+    Parameters
+    ----------
+    context : ProcessContext
+        Of this process.
+    """
+
+    def __init__(self, *, context: ProcessContext) -> None:
+        self._context = context
+
+    def add_to(self, application: web.Application) -> None:
+        """Add the routes."""
+        application.router.add_get('/healthz', self.get_health)
+        application.router.add_get('/readyz', self.get_readiness)
+        application.router.add_get('/metrics', self.get_metrics)
+        application.router.add_get('/status', self.get_status)
+
+    async def get_health(self, _request: web.Request) -> web.Response:
+        """Answer as long as the loop turns."""
+        return web.Response(text='ok\n')
+
+    async def get_readiness(self, _request: web.Request) -> web.Response:
+        """Tell the balancer whether new requests are welcome."""
+        if self._context.drain.is_draining:
+            return respond(Problem(error='draining'), status=_UNAVAILABLE)
+        if not self._context.store.generation:
+            return respond(
+                Problem(error='no configuration'), status=_UNAVAILABLE
+            )
+        return web.Response(text='ready\n')
+
+    async def get_metrics(self, _request: web.Request) -> web.Response:
+        """Render the metrics in the text format of scrapers."""
+        context = self._context
+        context.metrics.set_state('generation', context.store.generation)
+        context.metrics.set_state('in_flight', context.drain.in_flight)
+        context.metrics.set_state('platform_calls', context.key_value.calls)
+        return web.Response(
+            body=context.metrics.render(),
+            headers={'Content-Type': 'text/plain; version=0.0.4'},
+        )
+
+    async def get_status(self, request: web.Request) -> web.Response:
+        """Show the state as JSON."""
+        context = self._context
+        get_details = request.app.get(DETAILS_KEY, dict)
+        return respond(
+            Status(
+                instance=context.settings.instance,
+                incarnation=context.incarnation,
+                role=context.settings.role,
+                failure_domain=context.settings.failure_domain,
+                generation=context.store.generation,
+                draining=context.drain.is_draining,
+                in_flight=context.drain.in_flight,
+                platform_calls=context.key_value.calls,
+                violations=context.monitor.violations,
+                details=get_details(),
+            ),
+        )
+
+
+DETAILS_KEY: web.AppKey[Callable[[], dict[str, object]]] = web.AppKey(
+    'details',
+    Callable[[], dict[str, object]],
+)
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/checks/report.py
@@ -0,0 +1,33 @@
+"""Render findings for a terminal."""
+
+from collections.abc import Iterable
+
+from ragworthollow.checks.check_message import CheckMessage, Severity
+
+
+def has_errors(messages: Iterable[CheckMessage]) -> bool:
+    """Tell whether any finding is an error."""
+    return any(message.severity is Severity.error for message in messages)
+
+
+def render_messages(messages: Iterable[CheckMessage]) -> str:
+    """
+    Render findings, one line each.
+
+    Parameters
+    ----------
+    messages : iterable of CheckMessage
+        What the checks found.
+
+    Returns
+    -------
+    str
+        Lines of the form `where: (id) text HINT: hint`.
+    """
+    return '\n'.join(_render(message) for message in messages)
+
+
+def _render(message: CheckMessage) -> str:
+    hint = f' HINT: {message.hint}' if message.hint else ''
+    place = f'{message.where}: ' if message.where else ''
+    return f'{place}({message.check_id}) {message.text}{hint}'
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/conf/__init__.py
@@ -0,0 +1,16 @@
+"""Hold every default and the settings of a process."""
+
+from ragworthollow.conf.daemon_settings import DaemonSettings, Role
+from ragworthollow.conf.listen_settings import ListenSettings
+from ragworthollow.conf.operator_settings import OperatorSettings
+from ragworthollow.conf.platform_settings import PlatformSettings
+from ragworthollow.conf.sidecar_settings import SidecarSettings
+
+__all__ = (
+    'DaemonSettings',
+    'ListenSettings',
+    'OperatorSettings',
+    'PlatformSettings',
+    'Role',
+    'SidecarSettings',
+)
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/engines/__init__.py
@@ -0,0 +1,6 @@
+"""Decide which engine carries which model and order it so."""
+
+from ragworthollow.engines.order import Action, EngineOrder, plan_order
+from ragworthollow.engines.placement import get_carriers, get_wanted
+
+__all__ = ('Action', 'EngineOrder', 'get_carriers', 'get_wanted', 'plan_order')
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/logs/events.py
@@ -0,0 +1,31 @@
+"""Log events with typed fields."""
+
+from absl import logging
+
+
+def log_event(event: str, **fields: object) -> None:
+    """
+    Log one event at level info.
+
+    Parameters
+    ----------
+    event : str
+        Stable name of the event, to search for.
+    **fields
+        Fields of the line, such as `request_id`, `step` and `peer`.
+    """
+    logging.get_absl_logger().info(event, extra={'fields': fields})
+
+
+def log_error(event: str, **fields: object) -> None:
+    """
+    Log one event at level error.
+
+    Parameters
+    ----------
+    event : str
+        Stable name of the event, to search for.
+    **fields
+        Fields of the line, such as `request_id`, `step` and `peer`.
+    """
+    logging.get_absl_logger().error(event, extra={'fields': fields})
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/logs/formatter.py
@@ -0,0 +1,55 @@
+"""Format log records as JSON lines."""
+
+import logging as std_logging
+import sys
+
+import msgspec
+from absl import logging
+
+from ragworthollow.utils.clock import get_wall_ms
+
+
+class JsonFormatter(std_logging.Formatter):
+    """
+    Render one record as one JSON object.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this process, written on every line.
+    """
+
+    def __init__(self, *, instance: str) -> None:
+        super().__init__()
+        self._instance = instance
+
+    def format(self, record: std_logging.LogRecord) -> str:
+        """Return the JSON line of a record."""
+        line = {
+            'time_ms': round(get_wall_ms(), 1),
+            'level': record.levelname.lower(),
+            'instance': self._instance,
+            'event': record.getMessage(),
+            **getattr(record, 'fields', {}),
+        }
+        if record.exc_info:
+            line['traceback'] = self.formatException(record.exc_info)
+        return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+def set_up_logging(*, instance: str) -> None:
+    """
+    Send the log of this process to standard error as JSON lines.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this process.
+    """
+    logging.use_absl_handler()
+    handler = logging.get_absl_handler()
+    handler.setFormatter(JsonFormatter(instance=instance))
+    handler.python_handler.stream = sys.stderr
+    logging.set_verbosity(logging.INFO)
+    for noisy in ('aiohttp.access', 'asyncio', 'aiomisc'):
+        std_logging.getLogger(noisy).setLevel(std_logging.WARNING)
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/membership/__init__.py
@@ -0,0 +1,5 @@
+"""Know which processes exist and which of them watch the platform."""
+
+from ragworthollow.membership.peers import Peers
+
+__all__ = ('Peers',)
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/routing/choice.py
@@ -0,0 +1,116 @@
+"""Choose among the instances of a subset."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from ragworthollow.conf import global_settings
+from ragworthollow.routing.peer_state import PeerState
+from ragworthollow.utils.hashing import get_rank
+
+_SUCCESS_FLOOR = 0.05
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Wish:
+    """
+    Say what an attempt wants of its instance.
+
+    Attributes
+    ----------
+    affinity_key : str
+        Calls of the same key share a cached prefix; empty for none.
+    avoid : frozenset of str
+        Instances already tried.
+    """
+
+    affinity_key: str = ''
+    avoid: frozenset[str] = frozenset()
+
+
+def choose_peer(
+    peers: Sequence[PeerState],
+    wish: Wish,
+    now_ms: float,
+    rng: random.Random,
+) -> PeerState | None:
+    """
+    Choose the instance for one attempt.
+
+    The instance that holds the prefix is taken while it is not much deeper
+    in work than the average (bounded load); otherwise the better of two
+    random ones, which stays stable when what is known is old.
+
+    Parameters
+    ----------
+    peers : sequence of PeerState
+        The subset of the pool.
+    wish : Wish
+        Affinity, and what to avoid.
+    now_ms : float
+        Time on the monotonic clock.
+    rng : Random
+        Source of randomness.
+
+    Returns
+    -------
+    PeerState or None
+        None when no instance is left to try.
+    """
+    untried = [
+        peer for peer in peers if peer.instance.instance not in wish.avoid
+    ]
+    usable = [peer for peer in untried if peer.is_usable(now_ms)]
+    if not usable:
+        # All are suspect: the one whose suspicion ends first is the best
+        # guess, unless it has said that it leaves.
+        staying = [peer for peer in untried if not peer.load.leaving]
+        return min(
+            staying,
+            key=lambda peer: peer.avoid_until_ms,
+            default=None,
+        )
+    preferred = _find_preferred(usable, wish.affinity_key, now_ms)
+    if preferred is not None:
+        return preferred
+    pair = rng.sample(usable, min(2, len(usable)))
+    return min(pair, key=lambda peer: get_score(peer, now_ms))
+
+
+def get_score(peer: PeerState, now_ms: float) -> float:
+    """
+    Return the expected time to a whole result, up to a factor.
+
+    Parameters
+    ----------
+    peer : PeerState
+        The candidate.
+    now_ms : float
+        Time on the monotonic clock.
+
+    Returns
+    -------
+    float
+        Lower is better.
+    """
+    speed = max(peer.latency_ms, 1.0)
+    depth = 1 + peer.get_depth(now_ms)
+    return speed * depth / max(peer.success, _SUCCESS_FLOOR)
+
+
+def _find_preferred(
+    usable: Sequence[PeerState],
+    affinity_key: str,
+    now_ms: float,
+) -> PeerState | None:
+    if not affinity_key:
+        return None
+    preferred = max(
+        usable,
+        key=lambda peer: get_rank(affinity_key, peer.instance.instance),
+    )
+    depths = [peer.get_depth(now_ms) for peer in usable]
+    average = sum(depths) / len(depths)
+    bound = global_settings.AFFINITY_SLACK * average
+    is_overfull = preferred.get_depth(now_ms) > max(bound, 0.5)
+    return None if is_overfull else preferred
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/utils/__init__.py
@@ -0,0 +1,17 @@
+"""Hold small parts that belong to no subject: clocks, identifiers, YAML."""
+
+from ragworthollow.utils.clock import get_monotonic_ms, get_wall_ms
+from ragworthollow.utils.hashing import get_rank, hash_secret
+from ragworthollow.utils.identifiers import get_birth_ms, make_identifier
+from ragworthollow.utils.message import Message, StrictMessage
+
+__all__ = (
+    'Message',
+    'StrictMessage',
+    'get_birth_ms',
+    'get_monotonic_ms',
+    'get_rank',
+    'get_wall_ms',
+    'hash_secret',
+    'make_identifier',
+)
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/utils/strict_yaml.py
@@ -0,0 +1,94 @@
+"""Load YAML that people wrote, refusing what is ambiguous or hostile."""
+
+from collections.abc import Hashable
+
+import yaml
+from result import Err, Ok, Result
+
+from ragworthollow.conf import global_settings
+
+
+class _StrictLoader(yaml.SafeLoader):
+    """Refuse aliases and repeated keys, which hide what is in force."""
+
+    def compose_node(
+        self,
+        parent: yaml.Node | None,
+        index: int,
+    ) -> yaml.Node | None:
+        """Refuse an alias: cyclic and nested ones exhaust memory."""
+        if self.check_event(yaml.AliasEvent):
+            event = self.peek_event()
+            raise yaml.constructor.ConstructorError(
+                None,
+                None,
+                f'alias {event.anchor!r} is not allowed',
+                event.start_mark,
+            )
+        return super().compose_node(parent, index)
+
+    def construct_mapping(
+        self,
+        node: yaml.MappingNode,
+        deep: bool = False,
+    ) -> dict[Hashable, object]:
+        """Refuse a key written twice: one of the two would be ignored."""
+        seen: set[object] = set()
+        for key_node, _ in node.value:
+            key = self.construct_object(key_node, deep=True)
+            if not isinstance(key, str):
+                raise yaml.constructor.ConstructorError(
+                    None,
+                    None,
+                    f'key {key!r} is not a string',
+                    key_node.start_mark,
+                )
+            if key in seen:
+                raise yaml.constructor.ConstructorError(
+                    None,
+                    None,
+                    f'key {key!r} is written twice',
+                    key_node.start_mark,
+                )
+            seen.add(key)
+        return super().construct_mapping(node, deep=deep)
+
+
+def load_yaml(source: bytes) -> Result[dict[str, object], str]:
+    """
+    Parse one YAML document whose top is a mapping.
+
+    Parameters
+    ----------
+    source : bytes
+        The file as read, not yet decoded.
+
+    Returns
+    -------
+    Result
+        The mapping, or one line that says what is wrong and where.
+    """
+    if len(source) > global_settings.MAX_CONFIGURATION_FILE_BYTES:
+        limit = global_settings.MAX_CONFIGURATION_FILE_BYTES
+        return Err(f'{len(source)} bytes is over the limit of {limit}')
+    try:
+        text = source.decode('utf-8')
+    except UnicodeDecodeError as error:
+        return Err(f'not UTF-8 at byte {error.start}')
+    return _parse(text)
+
+
+def _parse(text: str) -> Result[dict[str, object], str]:
+    try:
+        document = yaml.load(text, Loader=_StrictLoader)  # noqa: S506
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark
+        where = f' at line {mark.line + 1}' if mark else ''
+        return Err(f'{error.problem}{where}')
+    except (yaml.YAMLError, RecursionError, ValueError) as error:
+        return Err(f'unreadable YAML: {error}'.splitlines()[0])
+    if document is None:
+        return Ok({})
+    if not isinstance(document, dict):
+        return Err('the top of the file is not a mapping')
+    return Ok(document)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the whole system and of its decisions."""
