--- a/measure/caller.py
+++ b/measure/caller.py
@@ -8,17 +8,27 @@
 
 import aiohttp
 import msgspec
+
+from measure.fleet import Fleet, get_caller_key
 from ragworthollow.configuration import Deployment, Pipeline
 from ragworthollow.configuration.checks import check_files
 from ragworthollow.configuration.merge import SourceFile
 from ragworthollow.utils import make_identifier
 
-from measure.fleet import Fleet, get_caller_key
-
 _BALANCER_POLL_S = 0.25
 _GRACE_S = 3
 
 
+@dataclass(frozen=True, kw_only=True)
+class Attempt:
+    """Remember where and when a request was sent, and how that ended."""
+
+    address: str
+    started: float
+    ended: float
+    outcome: str
+
+
 @dataclass(kw_only=True)
 class Sent:
     """Remember one request of a caller and every answer it got."""
@@ -35,6 +45,7 @@
     is_cut: bool = False
     is_attained: bool = False
     elapsed_ms: float = 0
+    attempts: list[Attempt] = field(default_factory=list)
 
 
 class Balancer:
@@ -131,6 +142,14 @@
             outcome = 'cut'
             sent.is_cut = True
         sent.outcomes.append(outcome)
+        sent.attempts.append(
+            Attempt(
+                address=address,
+                started=started,
+                ended=time.monotonic(),
+                outcome=outcome,
+            ),
+        )
         sent.elapsed_ms = (time.monotonic() - started) * 1000
         if outcome == 'done' and sent.elapsed_ms <= deadline_ms:
             sent.is_attained = True
@@ -275,6 +294,11 @@
             for one in sent
         ),
         'cut': sum(one.is_cut for one in sent),
+        'reasons': Counter(
+            one.reasons[-1]
+            for one in sent
+            if 'done' not in one.outcomes and one.reasons
+        ),
         'attainment': round(
             sum(one.worth for one in sent if one.is_attained) / worth,
             4,
--- a/measure/demo.py
+++ b/measure/demo.py
@@ -50,6 +50,7 @@
         summary = await run_deployment(name, _REQUESTS, _RATE)
         print(f'{name}: {summary}', file=sys.stderr, flush=True)
         attainments.append(summary.pop('attainment'))
+        summary.pop('reasons')
         for key, count in summary.items():
             totals[key] = totals.get(key, 0) + count
     totals['attainment'] = round(sum(attainments) / len(attainments), 4)
--- a/measure/fleet.py
+++ b/measure/fleet.py
@@ -13,7 +13,6 @@
 import aiohttp
 import msgspec
 import yaml
-from ragworthollow.utils import hash_secret
 
 from measure.fleet_plan import (
     HOST,
@@ -24,6 +23,7 @@
 )
 from measure.ports import Ports
 from measure.processes import Processes
+from ragworthollow.utils import hash_secret
 
 CLUSTER_KEY = 'cluster-key-of-the-demo-0123456789'
 
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/apply.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/apply.py
@@ -4,6 +4,8 @@
 import sys
 from pathlib import Path
 
+from result import Err
+
 from ragworthollow.checks import render_messages
 from ragworthollow.configuration.change_request import (
     ChangeAnswer,
@@ -11,8 +13,6 @@
 )
 from ragworthollow.configuration.snapshot import Snapshot
 from ragworthollow.utils import make_identifier
-from result import Err
-
 from ragworthollow_ctl.difference import compare
 from ragworthollow_ctl.folder import read_base, read_folder, write_base
 from ragworthollow_ctl.service_client import ServiceClient, make_client
@@ -65,7 +65,7 @@
         return
     sys.stdout.write('\n'.join(found.lines))
     sys.stdout.write('\n')
-    if not yes and input('apply? [y/N] ').strip().lower() != 'y':
+    if not yes and not _is_confirmed():
         sys.exit(_REFUSED)
     request = ChangeRequest(
         change_id=change_id or make_identifier(),
@@ -77,6 +77,12 @@
     _report(folder, client, request, answer)
 
 
+def _is_confirmed() -> bool:
+    sys.stdout.write('apply? [y/N] ')
+    sys.stdout.flush()
+    return sys.stdin.readline().strip().lower() == 'y'
+
+
 def _report(
     folder: Path,
     client: ServiceClient,
@@ -98,7 +104,4 @@
 
 
 def _remember(folder: Path, snapshot: Snapshot) -> None:
-    write_base(
-        folder,
-        {entry.name: entry.sha256 for entry in snapshot.manifest.files},
-    )
+    write_base(folder, snapshot.manifest.get_hashes())
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/check.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/check.py
@@ -3,10 +3,10 @@
 import sys
 from pathlib import Path
 
-from ragworthollow.checks import has_errors, render_messages
-from ragworthollow.configuration.checks import check_files
 from result import Err
 
+from ragworthollow.checks import has_errors, render_messages
+from ragworthollow.configuration.checks import check_files
 from ragworthollow_ctl.folder import read_folder
 
 _INVALID = 2
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/diff.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/diff.py
@@ -4,10 +4,10 @@
 import sys
 from pathlib import Path
 
-from ragworthollow.checks import render_messages
-from ragworthollow.configuration.snapshot import Snapshot
 from result import Err
 
+from ragworthollow.checks import render_messages
+from ragworthollow.configuration.snapshot import Snapshot
 from ragworthollow_ctl.difference import compare
 from ragworthollow_ctl.folder import read_folder
 from ragworthollow_ctl.service_client import make_client
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/history.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/history.py
@@ -5,7 +5,6 @@
 import sys
 
 from ragworthollow.configuration.snapshot import Snapshot
-
 from ragworthollow_ctl.service_client import make_client
 
 _MILLISECONDS = 1000
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/pull.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/pull.py
@@ -5,7 +5,6 @@
 from pathlib import Path
 
 from ragworthollow.configuration.snapshot import Snapshot
-
 from ragworthollow_ctl.folder import write_base
 from ragworthollow_ctl.service_client import make_client
 
@@ -36,7 +35,4 @@
             text = snapshot.files_by_sha256[listed.sha256]
             (folder / listed.name).write_text(text, encoding='utf-8')
             sys.stdout.write(f'{listed.name}\n')
-    write_base(
-        folder,
-        {listed.name: listed.sha256 for listed in snapshot.manifest.files},
-    )
+    write_base(folder, snapshot.manifest.get_hashes())
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/show.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/show.py
@@ -4,11 +4,11 @@
 from pathlib import Path
 
 import msgspec
+from result import Err
+
 from ragworthollow.checks import render_messages
 from ragworthollow.configuration.checks import check_files
 from ragworthollow.configuration.merge import SECTIONS
-from result import Err
-
 from ragworthollow_ctl.folder import read_folder
 
 _INVALID = 2
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/status.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/status.py
@@ -5,7 +5,6 @@
 
 from ragworthollow.configuration.snapshot import Snapshot
 from ragworthollow.utils.message import Message
-
 from ragworthollow_ctl.service_client import make_client
 
 _BEHIND = 1
@@ -40,9 +39,12 @@
     client = make_client(entry or ())
     newest = asyncio.run(client.get('snapshot', Snapshot)).manifest.generation
     lines = asyncio.run(client.get('fleet', tuple[FleetLine, ...]))
-    for line in lines:
-        known = '-' if line.generation is None else line.generation
-        mark = '' if line.generation == newest else '  behind'
-        sys.stdout.write(f'{line.instance}  {line.address}  {known}{mark}\n')
+    sys.stdout.writelines(_render(line, newest) for line in lines)
     if any(line.generation != newest for line in lines):
         sys.exit(_BEHIND)
+
+
+def _render(line: FleetLine, newest: int) -> str:
+    known = '-' if line.generation is None else line.generation
+    mark = '' if line.generation == newest else '  behind'
+    return f'{line.instance}  {line.address}  {known}{mark}\n'
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/difference.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/difference.py
@@ -48,7 +48,7 @@
     snapshot : Snapshot
         What is in force.
     owner : str
-        Only files of this owner are compared; empty for all.
+        Only files of this owner are compared.
     prune : bool
         Whether the owner's files missing in the folder are to be removed.
 
@@ -57,33 +57,39 @@
     Difference
         What an apply would do.
     """
-    entries = {entry.name: entry for entry in snapshot.manifest.files}
-    puts: dict[str, str] = {}
+    hashes = snapshot.manifest.get_hashes()
+    changed = [
+        source
+        for source in files
+        if _get_owner(source) == owner
+        and hashes.get(source.name) != hash_text(source.text)
+    ]
+    puts = {source.name: source.text for source in changed}
     lines: list[str] = []
-    for source in files:
-        entry = entries.get(source.name)
-        if owner and _get_owner(source) != owner:
-            continue
-        if entry is not None and entry.sha256 == hash_text(source.text):
-            continue
-        before = snapshot.files_by_sha256[entry.sha256] if entry else ''
-        puts[source.name] = source.text
+    for source in changed:
+        before_hash = hashes.get(source.name, '')
+        before = snapshot.files_by_sha256.get(before_hash, '')
         lines.extend(_render(source.name, before, source.text))
-    names = {source.name for source in files}
-    removals: tuple[str, ...] = ()
-    if prune:
-        removals = tuple(
-            entry.name
-            for entry in snapshot.manifest.files
-            if entry.name not in names and entry.owner == owner
-        )
+    removals = _get_removals(files, snapshot, owner) if prune else ()
     lines.extend(f'--- {name} is removed' for name in removals)
     return Difference(puts=puts, removals=removals, lines=tuple(lines))
 
 
+def _get_removals(
+    files: list[SourceFile],
+    snapshot: Snapshot,
+    owner: str,
+) -> tuple[str, ...]:
+    present = {source.name for source in files}
+    return tuple(
+        entry.name
+        for entry in snapshot.manifest.files
+        if entry.name not in present and entry.owner == owner
+    )
+
+
 def _get_owner(source: SourceFile) -> str:
     parsed = parse_file(source)
-    # A file that cannot be parsed is sent, so that the check names its fault.
     return parsed.map(lambda part: part.owner).unwrap_or('')
 
 
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/folder.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/folder.py
@@ -3,10 +3,11 @@
 import json
 from pathlib import Path
 
+from result import Err, Ok, Result
+
 from ragworthollow.checks.check_message import CheckMessage
 from ragworthollow.conf import global_settings
 from ragworthollow.configuration.merge import SourceFile
-from result import Err, Ok, Result
 
 BASE_NAME = '.ragworthollow-base.json'
 _PATTERN = '*.yaml'
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/main.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/main.py
@@ -1,8 +1,8 @@
 """Run `ragworthctl`."""
 
 from cyclopts import App
-from ragworthollow import __version__
 
+from ragworthollow import __version__
 from ragworthollow_ctl.commands.apply import apply
 from ragworthollow_ctl.commands.check import check
 from ragworthollow_ctl.commands.diff import diff
@@ -19,8 +19,14 @@
     ' be listed in RAGWORTHOLLOW_ENTRIES, separated by spaces.',
     version=__version__,
 )
-for _command in (check, show, diff, apply, pull, history, status, hash_key):
-    app.command(_command)
+app.command(check)
+app.command(show)
+app.command(diff)
+app.command(apply)
+app.command(pull)
+app.command(history)
+app.command(status)
+app.command(hash_key)
 
 
 def main() -> None:
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/service_client.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/service_client.py
@@ -4,6 +4,7 @@
 import os
 import sys
 from collections.abc import Sequence
+from contextlib import AbstractAsyncContextManager
 
 import aiohttp
 import msgspec
@@ -17,6 +18,7 @@
 _PAUSE_S = 0.5
 _UNAUTHORIZED = 401
 _FAILURE = 1
+_FAILURES = (aiohttp.ClientError, TimeoutError, msgspec.DecodeError)
 
 
 class ServiceClient:
@@ -54,34 +56,31 @@
         answer_type: type,
     ):
         failures: list[str] = []
-        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
         async with aiohttp.ClientSession(
             headers={_HEADER: self._key},
-            timeout=timeout,
+            timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
         ) as session:
-            for _ in range(_ROUNDS):
-                for entry in self._entries:
-                    url = f'{entry.rstrip("/")}/v1/operator/{path}'
-                    try:
-                        async with session.request(
-                            method,
-                            url,
-                            data=body,
-                        ) as response:
-                            return await _decode(response, answer_type)
-                    except (
-                        TimeoutError,
-                        aiohttp.ClientError,
-                        msgspec.DecodeError,
-                    ) as error:
-                        failures.append(f'{url}: {type(error).__name__}')
+            for entry in list(self._entries) * _ROUNDS:
+                url = f'{entry.rstrip("/")}/v1/operator/{path}'
+                call = session.request(method, url, data=body)
+                try:
+                    return await _exchange(call, answer_type)
+                except _FAILURES as error:
+                    failures.append(f'{url}: {type(error).__name__}\n')
                 await asyncio.sleep(_PAUSE_S)
         sys.stderr.write('no entry answered:\n')
-        sys.stderr.write('\n'.join(failures))
-        sys.stderr.write('\n')
+        sys.stderr.writelines(failures)
         sys.exit(_FAILURE)
 
 
+async def _exchange(
+    call: AbstractAsyncContextManager[aiohttp.ClientResponse],
+    answer_type: type,
+):
+    async with call as response:
+        return await _decode(response, answer_type)
+
+
 async def _decode(response: aiohttp.ClientResponse, answer_type: type):
     body = await response.read()
     if response.status == _UNAUTHORIZED:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/daemon_service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/daemon_service.py
@@ -5,10 +5,10 @@
 import signal
 
 from aiomisc import Service
+
 from ragworthollow.conf import DaemonSettings, Role
 from ragworthollow.logs.events import log_error, log_event
 from ragworthollow.utils import get_monotonic_ms
-
 from ragworthollow_daemon.entry.role import EntryRole
 from ragworthollow_daemon.process_context import ProcessContext
 from ragworthollow_daemon.sidecar.role import SidecarRole
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/admitted_request.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/admitted_request.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass
 
 import msgspec
+
 from ragworthollow.configuration import Pipeline
 from ragworthollow.transport import OnceKey
 from ragworthollow.utils import get_monotonic_ms
-
 from ragworthollow_daemon.entry.messages import TokenEvent
 
 EmitToken = Callable[[TokenEvent], Awaitable[None]]
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/door.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/door.py
@@ -5,6 +5,8 @@
 import msgspec
 import xxhash
 from aiohttp import web
+from result import Err, Ok, Result
+
 from ragworthollow.conf import global_settings
 from ragworthollow.configuration import Pipeline
 from ragworthollow.configuration.store import ConfigurationStore
@@ -17,8 +19,6 @@
     hash_secret,
     make_identifier,
 )
-from result import Err, Ok, Result
-
 from ragworthollow_daemon.entry.admitted_request import AdmittedRequest
 from ragworthollow_daemon.entry.messages import PipelineRequest
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/estimates.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/estimates.py
@@ -50,6 +50,6 @@
         """Return the estimate of one stage; 0 when nothing is known."""
         known = self._known.get(stage_key)
         if known is None:
-            return 0.0
-        silence_ms = max(0.0, now_ms - known.at_ms - _HALVING_MS)
+            return 0
+        silence_ms = max(0, now_ms - known.at_ms - _HALVING_MS)
         return known.elapsed_ms * 0.5 ** (silence_ms / _HALVING_MS)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/event_stream.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/event_stream.py
@@ -2,8 +2,8 @@
 
 import msgspec
 from aiohttp import web
-from ragworthollow.utils.message import Message
 
+from ragworthollow.utils.message import Message
 from ragworthollow_daemon.entry.messages import PipelineAnswer, TokenEvent
 
 
@@ -60,6 +60,6 @@
     async def _send(self, name: str, message: Message) -> None:
         if not self._response.prepared:
             await self._response.prepare(self._request)
-        event = f'event: {name}\ndata: '.encode()
-        body = msgspec.json.encode(message)
-        await self._response.write(event + body + b'\n\n')
+        body = msgspec.json.encode(message).decode()
+        event = f'event: {name}\ndata: {body}\n\n'
+        await self._response.write(event.encode())
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/key_router.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/key_router.py
@@ -4,13 +4,13 @@
 
 import aiohttp
 import msgspec
+
 from ragworthollow.conf import global_settings
 from ragworthollow.once import Assignment, LookupAnswer, LookupState
 from ragworthollow.platform.instance_list import InstanceEntry
 from ragworthollow.routing import PeerState
 from ragworthollow.transport import OnceKey
 from ragworthollow.utils.message import Message
-
 from ragworthollow_daemon.entry.pool_router import PoolRouter
 from ragworthollow_daemon.process_context import ProcessContext, get_timeout
 
@@ -20,7 +20,7 @@
 _UNCERTAIN = LookupAnswer(state=LookupState.uncertain)
 _FAILURES = (
     aiohttp.ClientError,
-    asyncio.TimeoutError,
+    TimeoutError,
     msgspec.DecodeError,
     OSError,
 )
@@ -89,11 +89,9 @@
         """
         for _ in range(_LOOKUP_ATTEMPTS):
             owner = await self.find_owner(pool, once.key)
-            if owner is not None:
-                answer = await self._ask(owner, once, wait_ms)
-                if answer is not None:
-                    if answer.state is not LookupState.not_owner:
-                        return answer
+            answer = await self._ask(owner, once, wait_ms) if owner else None
+            if answer and answer.state is not LookupState.not_owner:
+                return answer
             await self.refresh(pool)
             await asyncio.sleep(global_settings.KEYED_RETRY_MS / _MILLISECONDS)
         return _UNCERTAIN
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/messages.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/messages.py
@@ -1,6 +1,7 @@
 """Define what callers send and receive."""
 
 import msgspec
+
 from ragworthollow.outcomes import Outcome, Refusal
 from ragworthollow.utils.message import Message, StrictMessage
 
@@ -54,7 +55,7 @@
     refusal: Refusal | None = None
     safe_to_retry: bool = True
     replayed: bool = False
-    elapsed_ms: float = 0.0
+    elapsed_ms: float = 0
 
 
 class TokenEvent(Message):
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/operator_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/operator_routes.py
@@ -4,9 +4,9 @@
 import hmac
 import re
 
-import aiohttp
 import msgspec
-from aiohttp import web
+from aiohttp import ClientError, web
+
 from ragworthollow.conf import global_settings
 from ragworthollow.configuration.change_request import (
     ChangeAnswer,
@@ -18,7 +18,6 @@
 from ragworthollow.outcomes import Reason
 from ragworthollow.utils import get_wall_ms, hash_secret
 from ragworthollow.utils.message import Message
-
 from ragworthollow_daemon.process_context import ProcessContext, get_timeout
 from ragworthollow_daemon.web.configuration_routes import Announcement
 from ragworthollow_daemon.web.responses import Problem, respond
@@ -174,7 +173,7 @@
                 data=message,
                 timeout=get_timeout(global_settings.PLATFORM_TIMEOUT_MS),
             )
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except (TimeoutError, ClientError, OSError) as error:
             log_event(
                 'announcement_failed',
                 step='configuration',
@@ -190,7 +189,7 @@
                 timeout=get_timeout(global_settings.PLATFORM_TIMEOUT_MS),
             ) as response:
                 body = await response.read()
-        except (TimeoutError, aiohttp.ClientError, OSError):
+        except (TimeoutError, ClientError, OSError):
             return line
         known = msgspec.json.decode(body, type=FleetLine)
         return msgspec.structs.replace(line, generation=known.generation)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/pipeline_runner.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/pipeline_runner.py
@@ -1,6 +1,7 @@
 """Run all stages of a request and compose its one answer."""
 
 import msgspec
+
 from ragworthollow.admission.estimate import get_retry_after_ms
 from ragworthollow.conf import global_settings
 from ragworthollow.configuration import Stage
@@ -8,14 +9,14 @@
 from ragworthollow.outcomes import Outcome, Reason, Refusal
 from ragworthollow.transport import StageAnswer
 from ragworthollow.utils import get_monotonic_ms
-
 from ragworthollow_daemon.entry.admitted_request import AdmittedRequest
 from ragworthollow_daemon.entry.effect_tracker import EffectTracker
 from ragworthollow_daemon.entry.estimates import Estimates
 from ragworthollow_daemon.entry.key_router import KeyRouter
 from ragworthollow_daemon.entry.messages import PipelineAnswer
 from ragworthollow_daemon.entry.pool_router import PoolRouter
-from ragworthollow_daemon.entry.stage_runner import StageRunner, StageWork
+from ragworthollow_daemon.entry.stage_runner import StageRunner
+from ragworthollow_daemon.entry.stage_work import StageWork
 from ragworthollow_daemon.process_context import ProcessContext
 
 _NOTHING = msgspec.Raw(b'null')
@@ -190,19 +191,9 @@
         outputs: dict[str, msgspec.Raw] = {}
         previous = _NOTHING
         is_replayed = False
-        stages = request.pipeline.stages
-        for position, stage in enumerate(stages):
-            later = stages[position + 1 :]
-            later_ms = self._get_needed_ms(request, later)
-            work = StageWork(
-                request=request,
-                stage=stage,
-                payload=_render_input(request, stage, previous),
-                earlier=dict(outputs),
-                later_ms=later_ms,
-                cost_ms=self._get_needed_ms(request, (stage,)) + later_ms,
-                effects=effects,
-            )
+        for position, stage in enumerate(request.pipeline.stages):
+            work = self._make_work(request, position, previous, effects)
+            work.earlier = dict(outputs)
             stage_answer = await self._stages.run(work)
             if stage_answer.outcome is not Outcome.done:
                 return self._give_up(request, effects, stage_answer)
@@ -215,6 +206,26 @@
             outputs[stage.name] = previous
         return self._compose(request, outputs, is_replayed=is_replayed)
 
+    def _make_work(
+        self,
+        request: AdmittedRequest,
+        position: int,
+        previous: msgspec.Raw,
+        effects: EffectTracker,
+    ) -> StageWork:
+        stages = request.pipeline.stages
+        stage = stages[position]
+        later_ms = self._get_needed_ms(request, stages[position + 1 :])
+        return StageWork(
+            request=request,
+            stage=stage,
+            payload=_render_input(request, stage, previous),
+            earlier={},
+            later_ms=later_ms,
+            cost_ms=self._get_needed_ms(request, (stage,)) + later_ms,
+            effects=effects,
+        )
+
     def _compose(
         self,
         request: AdmittedRequest,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/pool_router.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/pool_router.py
@@ -14,7 +14,6 @@
 )
 from ragworthollow.routing.choice import Wish
 from ragworthollow.utils import get_monotonic_ms
-
 from ragworthollow_daemon.process_context import ProcessContext
 
 _MILLISECONDS = 1000
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/request_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/request_routes.py
@@ -4,11 +4,11 @@
 import math
 
 from aiohttp import web
+from result import Err
+
 from ragworthollow.logs.events import log_event
 from ragworthollow.outcomes import Outcome, Reason, Refusal
 from ragworthollow.utils import make_identifier
-from result import Err
-
 from ragworthollow_daemon.entry.admitted_request import AdmittedRequest
 from ragworthollow_daemon.entry.door import Door
 from ragworthollow_daemon.entry.event_stream import EventStream
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/stage_caller.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/stage_caller.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import msgspec
+
 from ragworthollow.conf import global_settings
 from ragworthollow.configuration.stage import StageKind
 from ragworthollow.outcomes import Outcome, Reason
@@ -14,7 +15,6 @@
 from ragworthollow.transport.session import HandOver
 from ragworthollow.transport.stage_answer import refuse
 from ragworthollow.utils import get_monotonic_ms
-
 from ragworthollow_daemon.process_context import ProcessContext
 
 Emit = Callable[[StreamLine], Awaitable[None]]
@@ -23,7 +23,7 @@
 _UNAUTHENTICATED = 401
 _FAILURES = (
     aiohttp.ClientError,
-    asyncio.TimeoutError,
+    TimeoutError,
     msgspec.DecodeError,
     OSError,
 )
@@ -188,7 +188,7 @@
                 detail,
             )
         reason = Reason.connection_lost
-        if isinstance(error, asyncio.TimeoutError):
+        if isinstance(error, TimeoutError):
             reason = Reason.attempt_timeout
         elif isinstance(error, msgspec.DecodeError):
             reason = Reason.truncated
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/stage_runner.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/stage_runner.py
@@ -1,25 +1,21 @@
 """Run one stage of a request, with further attempts where they are safe."""
 
 import asyncio
-from dataclasses import dataclass, field
 
-import msgspec
 from ragworthollow.conf import global_settings
-from ragworthollow.configuration import Stage, StageKind
+from ragworthollow.configuration import StageKind
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.routing import PeerState
 from ragworthollow.routing.choice import Wish
 from ragworthollow.transport import StageAnswer, StageCall, StreamLine
 from ragworthollow.transport.stage_answer import refuse
 from ragworthollow.utils import get_monotonic_ms
-
-from ragworthollow_daemon.entry.admitted_request import AdmittedRequest
-from ragworthollow_daemon.entry.effect_tracker import EffectTracker
 from ragworthollow_daemon.entry.estimates import Estimates
 from ragworthollow_daemon.entry.key_router import KeyRouter
 from ragworthollow_daemon.entry.messages import TokenEvent
 from ragworthollow_daemon.entry.pool_router import PoolRouter
 from ragworthollow_daemon.entry.stage_caller import StageCaller
+from ragworthollow_daemon.entry.stage_work import StageWork
 from ragworthollow_daemon.process_context import ProcessContext
 
 _MILLISECONDS = 1000
@@ -43,52 +39,6 @@
 )
 
 
-@dataclass(kw_only=True, slots=True)
-class StageWork:
-    """
-    Gather what one stage of a request has tried.
-
-    Attributes
-    ----------
-    request : AdmittedRequest
-        The request.
-    stage : Stage
-        The stage.
-    payload : Raw
-        Its input.
-    earlier : dict
-        Outputs of the stages before.
-    later_ms, cost_ms : float
-        Estimated time of the later stages, and of this one and them.
-    effects : EffectTracker
-        Account of the whole request.
-    attempts : int
-        Attempts made so far.
-    busy_refusals : int
-        Refusals of busy instances so far.
-    tried : set of str
-        Instances not to be tried again.
-    tokens : list of str
-        Tokens received so far; a further attempt resumes behind them.
-    """
-
-    request: AdmittedRequest
-    stage: Stage
-    payload: msgspec.Raw
-    earlier: dict[str, msgspec.Raw]
-    later_ms: float
-    cost_ms: float
-    effects: EffectTracker
-    attempts: int = 0
-    busy_refusals: int = 0
-    tried: set[str] = field(default_factory=set)
-    tokens: list[str] = field(default_factory=list)
-
-    def get_key(self) -> str:
-        """Return the name under which estimates are kept."""
-        return f'{self.request.pipeline_name}/{self.stage.name}'
-
-
 class StageRunner:
     """
     See one stage through.
@@ -185,20 +135,29 @@
 
     async def _hedge(self, work: StageWork, peer: PeerState) -> StageAnswer:
         """Start a second attempt when the first takes unusually long."""
-        first = asyncio.ensure_future(self._attempt(work, peer))
-        running = {first}
+        running = {asyncio.ensure_future(self._attempt(work, peer))}
         try:
-            delay_ms = self._get_hedge_delay_ms(work)
-            await asyncio.wait(running, timeout=delay_ms / _MILLISECONDS)
-            if not first.done():
-                second = self._start_hedge(work)
-                if second is not None:
-                    running.add(second)
-            return await _take_first(running)
-        finally:
-            # The loser is cancelled by closing its connection.
-            for task in running:
-                task.cancel()
+            return await self._race(work, running)
+        except BaseException:
+            _cancel(running)
+            raise
+
+    async def _race(
+        self,
+        work: StageWork,
+        running: set[asyncio.Task],
+    ) -> StageAnswer:
+        delay_ms = self._get_hedge_delay_ms(work)
+        done, _ = await asyncio.wait(
+            running,
+            timeout=delay_ms / _MILLISECONDS,
+        )
+        second = None if done else self._start_hedge(work)
+        if second is not None:
+            running.add(second)
+        answer = await _take_first(running)
+        _cancel(running)
+        return answer
 
     def _start_hedge(self, work: StageWork) -> asyncio.Task | None:
         peer = self._pools.choose(
@@ -276,21 +235,10 @@
         )
 
     def _may_retry(self, work: StageWork, answer: StageAnswer) -> bool:
-        reason = answer.refusal.reason
         if work.request.get_remaining_ms() <= 0:
             return False
         if answer.outcome is Outcome.not_run:
-            if reason in _BUSY:
-                # Further knocking would only add to the load of a pool that
-                # is busy as a whole.
-                work.busy_refusals += 1
-                return work.busy_refusals < global_settings.OVERLOAD_RETRIES
-            if reason not in _ELSEWHERE:
-                return False
-            is_keyed = work.request.is_keyed() and not work.stage.repeatable
-            if is_keyed:
-                return True
-            return work.attempts < global_settings.MAX_ATTEMPTS
+            return _may_go_elsewhere(work, answer.refusal.reason)
         if not work.stage.repeatable:
             return False
         if work.attempts >= global_settings.MAX_ATTEMPTS:
@@ -326,6 +274,26 @@
         )
 
 
+def _may_go_elsewhere(work: StageWork, reason: Reason) -> bool:
+    """Tell whether a call that has not run may be tried elsewhere for free."""
+    if reason in _BUSY:
+        # Further knocking would only add to the load of a pool that is busy
+        # as a whole.
+        work.busy_refusals += 1
+        return work.busy_refusals < global_settings.OVERLOAD_RETRIES
+    if reason not in _ELSEWHERE:
+        return False
+    if work.request.is_keyed() and not work.stage.repeatable:
+        return True
+    return work.attempts < global_settings.MAX_ATTEMPTS
+
+
+def _cancel(running: set[asyncio.Task]) -> None:
+    """Cancel attempts; closing its connection tells a sidecar to stop."""
+    for task in running:
+        task.cancel()
+
+
 async def _take_first(running: set[asyncio.Task]) -> StageAnswer:
     """Return the first whole result, or the last refusal."""
     pending = set(running)
@@ -335,9 +303,11 @@
             pending,
             return_when=asyncio.FIRST_COMPLETED,
         )
-        answers = [task.result() for task in done]
-        answers.sort(key=lambda one: one.outcome is not Outcome.done)
-        answer = answers[0]
+        answer = min((task.result() for task in done), key=_is_incomplete)
         if answer.outcome is Outcome.done:
             break
     return answer
+
+
+def _is_incomplete(answer: StageAnswer) -> bool:
+    return answer.outcome is not Outcome.done
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/main.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/main.py
@@ -8,12 +8,12 @@
 import uvloop
 from aiomisc import entrypoint
 from cyclopts import App, Parameter
+from result import Err
+
 from ragworthollow import __version__
 from ragworthollow.checks import render_messages
 from ragworthollow.conf.loading import load_settings
 from ragworthollow.logs import set_up_logging
-from result import Err
-
 from ragworthollow_daemon.daemon_service import DaemonService
 
 _USAGE_ERROR = 2
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/process_context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/process_context.py
@@ -4,6 +4,7 @@
 import random
 
 import aiohttp
+
 from ragworthollow.conf import DaemonSettings
 from ragworthollow.configuration.follower import Follower
 from ragworthollow.configuration.store import ConfigurationStore
@@ -13,7 +14,6 @@
 from ragworthollow.platform import InstanceList, InstancePoller, KeyValue
 from ragworthollow.transport.session import make_plain_session, make_session
 from ragworthollow.utils import make_identifier
-
 from ragworthollow_daemon.drain import DrainState
 
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/member_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/member_client.py
@@ -1,9 +1,8 @@
 """Talk to the other members of the pool."""
 
-import asyncio
-
 import aiohttp
 import msgspec
+
 from ragworthollow.conf import global_settings
 from ragworthollow.once.assignment import Member
 from ragworthollow.once.peer_messages import (
@@ -12,7 +11,6 @@
     RecordTransfer,
 )
 from ragworthollow.utils.message import Message
-
 from ragworthollow_daemon.process_context import get_timeout
 
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/member_lease.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/member_lease.py
@@ -1,12 +1,13 @@
 """Keep this sidecar's leased member key."""
 
 import msgspec
+from result import Err, Ok, Result
+
 from ragworthollow.conf import global_settings
 from ragworthollow.once.member_key import MemberKey
 from ragworthollow.platform import KeyValue, PlatformError, Stored
 from ragworthollow.platform.transaction import Compare, Put
 from ragworthollow.utils import get_monotonic_ms
-from result import Err, Ok, Result
 
 
 class MemberLease:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_agent.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_agent.py
@@ -1,27 +1,24 @@
 """Keep the ownership of key ranges up to date."""
 
 import asyncio
-from collections.abc import Mapping
 
 import msgspec
+from result import Err
+
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.once import Ledger, Ownership
-from ragworthollow.once.assignment import decode_assignment
-from ragworthollow.once.member_key import MemberKey
-from ragworthollow.once.peer_messages import MemberQuestion, RecordTransfer
-from ragworthollow.once.plan import Plan, Step, View, plan_step
-from ragworthollow.platform import Stored
+from ragworthollow.once.peer_messages import RecordTransfer
+from ragworthollow.once.plan import Plan, Step, View
+from ragworthollow.once.planner import plan_step
 from ragworthollow.platform.transaction import Compare, Put
 from ragworthollow.utils import get_monotonic_ms, get_wall_ms
-from result import Err, Ok
-
 from ragworthollow_daemon.process_context import ProcessContext
 from ragworthollow_daemon.sidecar.member_client import MemberClient
-from ragworthollow_daemon.sidecar.member_lease import MemberLease
+from ragworthollow_daemon.sidecar.member_relations import MemberRelations
+from ragworthollow_daemon.sidecar.record_reader import Members, RecordReader
 
 _MILLISECONDS = 1000
-_ABSENT = Stored()
 
 
 class OnceAgent:
@@ -51,39 +48,30 @@
         self._context = context
         self._ownership = ownership
         self._ledger = ledger
-        self._prefix = f'once/{pool}/'
         self._name = context.settings.instance
-        self._address = context.settings.listen.get_address()
         self._clients = MemberClient(session=context.session)
-        self._record = _ABSENT
+        self._reader = RecordReader(
+            context=context,
+            ownership=ownership,
+            pool=pool,
+        )
+        self._relations = MemberRelations(
+            context=context,
+            ownership=ownership,
+            clients=self._clients,
+        )
+        self._unsettled: Compare | None = None
         self._wake = asyncio.Event()
         self._lock = asyncio.Lock()
-        self.lease = MemberLease(
-            key_value=context.key_value,
-            key=self._get_member_name(self._name),
-            ttl_ms=context.settings.lease_ttl_ms,
-        )
 
     async def step(self) -> None:
         """Bring everything up to date once."""
         async with self._lock:
             await self._step()
 
-    async def _step(self) -> None:
-        self._wake.clear()
-        members = await self._refresh()
-        if members is None:
-            self._context.metrics.count_event('platform_unavailable')
-            await self._ask_promises()
-            return
-        await self._introduce(members)
-        plan = plan_step(self._ownership, self._get_view(members))
-        if plan.step is not Step.nothing:
-            await self._carry_out(plan)
-
     async def learn(self) -> None:
         """Read the record again, since a member says that it has changed."""
-        await self._read()
+        await self._reader.read()
 
     async def leave(self, limit_ms: float) -> bool:
         """
@@ -101,127 +89,105 @@
             unknown by the next owner.
         """
         end_ms = get_monotonic_ms() + limit_ms
-        while self._owns_any() and get_monotonic_ms() < end_ms:
+        while self._ownership.owns_any() and get_monotonic_ms() < end_ms:
             self._wake.set()
-            await asyncio.sleep(
-                global_settings.LEAVING_INTERVAL_MS / _MILLISECONDS,
-            )
-        is_clean = not self._owns_any()
+            await _sleep(global_settings.LEAVING_INTERVAL_MS)
+        is_clean = not self._ownership.owns_any()
         await self.step()
-        await self.lease.release()
+        await self._reader.lease.release()
+        log_event(
+            'ranges_left',
+            step='once.leave',
+            peer=self._name,
+            is_clean=is_clean,
+        )
         return is_clean
 
-    def forget_old(self) -> None:
-        """Drop records that no accepted repeat can need."""
-        self._ledger.forget_old(get_wall_ms())
-
-    async def _refresh(self) -> Mapping[str, MemberKey] | None:
-        now_ms = get_monotonic_ms()
-        if self.lease.lease and self.lease.is_due(now_ms):
-            renewed = await self.lease.renew()
-            if isinstance(renewed, Err):
-                return None
-            if not renewed.ok_value:
-                self._ownership.lose()
-                self._context.metrics.count_event('lease_lapsed')
-                log_event('lease_lapsed', step='once', peer=self._name)
-        found = await self._read()
-        if found is None or not await self._show_member(found):
-            return None
-        # The record was read after the renewal was sent, so that it lists
-        # every member that joined before.
-        self._ownership.confirm(self.lease.renewed_ms)
-        return self._decode_members(found)
+    async def pause(self) -> None:
+        """Wait until there may be something to do."""
+        interval_ms = min(
+            self._context.settings.lease_ttl_ms
+            / global_settings.RENEWALS_PER_LEASE,
+            global_settings.OWNERSHIP_INTERVAL_MS,
+        )
+        try:
+            async with asyncio.timeout(interval_ms / _MILLISECONDS):
+                await self._wake.wait()
+        except TimeoutError:
+            return
 
-    async def _read(self) -> Mapping[str, Stored] | None:
-        """Read the record and the member keys in one call."""
-        found = await self._context.key_value.read_prefix(self._prefix)
-        if isinstance(found, Err):
-            return None
-        record = found.ok_value.get(self._record_key, _ABSENT)
-        if record.mod_revision > self._record.mod_revision:
-            # A takeover of ours that is still on its way compares the old
-            # revision and can no longer apply.
-            self._ownership.taking = ''
-        if record.mod_revision >= self._record.mod_revision:
-            self._record = record
-            self._ownership.learn(decode_assignment(record.text))
-            self._ownership.moving = frozenset()
-        return found.ok_value
+    async def _step(self) -> None:
+        self._wake.clear()
+        members = await self._reader.refresh()
+        if members is None:
+            self._context.metrics.count_event('platform_unavailable')
+            await self._relations.ask_promises()
+            return
+        await self._relations.introduce(members)
+        plan = plan_step(self._ownership, self._get_view(members))
+        if plan.step is not Step.nothing:
+            await self._carry_out(plan)
 
-    async def _show_member(self, found: Mapping[str, Stored]) -> bool:
-        own = found.get(self._get_member_name(self._name), _ABSENT)
-        if self.lease.lease:
-            written = await self.lease.update(self._make_member(), own)
+    async def _carry_out(self, plan: Plan) -> None:
+        if plan.step is Step.move:
+            await self._move(plan)
         else:
-            written = await self.lease.acquire(
-                self._make_member(),
-                own,
-                self._compare_record(),
-            )
-        return isinstance(written, Ok) and written.ok_value
+            await self._commit(plan)
+        self._wake.set()
 
-    def _make_member(self) -> MemberKey:
-        return MemberKey(
-            incarnation=self._ownership.incarnation,
-            address=self._address,
-            leaving=self._context.drain.is_draining,
-        )
+    async def _move(self, plan: Plan) -> None:
+        """Stop running keys of the ranges, hand them over, then let go."""
+        self._ownership.moving |= plan.ranges
+        if await self._hand_records(plan):
+            await self._commit(plan)
+        elif not self._is_unsettled():
+            self._ownership.moving = frozenset()
 
-    def _decode_members(
-        self,
-        found: Mapping[str, Stored],
-    ) -> Mapping[str, MemberKey]:
-        prefix = self._get_member_name('')
-        members = {
-            key.removeprefix(prefix): msgspec.json.decode(
-                stored.text,
-                type=MemberKey,
-            )
-            for key, stored in found.items()
-            if key.startswith(prefix)
-        }
-        return {**members, self._name: self._make_member()}
+    def _is_unsettled(self) -> bool:
+        """
+        Tell whether a write of ours may still be on its way.
 
-    async def _carry_out(self, plan: Plan) -> None:
-        if plan.step is Step.move and not await self._hand_records(plan):
-            return
-        compares = [self._compare_record()]
+        The answer to a write can be lost, and the write can take effect
+        even after a later read.  Only a changed record shows that it no
+        longer can, since it compares the revision.  Until then the ranges it
+        would move stay closed: a key run meanwhile would be missing in the
+        records that the next owner has been given.
+        """
+        return self._unsettled == self._reader.compare_record()
+
+    async def _commit(self, plan: Plan) -> None:
+        compares = [self._reader.compare_record()]
         if plan.absent:
-            key = self._get_member_name(plan.absent)
+            key = self._reader.get_member_key(plan.absent)
             compares.append(Compare(key=key, target='create'))
             self._ownership.taking = plan.absent
         text = msgspec.json.encode(plan.assignment).decode()
         written = await self._context.key_value.commit(
             compares=compares,
-            puts=[Put(key=self._record_key, text=text)],
+            puts=[Put(key=self._reader.record_key, text=text)],
         )
-        if isinstance(written, Ok):
+        if isinstance(written, Err):
+            self._unsettled = self._reader.compare_record()
+        elif written.ok_value:
+            self._report(plan)
+        elif not self._is_unsettled():
             self._ownership.taking = ''
-        if isinstance(written, Ok) and written.ok_value:
-            self._context.metrics.count_event(f'assignment_{plan.step}')
-            log_event(
-                'assignment_changed',
-                step=f'once.{plan.step}',
-                peer=plan.target or plan.absent or self._name,
-                epoch=plan.assignment.epoch,
-                ranges=len(plan.ranges),
-            )
-        # Whatever the answer, the next read tells what is in force.
-        await self._read()
-        self._wake.set()
+            self._ownership.moving = frozenset()
+        await self._reader.read()
+
+    def _report(self, plan: Plan) -> None:
+        self._context.metrics.count_event(f'assignment_{plan.step}')
+        log_event(
+            'assignment_changed',
+            step=f'once.{plan.step}',
+            peer=plan.target or plan.absent or self._name,
+            epoch=plan.assignment.epoch,
+            ranges=len(plan.ranges),
+        )
 
     async def _hand_records(self, plan: Plan) -> bool:
-        """Stop running keys of the ranges, then send what is known of them."""
-        self._ownership.moving = plan.ranges
-        end_ms = get_monotonic_ms() + global_settings.MOVE_WAIT_MS
-        while any(map(self._ledger.has_running, plan.ranges)):
-            if get_monotonic_ms() >= end_ms:
-                self._ownership.moving = frozenset()
-                return False
-            await asyncio.sleep(
-                global_settings.LEAVING_INTERVAL_MS / _MILLISECONDS,
-            )
+        if not await self._wait_idle(plan):
+            return False
         moved = plan.assignment.ranges[min(plan.ranges)]
         target = plan.assignment.get_member(plan.target)
         records = [
@@ -237,81 +203,25 @@
                 records=tuple(records),
             ),
         )
-        if reply is None or reply.incarnation != moved.incarnation:
-            self._ownership.moving = frozenset()
-            return False
-        return True
-
-    async def _ask_promises(self) -> None:
-        """Go on without the platform while every other member allows it."""
-        now_ms = get_monotonic_ms()
-        lease_ms = self._context.settings.lease_ttl_ms
-        left_ms = self._ownership.get_certain_until_ms() - now_ms
-        known = self._ownership.assignment
-        if left_ms > lease_ms / 2 or not self._owns_any():
-            return
-        others = [one for one in known.members if one.instance != self._name]
-        question = MemberQuestion(instance=self._name, epoch=known.epoch)
-        replies = await asyncio.gather(
-            *(self._clients.ask_promise(one, question) for one in others),
-        )
-        for reply in replies:
-            if reply is not None and reply.granted:
-                self._ownership.accept_grant(reply.incarnation, now_ms)
-                self._context.metrics.count_event('promise_received')
-
-    async def _introduce(self, members: Mapping[str, MemberKey]) -> None:
-        known = self._ownership.assignment
-        if self._ownership.get_own_member() is None:
-            return
-        question = MemberQuestion(instance=self._name, epoch=known.epoch)
-        for member in known.members:
-            name = member.instance
-            if name == self._name or self._ownership.is_known_by(name):
-                continue
-            if name not in members:
-                continue
-            reply = await self._clients.introduce(member, question)
-            if reply is not None and reply.epoch >= known.epoch:
-                self._ownership.note_known_by(name)
+        return reply is not None and reply.incarnation == moved.incarnation
 
-    async def pause(self) -> None:
-        """Wait until there may be something to do."""
-        interval_ms = min(
-            self._context.settings.lease_ttl_ms
-            / global_settings.RENEWALS_PER_LEASE,
-            global_settings.OWNERSHIP_INTERVAL_MS,
-        )
-        try:
-            async with asyncio.timeout(interval_ms / _MILLISECONDS):
-                await self._wake.wait()
-        except TimeoutError:
-            return
+    async def _wait_idle(self, plan: Plan) -> bool:
+        end_ms = get_monotonic_ms() + global_settings.MOVE_WAIT_MS
+        while any(map(self._ledger.has_running, plan.ranges)):
+            if get_monotonic_ms() >= end_ms:
+                return False
+            await _sleep(global_settings.LEAVING_INTERVAL_MS)
+        return True
 
-    def _get_view(self, members: Mapping[str, MemberKey]) -> View:
+    def _get_view(self, members: Members) -> View:
         return View(
             alive=members,
             now_ms=get_monotonic_ms(),
             wall_ms=get_wall_ms(),
-            address=self._address,
+            address=self._context.settings.listen.get_address(),
             leaving=self._context.drain.is_draining,
         )
 
-    def _owns_any(self) -> bool:
-        return any(
-            self._ownership.is_ours(owner)
-            for owner in self._ownership.assignment.ranges
-        )
-
-    @property
-    def _record_key(self) -> str:
-        return f'{self._prefix}assignment'
 
-    def _get_member_name(self, instance: str) -> str:
-        return f'{self._prefix}members/{instance}'
-
-    def _compare_record(self) -> Compare:
-        return Compare(
-            key=self._record_key,
-            revision=self._record.mod_revision,
-        )
+async def _sleep(pause_ms: float) -> None:
+    await asyncio.sleep(pause_ms / _MILLISECONDS)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_gate.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_gate.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
+
 from ragworthollow.once import (
     KeyRecord,
     Ledger,
@@ -17,7 +18,6 @@
 from ragworthollow.transport import OnceKey, StageAnswer, StageCall
 from ragworthollow.transport.stage_answer import refuse
 from ragworthollow.utils import get_monotonic_ms
-
 from ragworthollow_daemon.process_context import ProcessContext
 
 Execute = Callable[[StageCall], Awaitable[StageAnswer]]
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_routes.py
@@ -2,6 +2,7 @@
 
 import msgspec
 from aiohttp import web
+
 from ragworthollow.once import Ledger, Ownership
 from ragworthollow.once.peer_messages import (
     MemberQuestion,
@@ -10,7 +11,6 @@
 )
 from ragworthollow.transport import OnceKey
 from ragworthollow.utils import get_monotonic_ms
-
 from ragworthollow_daemon.sidecar.once_agent import OnceAgent
 from ragworthollow_daemon.sidecar.once_gate import OnceGate
 from ragworthollow_daemon.web.responses import Problem, respond
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/order_agent.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/order_agent.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 import msgspec
+from result import Err, Ok
+
 from ragworthollow.conf import global_settings
 from ragworthollow.configuration import Pool
 from ragworthollow.engines import Action, EngineOrder, get_wanted, plan_order
@@ -13,8 +15,6 @@
 from ragworthollow.once.member_key import MemberKey
 from ragworthollow.platform.transaction import Compare
 from ragworthollow.utils import get_monotonic_ms, get_wall_ms
-from result import Err, Ok
-
 from ragworthollow_daemon.process_context import ProcessContext, get_timeout
 from ragworthollow_daemon.sidecar.member_lease import MemberLease
 
@@ -23,7 +23,7 @@
 _OK = 200
 _FAILURES = (
     aiohttp.ClientError,
-    asyncio.TimeoutError,
+    TimeoutError,
     msgspec.DecodeError,
     OSError,
 )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/role.py
@@ -3,12 +3,13 @@
 import asyncio
 
 from aiohttp import web
+
 from ragworthollow.admission import AdmissionQueue
 from ragworthollow.conf import global_settings
 from ragworthollow.configuration import Pool
 from ragworthollow.once import Ledger, Ownership
 from ragworthollow.once.ownership import OwnershipRules
-
+from ragworthollow.utils import get_wall_ms
 from ragworthollow_daemon.process_context import ProcessContext
 from ragworthollow_daemon.sidecar.once_agent import OnceAgent
 from ragworthollow_daemon.sidecar.once_gate import OnceGate
@@ -108,7 +109,7 @@
         while True:
             if self._has_keys():
                 await self._agent.step()
-                self._agent.forget_old()
+                self._ledger.forget_old(get_wall_ms())
                 await self._agent.pause()
             else:
                 await asyncio.sleep(
@@ -117,11 +118,8 @@
 
     def _has_keys(self) -> bool:
         """Tell whether any pipeline has a non-repeatable stage here."""
-        return any(
-            stage.pool == self._pool and not stage.repeatable
-            for pipeline in self._context.store.deployment.pipelines.values()
-            for stage in pipeline.stages
-        )
+        deployment = self._context.store.deployment
+        return self._pool in deployment.get_once_pools()
 
     def _configure(self) -> None:
         deployment = self._context.store.deployment
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/slot_queue.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/slot_queue.py
@@ -3,13 +3,13 @@
 import asyncio
 import itertools
 
+from result import Err, Ok, Result
+
 from ragworthollow.admission import AdmissionQueue, Ticket
 from ragworthollow.admission.estimate import get_retry_after_ms
 from ragworthollow.outcomes import Reason
 from ragworthollow.transport import LoadReport
 from ragworthollow.utils import get_monotonic_ms
-from result import Err, Ok, Result
-
 from ragworthollow_daemon.sidecar.slot_refusal import SlotRefusal
 
 _TICK_MS = 20
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/stage_gate.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/stage_gate.py
@@ -3,12 +3,13 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
+from result import Err
+
+from ragworthollow.admission import Ticket
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.transport import StageAnswer, StageCall
 from ragworthollow.transport.stage_answer import refuse
 from ragworthollow.utils import get_monotonic_ms
-from result import Err
-
 from ragworthollow_daemon.process_context import ProcessContext
 from ragworthollow_daemon.sidecar.slot_queue import SlotQueue
 from ragworthollow_daemon.sidecar.upstream_client import Emit, UpstreamClient
@@ -103,19 +104,16 @@
                 retry_after_ms=refusal.retry_after_ms,
             )
         started_ms = get_monotonic_ms()
-        result = UpstreamResult(outcome=Outcome.unknown)
         try:
             result = await self._upstream.call(
                 call,
                 emit,
                 deadline_ms - started_ms,
             )
-        finally:
-            busy_ms = get_monotonic_ms() - started_ms
-            is_done = result.outcome is Outcome.done
-            self._slots.release(ticket, busy_ms, is_done=is_done)
-            self._context.metrics.latency.record(call.stage, busy_ms)
-            self._context.metrics.add_busy(call.stage, result.outcome, busy_ms)
+        except BaseException:
+            self._release(ticket, call, Outcome.unknown, started_ms)
+            raise
+        busy_ms = self._release(ticket, call, result.outcome, started_ms)
         return self._render(call, result, busy_ms)
 
     def refuse_unrun(
@@ -150,6 +148,20 @@
             generation=self._context.store.generation,
         )
 
+    def _release(
+        self,
+        ticket: Ticket,
+        call: StageCall,
+        outcome: Outcome,
+        started_ms: float,
+    ) -> float:
+        busy_ms = get_monotonic_ms() - started_ms
+        is_done = outcome is Outcome.done
+        self._slots.release(ticket, busy_ms, is_done=is_done)
+        self._context.metrics.latency.record(call.stage, busy_ms)
+        self._context.metrics.add_busy(call.stage, outcome, busy_ms)
+        return busy_ms
+
     def _render(
         self,
         call: StageCall,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/stage_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/stage_routes.py
@@ -4,9 +4,9 @@
 
 import msgspec
 from aiohttp import web
+
 from ragworthollow.configuration.stage import StageKind
 from ragworthollow.transport import OnceKey, StageAnswer, StageCall, StreamLine
-
 from ragworthollow_daemon.process_context import ProcessContext
 from ragworthollow_daemon.sidecar.once_gate import OnceGate
 from ragworthollow_daemon.sidecar.stage_gate import StageGate
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/upstream_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/upstream_client.py
@@ -1,16 +1,15 @@
 """Call the upstream beside this sidecar."""
 
-import asyncio
 import hashlib
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import aiohttp
 import msgspec
+
 from ragworthollow.configuration.stage import StageKind
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.transport import StageCall, StreamLine
 from ragworthollow.transport.session import HandOver
-
 from ragworthollow_daemon.process_context import get_timeout
 from ragworthollow_daemon.sidecar.upstream_messages import (
     CompletionChunk,
@@ -187,7 +186,7 @@
             reason=Reason.connect_failed,
             detail=type(error).__name__,
         )
-    is_timeout = isinstance(error, asyncio.TimeoutError)
+    is_timeout = isinstance(error, TimeoutError)
     return UpstreamResult(
         outcome=Outcome.unknown,
         reason=Reason.attempt_timeout if is_timeout else Reason.connection_lost,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/upstream_messages.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/upstream_messages.py
@@ -1,6 +1,7 @@
 """Define the JSON that upstreams speak."""
 
 import msgspec
+
 from ragworthollow.utils.message import Message
 
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/upstream_result.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/upstream_result.py
@@ -1,6 +1,7 @@
 """Define how a call to the upstream ended."""
 
 import msgspec
+
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.utils.message import Message
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/application.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/application.py
@@ -3,9 +3,9 @@
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
+
 from ragworthollow.conf import ListenSettings, global_settings
 from ragworthollow.transport.authentication import is_authentic
-
 from ragworthollow_daemon.process_context import ProcessContext
 from ragworthollow_daemon.web.configuration_routes import ConfigurationRoutes
 from ragworthollow_daemon.web.health_routes import HealthRoutes
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/configuration_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/configuration_routes.py
@@ -4,9 +4,9 @@
 
 import msgspec
 from aiohttp import web
+
 from ragworthollow.conf import global_settings
 from ragworthollow.utils.message import Message
-
 from ragworthollow_daemon.process_context import ProcessContext
 from ragworthollow_daemon.web.responses import Problem, respond
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/health_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/health_routes.py
@@ -3,13 +3,17 @@
 from collections.abc import Callable
 
 from aiohttp import web
-from ragworthollow.utils.message import Message
 
+from ragworthollow.utils.message import Message
 from ragworthollow_daemon.process_context import ProcessContext
 from ragworthollow_daemon.web.responses import Problem, respond
 
 _UNAVAILABLE = 503
 
+GetDetails = Callable[[], dict[str, object]]
+
+DETAILS_KEY: web.AppKey[GetDetails] = web.AppKey('details', GetDetails)
+
 
 class Status(Message, omit_defaults=False):
     """
@@ -108,9 +112,3 @@
                 details=get_details(),
             ),
         )
-
-
-DETAILS_KEY: web.AppKey[Callable[[], dict[str, object]]] = web.AppKey(
-    'details',
-    Callable[[], dict[str, object]],
-)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/responses.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/responses.py
@@ -2,6 +2,7 @@
 
 import msgspec
 from aiohttp import web
+
 from ragworthollow.utils.message import Message
 
 JSON_TYPE = 'application/json'
--- a/packages/ragworthollow/src/ragworthollow/admission/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/admission/__init__.py
@@ -1,7 +1,16 @@
 """Decide what runs, what waits and what is refused."""
 
-from ragworthollow.admission.queue import AdmissionQueue, Offer, Turn
+from ragworthollow.admission.decisions import Offer, Rejection, Turn
+from ragworthollow.admission.queue import AdmissionQueue
 from ragworthollow.admission.share import Share, get_shares
 from ragworthollow.admission.ticket import Ticket
 
-__all__ = ('AdmissionQueue', 'Offer', 'Share', 'Ticket', 'Turn', 'get_shares')
+__all__ = (
+    'AdmissionQueue',
+    'Offer',
+    'Rejection',
+    'Share',
+    'Ticket',
+    'Turn',
+    'get_shares',
+)
--- a/packages/ragworthollow/src/ragworthollow/admission/estimate.py
+++ b/packages/ragworthollow/src/ragworthollow/admission/estimate.py
@@ -56,7 +56,7 @@
         Milliseconds; 0 while a slot is free and nothing waits.
     """
     if backlog.busy < capacity and not backlog.total:
-        return 0.0
+        return 0
     residual_ms = service_ms / capacity
     total_ms = backlog.total * service_ms / capacity
     entitled = max(backlog.entitlement * capacity, 1e-6)
--- a/packages/ragworthollow/src/ragworthollow/admission/queue.py
+++ b/packages/ragworthollow/src/ragworthollow/admission/queue.py
@@ -1,16 +1,20 @@
 """Hold the queue of one upstream and decide on it."""
 
-import bisect
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
+from ragworthollow.admission.decisions import Offer, Rejection, Turn
 from ragworthollow.admission.estimate import Backlog, estimate_wait_ms
 from ragworthollow.admission.order import Claim, is_within_guarantee, pick
-from ragworthollow.admission.share import DEFAULT_SHARE, Share
+from ragworthollow.admission.share import (
+    DEFAULT_SHARE,
+    Share,
+    get_entitlement,
+)
 from ragworthollow.admission.ticket import Ticket
-from ragworthollow.admission.usage import NO_USAGE, Usage, charge, fade
+from ragworthollow.admission.usage_book import UsageBook
+from ragworthollow.admission.waiting_lines import WaitingLines
 from ragworthollow.conf import global_settings
 from ragworthollow.outcomes import Reason
 
@@ -18,54 +22,6 @@
 _DENSITY_GAP = 0.8
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Offer:
-    """
-    Accept a ticket into the queue.
-
-    Attributes
-    ----------
-    evicted : tuple of Ticket
-        Waiting tickets that had to go for it; none of them has started.
-    """
-
-    evicted: tuple[Ticket, ...] = ()
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Rejection:
-    """
-    Turn a ticket away.
-
-    Attributes
-    ----------
-    reason : Reason
-        Why.
-    wait_ms : float
-        Estimated wait at present.
-    """
-
-    reason: Reason
-    wait_ms: float
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Turn:
-    """
-    Tell what leaves the queue.
-
-    Attributes
-    ----------
-    started : tuple of Ticket
-        To be handed to the upstream now.
-    expired : tuple of Ticket
-        Can no longer finish in time; to be refused now.
-    """
-
-    started: tuple[Ticket, ...] = ()
-    expired: tuple[Ticket, ...] = ()
-
-
 class AdmissionQueue:
     """
     Queue the calls of one upstream: fair between, urgent first within.
@@ -85,25 +41,24 @@
         *,
         capacity: int,
         limit: int = global_settings.QUEUE_LIMIT,
-        service_ms: float = 1.0,
+        service_ms: float = 1,
     ) -> None:
         self.capacity = capacity
         self.limit = limit
         self.service_ms = service_ms
         self.shares: Mapping[str, Share] = {}
-        self._waiting: dict[str, list[tuple[float, int, Ticket]]] = {}
-        self._running: dict[str, int] = {}
-        self._usage: dict[str, Usage] = {}
+        self._lines = WaitingLines()
+        self._book = UsageBook()
 
     @property
     def running(self) -> int:
         """Return the number of slots in use."""
-        return sum(self._running.values())
+        return self._book.total_running
 
     @property
     def waiting(self) -> int:
         """Return the number of calls that wait."""
-        return sum(map(len, self._waiting.values()))
+        return len(self._lines)
 
     def offer(self, ticket: Ticket, now_ms: float) -> Result[Offer, Rejection]:
         """
@@ -126,20 +81,17 @@
                 Rejection(reason=Reason.deadline_too_short, wait_ms=0),
             )
         evicted: list[Ticket] = []
-        while not self._fits(ticket, now_ms):
+        latest_ms = ticket.deadline_ms - self.service_ms
+        while (
+            self.waiting >= self.limit
+            or now_ms + self._get_wait_ms(ticket) > latest_ms
+        ):
             victim = self._find_victim(ticket, now_ms)
             if victim is None or len(evicted) >= _EVICTION_LIMIT:
-                for removed in evicted:
-                    self._push(removed)
-                return Err(
-                    Rejection(
-                        reason=Reason.overloaded,
-                        wait_ms=self._get_wait_ms(ticket, now_ms),
-                    ),
-                )
+                return self._reject(ticket, evicted, now_ms)
             self.withdraw(victim)
             evicted.append(victim)
-        self._push(ticket)
+        self._lines.push(ticket)
         return Ok(Offer(evicted=tuple(evicted)))
 
     def take(self, now_ms: float) -> Turn:
@@ -156,13 +108,17 @@
         Turn
             What starts, and what can no longer finish in time.
         """
-        expired = tuple(self._drop_expired(now_ms))
+        # A call that cannot finish any more would only waste a slot.
+        limit_ms = now_ms + self.service_ms / 2
+        expired = tuple(self._lines.withdraw_late(limit_ms))
         started: list[Ticket] = []
         while self.running < self.capacity:
             claim = pick(self._get_claims(now_ms), self.capacity)
             if claim is None:
                 break
-            started.append(self._start(claim.organisation, now_ms))
+            ticket = self._lines.pop(claim.organisation)
+            self._book.start(claim.organisation, self.service_ms, now_ms)
+            started.append(ticket)
         return Turn(started=tuple(started), expired=expired)
 
     def finish(self, ticket: Ticket, busy_ms: float, now_ms: float) -> None:
@@ -178,18 +134,8 @@
         now_ms : float
             Time on the monotonic clock.
         """
-        organisation = ticket.organisation
-        left = self._running[organisation] - 1
-        if left:
-            self._running[organisation] = left
-        else:
-            self._running.pop(organisation)
-        usage = self._usage.get(organisation, NO_USAGE)
-        self._usage[organisation] = charge(
-            usage,
-            busy_ms - self.service_ms,
-            now_ms,
-        )
+        correction_ms = busy_ms - self.service_ms
+        self._book.finish(ticket.organisation, correction_ms, now_ms)
 
     def observe_service(self, busy_ms: float) -> None:
         """Learn from the time a successful call took, in milliseconds."""
@@ -198,85 +144,47 @@
 
     def withdraw(self, ticket: Ticket) -> bool:
         """Remove a waiting ticket; False when it waits no more."""
-        line = self._waiting.get(ticket.organisation, [])
-        entry = (ticket.deadline_ms, ticket.ticket_id, ticket)
-        position = bisect.bisect_left(line, entry[:2], key=lambda one: one[:2])
-        if position >= len(line) or line[position] != entry:
-            return False
-        line.pop(position)
-        if not line:
-            self._waiting.pop(ticket.organisation)
-        return True
+        return self._lines.withdraw(ticket)
 
     def forget_idle(self, now_ms: float) -> None:
-        """Drop usages that have faded, so that memory follows activity."""
-        self._usage = {
-            organisation: usage
-            for organisation, usage in self._usage.items()
-            if fade(usage, now_ms) > 1
-        }
-
-    def _push(self, ticket: Ticket) -> None:
-        line = self._waiting.setdefault(ticket.organisation, [])
-        bisect.insort(
-            line,
-            (ticket.deadline_ms, ticket.ticket_id, ticket),
-            key=lambda one: one[:2],
-        )
+        """Drop the usage of organisations that are no longer active."""
+        self._book.forget_idle(now_ms)
 
-    def _start(self, organisation: str, now_ms: float) -> Ticket:
-        line = self._waiting[organisation]
-        ticket = line.pop(0)[-1]
-        if not line:
-            self._waiting.pop(organisation)
-        self._running[organisation] = self._running.get(organisation, 0) + 1
-        usage = self._usage.get(organisation, NO_USAGE)
-        self._usage[organisation] = charge(usage, self.service_ms, now_ms)
-        return ticket
-
-    def _drop_expired(self, now_ms: float) -> Iterator[Ticket]:
-        for organisation, line in list(self._waiting.items()):
-            # A call that cannot finish any more would only waste a slot.
-            late = [
-                entry[-1]
-                for entry in line
-                if entry[0] - now_ms < self.service_ms / 2
-            ]
-            del line[: len(late)]
-            if not line:
-                self._waiting.pop(organisation)
-            yield from late
+    def _reject(
+        self,
+        ticket: Ticket,
+        evicted: list[Ticket],
+        now_ms: float,
+    ) -> Err[Rejection]:
+        for removed in evicted:
+            self._lines.push(removed)
+        wait_ms = self._get_wait_ms(ticket)
+        return Err(Rejection(reason=Reason.overloaded, wait_ms=wait_ms))
 
     def _get_claims(self, now_ms: float) -> Iterator[Claim]:
-        for organisation in self._waiting:
+        for organisation in self._lines.get_organisations():
             yield self._get_claim(organisation, now_ms)
 
     def _get_claim(self, organisation: str, now_ms: float) -> Claim:
         return Claim(
             organisation=organisation,
             share=self.shares.get(organisation, DEFAULT_SHARE),
-            running=self._running.get(organisation, 0),
-            used_ms=fade(self._usage.get(organisation, NO_USAGE), now_ms),
+            running=self._book.get_running(organisation),
+            used_ms=self._book.get_used_ms(organisation, now_ms),
         )
 
-    def _fits(self, ticket: Ticket, now_ms: float) -> bool:
-        if self.waiting >= self.limit:
-            return False
-        end_ms = now_ms + self._get_wait_ms(ticket, now_ms) + self.service_ms
-        return end_ms <= ticket.deadline_ms
-
-    def _get_wait_ms(self, ticket: Ticket, now_ms: float) -> float:
-        line = self._waiting.get(ticket.organisation, [])
-        own = bisect.bisect_left(
-            line,
-            ticket.deadline_ms,
-            key=lambda one: one[0],
-        )
+    def _get_wait_ms(self, ticket: Ticket) -> float:
+        active = self._book.get_active()
+        active.update(self._lines.get_organisations())
         backlog = Backlog(
             total=self.waiting,
-            own=own,
+            own=self._lines.count_before(ticket),
             busy=self.running,
-            entitlement=self._get_entitlement(ticket.organisation),
+            entitlement=get_entitlement(
+                self.shares,
+                ticket.organisation,
+                active,
+            ),
         )
         return estimate_wait_ms(
             backlog,
@@ -284,22 +192,13 @@
             service_ms=self.service_ms,
         )
 
-    def _get_entitlement(self, organisation: str) -> float:
-        active = {organisation, *self._waiting, *self._running}
-        shares = {name: self.shares.get(name, DEFAULT_SHARE) for name in active}
-        guaranteed = sum(share.guarantee for share in shares.values())
-        weights = sum(share.weight for share in shares.values())
-        own = shares[organisation]
-        lent = max(0.0, 1 - guaranteed) * own.weight / weights
-        return min(own.guarantee + lent, own.ceiling)
-
     def _find_victim(self, ticket: Ticket, now_ms: float) -> Ticket | None:
         threshold = ticket.get_density() * _DENSITY_GAP
         candidates = (
-            entry[-1]
-            for organisation, line in self._waiting.items()
+            waiting
+            for organisation in self._lines.get_organisations()
             if self._may_shed(organisation, ticket, now_ms)
-            for entry in line
+            for waiting in self._lines.get_line(organisation)
         )
         victim = min(candidates, key=Ticket.get_density, default=None)
         if victim is None or victim.get_density() >= threshold:
--- a/packages/ragworthollow/src/ragworthollow/admission/usage.py
+++ b/packages/ragworthollow/src/ragworthollow/admission/usage.py
@@ -19,8 +19,8 @@
         When it was last brought up to date.
     """
 
-    busy_ms: float = 0.0
-    at_ms: float = 0.0
+    busy_ms: float = 0
+    at_ms: float = 0
 
 
 NO_USAGE = Usage()
@@ -28,7 +28,7 @@
 
 def fade(usage: Usage, now_ms: float) -> float:
     """Return what is left of a usage at a later time, in milliseconds."""
-    age_ms = max(0.0, now_ms - usage.at_ms)
+    age_ms = max(0, now_ms - usage.at_ms)
     return usage.busy_ms * math.exp(-age_ms / WINDOW_MS)
 
 
@@ -50,5 +50,5 @@
     Usage
         Never below zero.
     """
-    total_ms = max(0.0, fade(usage, now_ms) + busy_ms)
+    total_ms = max(0, fade(usage, now_ms) + busy_ms)
     return Usage(busy_ms=total_ms, at_ms=now_ms)
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/admission/waiting_lines.py
@@ -0,0 +1,74 @@
+"""Hold the waiting calls, one line for each organisation."""
+
+import bisect
+from collections.abc import Iterable, Iterator
+
+from ragworthollow.admission.ticket import Ticket
+
+
+class WaitingLines:
+    """Keep each organisation's waiting calls in the order of deadlines."""
+
+    def __init__(self) -> None:
+        self._lines: dict[str, list[Ticket]] = {}
+
+    def __len__(self) -> int:
+        return sum(map(len, self._lines.values()))
+
+    def get_organisations(self) -> Iterable[str]:
+        """Return the organisations with waiting calls."""
+        return self._lines.keys()
+
+    def get_line(self, organisation: str) -> list[Ticket]:
+        """Return the waiting calls of one organisation, most urgent first."""
+        return self._lines.get(organisation, [])
+
+    def push(self, ticket: Ticket) -> None:
+        """Let a call wait."""
+        line = self._lines.setdefault(ticket.organisation, [])
+        bisect.insort(line, ticket, key=_get_order)
+
+    def pop(self, organisation: str) -> Ticket:
+        """Take the most urgent call of an organisation."""
+        ticket = self._lines[organisation].pop(0)
+        self._drop_empty(organisation)
+        return ticket
+
+    def withdraw(self, ticket: Ticket) -> bool:
+        """Remove a waiting call; False when it waits no more."""
+        line = self.get_line(ticket.organisation)
+        position = bisect.bisect_left(line, _get_order(ticket), key=_get_order)
+        if position >= len(line) or line[position] != ticket:
+            return False
+        line.pop(position)
+        self._drop_empty(ticket.organisation)
+        return True
+
+    def withdraw_late(self, limit_ms: float) -> Iterator[Ticket]:
+        """Remove and yield the calls whose deadline is before a time."""
+        for organisation in list(self._lines):
+            line = self._lines[organisation]
+            late = bisect.bisect_left(line, limit_ms, key=_get_deadline)
+            yield from line[:late]
+            del line[:late]
+            self._drop_empty(organisation)
+
+    def count_before(self, ticket: Ticket) -> int:
+        """Count the organisation's calls that are more urgent than this."""
+        return bisect.bisect_left(
+            self.get_line(ticket.organisation),
+            ticket.deadline_ms,
+            key=_get_deadline,
+        )
+
+    def _drop_empty(self, organisation: str) -> None:
+        if not self._lines[organisation]:
+            self._lines.pop(organisation)
+
+
+def _get_order(ticket: Ticket) -> tuple[float, int]:
+    return (ticket.deadline_ms, ticket.ticket_id)
+
+
+def _get_deadline(ticket: Ticket) -> float:
+    return ticket.deadline_ms
--- a/packages/ragworthollow/src/ragworthollow/configuration/checks.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/checks.py
@@ -59,20 +59,7 @@
     for name, organisation in merged.deployment.organisations.items():
         where = _locate(merged, f'organisations.{name}')
         for key_hash in organisation.key_sha256:
-            if len(key_hash) != _SHA256_LENGTH or set(key_hash) - _HEXADECIMAL:
-                yield CheckMessage(
-                    check_id='config.E005',
-                    text='key_sha256 holds something else than a SHA-256',
-                    hint='run "ragworthctl hash-key" on the key',
-                    where=where,
-                )
-            elif key_hash in seen:
-                yield CheckMessage(
-                    check_id='config.E006',
-                    text=f'its key is also the key of {seen[key_hash]}',
-                    hint='every organisation needs a key of its own',
-                    where=where,
-                )
+            yield from _check_key(key_hash, seen.get(key_hash), where)
             seen[key_hash] = name
         shares = (organisation.guarantee, organisation.ceiling)
         if not all(0 <= share <= 1 for share in shares):
@@ -91,6 +78,27 @@
             )
 
 
+def _check_key(
+    key_hash: str,
+    other: str | None,
+    where: str,
+) -> Iterator[CheckMessage]:
+    if len(key_hash) != _SHA256_LENGTH or set(key_hash) - _HEXADECIMAL:
+        yield CheckMessage(
+            check_id='config.E005',
+            text='key_sha256 holds something else than a SHA-256',
+            hint='run "ragworthctl hash-key" on the key',
+            where=where,
+        )
+    elif other is not None:
+        yield CheckMessage(
+            check_id='config.E006',
+            text=f'its key is also the key of {other}',
+            hint='every organisation needs a key of its own',
+            where=where,
+        )
+
+
 def _check_guarantees(merged: Merged) -> Iterator[CheckMessage]:
     organisations = merged.deployment.organisations
     total = sum(one.guarantee for one in organisations.values())
--- a/packages/ragworthollow/src/ragworthollow/configuration/deployment.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/deployment.py
@@ -30,3 +30,12 @@
     pipelines: dict[str, Pipeline] = {}
     pools: dict[str, Pool] = {}
     models: dict[str, EngineModel] = {}
+
+    def get_once_pools(self) -> set[str]:
+        """Return the pools that serve a non-repeatable stage."""
+        return {
+            stage.pool
+            for pipeline in self.pipelines.values()
+            for stage in pipeline.stages
+            if not stage.repeatable
+        }
--- a/packages/ragworthollow/src/ragworthollow/configuration/follower.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/follower.py
@@ -24,7 +24,7 @@
 _NO_CONTENT = 204
 _UNREACHABLE = (
     aiohttp.ClientError,
-    asyncio.TimeoutError,
+    TimeoutError,
     msgspec.DecodeError,
     OSError,
 )
--- a/packages/ragworthollow/src/ragworthollow/configuration/manifest.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/manifest.py
@@ -22,3 +22,7 @@
     generation: int = 0
     files: tuple[FileEntry, ...] = ()
     history: tuple[ChangeRecord, ...] = ()
+
+    def get_hashes(self) -> dict[str, str]:
+        """Return the hash of each file by its name."""
+        return {entry.name: entry.sha256 for entry in self.files}
--- a/packages/ragworthollow/src/ragworthollow/configuration/organisation.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/organisation.py
@@ -22,7 +22,7 @@
     """
 
     key_sha256: tuple[str, ...]
-    guarantee: float = 0.0
+    guarantee: float = 0
     weight: float = 1.0
     ceiling: float = 1.0
     worth: float = 1.0
--- a/packages/ragworthollow/src/ragworthollow/configuration/publisher.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/publisher.py
@@ -1,5 +1,6 @@
 """Accept changes from operators."""
 
+import dataclasses
 from collections.abc import Callable
 
 import msgspec
@@ -16,10 +17,7 @@
 from ragworthollow.configuration.file_entry import FileEntry
 from ragworthollow.configuration.keys import MANIFEST_KEY, get_file_key
 from ragworthollow.configuration.manifest import Manifest
-from ragworthollow.configuration.merge import (
-    Merged,
-    SourceFile,
-)
+from ragworthollow.configuration.merge import Merged, SourceFile
 from ragworthollow.configuration.reader import read_files
 from ragworthollow.configuration.snapshot import Snapshot, hash_text
 from ragworthollow.configuration.store import (
@@ -28,7 +26,7 @@
     encode_manifest,
 )
 from ragworthollow.outcomes import Reason
-from ragworthollow.platform import KeyValue
+from ragworthollow.platform import KeyValue, PlatformError
 from ragworthollow.platform.transaction import Compare, Put
 
 
@@ -84,32 +82,10 @@
         """
         may_have_applied = False
         for _ in range(global_settings.CHANGE_ATTEMPTS):
-            found = await self._key_value.read(MANIFEST_KEY)
-            if isinstance(found, Err):
-                continue
-            manifest = decode_manifest(found.ok_value.text)
-            settled = _find_settled(manifest, request)
-            if settled is not None:
-                await self._put_in_force(manifest)
-                return settled
-            prepared = await self._prepare(operator, request, manifest)
-            if isinstance(prepared, Err):
-                return prepared.err_value
-            if request.dry_run:
-                return ChangeAnswer(
-                    accepted=False,
-                    generation=manifest.generation,
-                    problems=prepared.ok_value.problems,
-                )
-            written = await self._write(
-                prepared.ok_value,
-                request,
-                found.ok_value.mod_revision,
-            )
-            if isinstance(written, Err):
-                may_have_applied |= written.err_value.may_have_applied
-            elif written.ok_value:
-                return self._accept(prepared.ok_value, request)
+            tried = await self._try_once(operator, request)
+            if isinstance(tried, ChangeAnswer):
+                return tried
+            may_have_applied |= tried.may_have_applied
         return ChangeAnswer(
             accepted=False,
             reason=Reason.platform_unavailable,
@@ -118,6 +94,52 @@
             may_have_applied=may_have_applied,
         )
 
+    async def _try_once(
+        self,
+        operator: str,
+        request: ChangeRequest,
+    ) -> ChangeAnswer | PlatformError:
+        found = await self._key_value.read(MANIFEST_KEY)
+        if isinstance(found, Err):
+            return dataclasses.replace(found.err_value, may_have_applied=False)
+        manifest = decode_manifest(found.ok_value.text)
+        settled = _find_settled(manifest, request)
+        if settled is not None:
+            await self._put_in_force(manifest)
+            return settled
+        prepared = await self._prepare(operator, request, manifest)
+        if isinstance(prepared, Err):
+            return prepared.err_value
+        if request.dry_run:
+            return ChangeAnswer(
+                accepted=False,
+                generation=manifest.generation,
+                problems=prepared.ok_value.problems,
+            )
+        return await self._swap(
+            prepared.ok_value,
+            request,
+            found.ok_value.mod_revision,
+        )
+
+    async def _swap(
+        self,
+        prepared: '_Prepared',
+        request: ChangeRequest,
+        mod_revision: int,
+    ) -> ChangeAnswer | PlatformError:
+        written = await self._write(prepared, request, mod_revision)
+        if isinstance(written, Err):
+            return written.err_value
+        if written.ok_value:
+            return self._accept(prepared)
+        return PlatformError(
+            step=MANIFEST_KEY,
+            peer=MANIFEST_KEY,
+            detail='another change came first',
+            may_have_applied=False,
+        )
+
     async def _prepare(
         self,
         operator: str,
@@ -183,11 +205,7 @@
             puts=puts,
         )
 
-    def _accept(
-        self,
-        prepared: '_Prepared',
-        request: ChangeRequest,
-    ) -> ChangeAnswer:
+    def _accept(self, prepared: '_Prepared') -> ChangeAnswer:
         needed = {entry.sha256 for entry in prepared.manifest.files}
         self._store.apply(
             Snapshot(
--- a/packages/ragworthollow/src/ragworthollow/configuration/store.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/store.py
@@ -99,13 +99,15 @@
         if snapshot.manifest.generation <= self.generation:
             return Ok(False)
         texts = {**self.texts, **snapshot.files_by_sha256}
-        files: list[SourceFile] = []
-        for entry in snapshot.manifest.files:
-            text = texts.get(entry.sha256)
-            if text is None or hash_text(text) != entry.sha256:
-                return Err(self._explain(f'{entry.name} is missing'))
-            files.append(SourceFile(name=entry.name, text=text))
-        merged = check_files(files)
+        missing = _find_missing(snapshot.manifest, texts)
+        if missing:
+            return Err(self._explain(f'{missing} is missing or damaged'))
+        merged = check_files(
+            [
+                SourceFile(name=entry.name, text=texts[entry.sha256])
+                for entry in snapshot.manifest.files
+            ],
+        )
         if has_errors(merged.problems):
             return Err(self._explain(str(merged.problems[0])))
         kept = {entry.sha256 for entry in snapshot.manifest.files}
@@ -134,6 +136,14 @@
         )
 
 
+def _find_missing(manifest: Manifest, texts: dict[str, str]) -> str:
+    for entry in manifest.files:
+        text = texts.get(entry.sha256)
+        if text is None or hash_text(text) != entry.sha256:
+            return entry.name
+    return ''
+
+
 def encode_manifest(manifest: Manifest) -> str:
     """Encode the manifest for the platform."""
     return msgspec.json.encode(manifest).decode()
--- a/packages/ragworthollow/src/ragworthollow/metrics/latency.py
+++ b/packages/ragworthollow/src/ragworthollow/metrics/latency.py
@@ -50,7 +50,7 @@
         """Return a quantile in milliseconds; 0 for a step never seen."""
         histogram = self._histograms.get(step)
         if histogram is None:
-            return 0.0
+            return 0
         found = histogram.get_value_at_percentile(percent)
         return found / _MICROSECONDS_PER_MILLISECOND
 
--- a/packages/ragworthollow/src/ragworthollow/once/ownership.py
+++ b/packages/ragworthollow/src/ragworthollow/once/ownership.py
@@ -8,6 +8,7 @@
     Assignment,
     Member,
     RangeOwner,
+    get_preferred,
     get_range,
 )
 
@@ -204,6 +205,23 @@
             and owner.incarnation == self.incarnation
         )
 
+    def get_strays(self, instances: list[str]) -> dict[int, str]:
+        """Return our ranges that one of these should own, and which one."""
+        wanted = {
+            index: get_preferred(index, instances)
+            for index, owner in enumerate(self.assignment.ranges)
+            if self.is_ours(owner)
+        }
+        return {
+            index: name
+            for index, name in wanted.items()
+            if name != self.instance
+        }
+
+    def owns_any(self) -> bool:
+        """Tell whether any range belongs to this process."""
+        return any(map(self.is_ours, self.assignment.ranges))
+
     def get_standing(self, key: str, born_ms: int, now_ms: float) -> Standing:
         """
         Decide whether a key without a record may run here.
--- a/packages/ragworthollow/src/ragworthollow/platform/key_value.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/key_value.py
@@ -1,6 +1,5 @@
 """Speak the JSON gateway of the etcd v3 protocol."""
 
-import asyncio
 import base64
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
@@ -12,6 +11,14 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.platform.exceptions import PlatformError
 from ragworthollow.platform.transaction import Compare, Put
+from ragworthollow.platform.wire import (
+    KeepAliveAnswer,
+    KeyRecord,
+    LeaseAnswer,
+    RangeAnswer,
+    TxnAnswer,
+    WatchAnswer,
+)
 
 _MILLISECONDS = 1000
 
@@ -37,47 +44,6 @@
     read_revision: int = 0
 
 
-class _KeyRecord(msgspec.Struct, frozen=True, kw_only=True):
-    key: str = ''
-    value: str = ''
-    create_revision: str = '0'
-    mod_revision: str = '0'
-
-
-class _Header(msgspec.Struct, frozen=True, kw_only=True):
-    revision: str = '0'
-
-
-class _RangeAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    header: _Header = _Header()
-    kvs: tuple[_KeyRecord, ...] = ()
-
-
-class _TxnAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    succeeded: bool = False
-
-
-class _LeaseAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    ID: str = '0'
-    TTL: str = '0'
-
-
-class _KeepAliveAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    result: _LeaseAnswer = _LeaseAnswer()
-
-
-class _WatchEvent(msgspec.Struct, frozen=True, kw_only=True):
-    kv: _KeyRecord = _KeyRecord()
-
-
-class _WatchResult(msgspec.Struct, frozen=True, kw_only=True):
-    events: tuple[_WatchEvent, ...] = ()
-
-
-class _WatchAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    result: _WatchResult = _WatchResult()
-
-
 class KeyValue:
     """
     Call the key-value service.
@@ -116,7 +82,7 @@
         answer = await self._call(
             '/v3/kv/range',
             {'key': self._encode(key)},
-            _RangeAnswer,
+            RangeAnswer,
         )
         return answer.map(_to_single)
 
@@ -130,7 +96,7 @@
         answer = await self._call(
             '/v3/kv/range',
             {'key': _to_base64(start), 'range_end': _to_base64(end)},
-            _RangeAnswer,
+            RangeAnswer,
         )
         return answer.map(
             lambda found: {
@@ -160,7 +126,7 @@
                 'compare': [self._render_compare(one) for one in compares],
                 'success': [self._render_put(one) for one in puts],
             },
-            _TxnAnswer,
+            TxnAnswer,
         )
         return answer.map(lambda found: found.succeeded)
 
@@ -170,25 +136,25 @@
         answer = await self._call(
             '/v3/lease/grant',
             {'TTL': str(seconds), 'ID': '0'},
-            _LeaseAnswer,
+            LeaseAnswer,
         )
-        return answer.map(lambda found: int(found.ID))
+        return answer.map(lambda found: int(found.lease))
 
     async def renew_lease(self, lease: int) -> Result[bool, PlatformError]:
         """Renew a lease; False when it has lapsed."""
         answer = await self._call(
             '/v3/lease/keepalive',
             {'ID': str(lease)},
-            _KeepAliveAnswer,
+            KeepAliveAnswer,
         )
-        return answer.map(lambda found: int(found.result.TTL) > 0)
+        return answer.map(lambda found: int(found.result.ttl) > 0)
 
     async def revoke_lease(self, lease: int) -> Result[bool, PlatformError]:
         """End a lease, which deletes its keys."""
         answer = await self._call(
             '/v3/lease/revoke',
             {'ID': str(lease)},
-            _TxnAnswer,
+            TxnAnswer,
         )
         return answer.map(lambda _: True)
 
@@ -215,7 +181,7 @@
 
         Raises
         ------
-        aiohttp.ClientError, asyncio.TimeoutError
+        aiohttp.ClientError, TimeoutError
             The platform is away; the caller reads the key and comes again.
         """
         self.calls += 1
@@ -234,7 +200,7 @@
             timeout=timeout,
         ) as response:
             async for line in response.content:
-                answer = msgspec.json.decode(line, type=_WatchAnswer)
+                answer = msgspec.json.decode(line, type=WatchAnswer)
                 for event in answer.result.events:
                     yield _to_stored(event.kv)
 
@@ -320,16 +286,16 @@
     return base64.b64encode(text.encode()).decode()
 
 
-def _to_single(answer: _RangeAnswer) -> Stored:
+def _to_single(answer: RangeAnswer) -> Stored:
     revision = int(answer.header.revision)
     if not answer.kvs:
         return Stored(read_revision=revision)
     return _to_stored(answer.kvs[0], revision)
 
 
-def _to_stored(record: _KeyRecord, read_revision: int = 0) -> Stored:
+def _to_stored(record: KeyRecord, read_revision: int = 0) -> Stored:
     return Stored(
-        text=base64.b64decode(record.value).decode(),
+        text=base64.b64decode(record.encoded).decode(),
         mod_revision=int(record.mod_revision),
         create_revision=int(record.create_revision),
         read_revision=read_revision,
--- a/packages/ragworthollow/src/ragworthollow/routing/peer_state.py
+++ b/packages/ragworthollow/src/ragworthollow/routing/peer_state.py
@@ -20,7 +20,7 @@
     def __init__(self, *, instance: InstanceEntry) -> None:
         self.instance = instance
         self.in_flight = 0
-        self.latency_ms = 0.0
+        self.latency_ms = 0
         self.samples = 0
         self.success = 1.0
         self.load = LoadReport()
@@ -71,6 +71,6 @@
         has in flight is always known.
         """
         age_ms = now_ms - self.load_at_ms
-        trust = max(0.0, 1 - age_ms / global_settings.LOAD_STALE_MS)
+        trust = max(0, 1 - age_ms / global_settings.LOAD_STALE_MS)
         reported = (self.load.running + self.load.waiting) * trust
         return max(reported, self.in_flight) / max(self.load.concurrency, 1)
--- a/packages/ragworthollow/src/ragworthollow/routing/subset.py
+++ b/packages/ragworthollow/src/ragworthollow/routing/subset.py
@@ -36,14 +36,7 @@
     domains: dict[str, list[InstanceEntry]] = defaultdict(list)
     for instance in instances:
         domains[instance.failure_domain].append(instance)
-    lines = [
-        sorted(
-            members,
-            key=lambda one: get_rank(entry, one.instance),
-            reverse=True,
-        )
-        for members in domains.values()
-    ]
+    lines = [_order(entry, members) for members in domains.values()]
     lines.sort(
         key=lambda line: get_rank(entry, line[0].failure_domain),
         reverse=True,
@@ -56,3 +49,11 @@
         if position < len(line)
     ]
     return in_turn[:size]
+
+
+def _order(entry: str, members: list[InstanceEntry]) -> list[InstanceEntry]:
+    return sorted(
+        members,
+        key=lambda one: get_rank(entry, one.instance),
+        reverse=True,
+    )
--- a/packages/ragworthollow/src/ragworthollow/transport/load_report.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/load_report.py
@@ -22,5 +22,5 @@
     running: int = 0
     waiting: int = 0
     concurrency: int = 1
-    service_ms: float = 0.0
+    service_ms: float = 0
     leaving: bool = False
--- a/packages/ragworthollow/src/ragworthollow/transport/stage_answer.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/stage_answer.py
@@ -41,7 +41,7 @@
     output: msgspec.Raw = msgspec.Raw(b'null')
     refusal: Refusal | None = None
     load: LoadReport = LoadReport()
-    busy_ms: float = 0.0
+    busy_ms: float = 0
     replayed: bool = False
     earlier: dict[str, msgspec.Raw] = {}
     generation: int = 0
--- a/packages/ragworthollow/src/ragworthollow/transport/stage_call.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/stage_call.py
@@ -58,6 +58,6 @@
     max_tokens: int = 0
     resume_offset: int = 0
     worth: float = 1.0
-    cost_ms: float = 0.0
+    cost_ms: float = 0
     once: OnceKey | None = None
     earlier: dict[str, msgspec.Raw] = {}
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -3,9 +3,8 @@
 import asyncio
 from collections import OrderedDict
 
-import aiohttp
 import msgspec
-from aiohttp import web
+from aiohttp import ClientSession, web
 
 from tests.standins.faults import Faults, drop
 from tests.standins.pool import find_subject
@@ -118,8 +117,8 @@
                     },
                 ],
             }
-            line = b'data: ' + msgspec.json.encode(chunk) + b'\n\n'
-            await response.write(line)
+            line = f'data: {msgspec.json.encode(chunk).decode()}\n\n'
+            await response.write(line.encode())
         await response.write(b'data: [DONE]\n\n')
         self._counts['done'] += 1
 
@@ -188,7 +187,7 @@
         if not self._weights_url:
             return True
         url = f'{self._weights_url}/weights/{model}'
-        async with aiohttp.ClientSession() as session:
+        async with ClientSession() as session:
             async with session.get(url) as response:
                 return response.status == 200
 
--- a/tests/standins/faults.py
+++ b/tests/standins/faults.py
@@ -27,12 +27,13 @@
 
     def has(self, name: str) -> bool:
         """Tell whether a fault hits this call, and use one of its hits up."""
-        if not self.active.get(name):
+        if not self.active.get(name, 0):
+            return False
+        left = self.active.get('left', 1)
+        if left <= 0:
             return False
         if 'left' in self.active:
-            if self.active['left'] <= 0:
-                return False
-            self.active['left'] -= 1
+            self.active.update(left=left - 1)
         return True
 
     async def delay(self) -> None:
--- a/tests/standins/key_value.py
+++ b/tests/standins/key_value.py
@@ -137,7 +137,9 @@
 
     def _end_lease(self, lease: int) -> None:
         self.leases.pop(lease, None)
-        dead = [k for k, e in self.entries.items() if e.lease == lease]
+        dead = [
+            key for key, entry in self.entries.items() if entry.lease == lease
+        ]
         if dead:
             self.revision += 1
         for key in dead:
@@ -199,6 +201,5 @@
             return
         if self.faults.active.get('down'):
             raise ConnectionError
-        await response.write(
-            msgspec.json.encode({'result': {'events': [event]}}) + b'\n',
-        )
+        line = msgspec.json.encode({'result': {'events': [event]}}).decode()
+        await response.write(f'{line}\n'.encode())
