--- a/measure/fleet.py
+++ b/measure/fleet.py
@@ -78,6 +78,10 @@
     def folder(self) -> Path:
         return self._folder
 
+    @property
+    def cluster_headers(self) -> dict[str, str]:
+        return {'X-Ragworthollow-Cluster-Key': CLUSTER_KEY}
+
     @property
     def entries(self) -> list[PlannedInstance]:
         return self.plan.get_pool('entry')
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/key_router.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/key_router.py
@@ -10,6 +10,7 @@
 from ragworthollow.platform.instance_list import InstanceEntry
 from ragworthollow.routing import PeerState
 from ragworthollow.transport import OnceKey
+from ragworthollow.utils import get_monotonic_ms
 from ragworthollow.utils.message import Message
 from ragworthollow_daemon.entry.pool_router import PoolRouter
 from ragworthollow_daemon.process_context import ProcessContext, get_timeout
@@ -87,15 +88,16 @@
         LookupAnswer
             `uncertain` when no owner can be reached.
         """
-        for _ in range(_LOOKUP_ATTEMPTS):
-            owner = await self.find_owner(pool, once.key)
-            # The first question is answered at once, so that an owner that
-            # does not answer is found out early.
-            answer = await self._ask(owner, once, 0) if owner else None
-            if answer and answer.state is LookupState.running:
-                return await self._ask(owner, once, wait_ms) or answer
-            if answer and answer.state is not LookupState.not_owner:
+        end_ms = get_monotonic_ms() + wait_ms / 2
+        failures = 0
+        while failures < _LOOKUP_ATTEMPTS and get_monotonic_ms() < end_ms:
+            answer = await self._ask_owner(pool, once, wait_ms)
+            if answer is None:
+                failures += 1
+            elif answer.state is not LookupState.not_owner:
                 return answer
+            # Whoever says that it is not the owner tells of a hand-over,
+            # which takes a moment.
             await self.refresh(pool)
             await asyncio.sleep(global_settings.KEYED_RETRY_MS / _MILLISECONDS)
         return _UNCERTAIN
@@ -113,6 +115,22 @@
             if reply is not None and reply.epoch > known.epoch:
                 self._assignments[pool] = reply
 
+    async def _ask_owner(
+        self,
+        pool: str,
+        once: OnceKey,
+        wait_ms: float,
+    ) -> LookupAnswer | None:
+        owner = await self.find_owner(pool, once.key)
+        if owner is None:
+            return None
+        # The first question is answered at once, so that an owner that does
+        # not answer is found out early.
+        answer = await self._ask(owner, once, 0)
+        if answer and answer.state is LookupState.running:
+            return await self._ask(owner, once, wait_ms) or answer
+        return answer
+
     async def _ask(
         self,
         owner: PeerState,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/member_relations.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/member_relations.py
@@ -3,7 +3,12 @@
 import asyncio
 
 from ragworthollow.once import Member, Ownership
-from ragworthollow.once.peer_messages import MemberQuestion
+from ragworthollow.once.peer_messages import MemberReply
+from ragworthollow.once.promises import (
+    make_question,
+    show_record,
+    take_reply,
+)
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.process_context import ProcessContext
 from ragworthollow_daemon.sidecar.member_client import MemberClient
@@ -43,18 +48,23 @@
         left_ms = self._ownership.get_certain_until_ms() - now_ms
         if left_ms > lease_ms / 2 or not self._ownership.owns_any():
             return
-        question = self._make_question()
         replies = await asyncio.gather(
-            *(
-                self._clients.ask_promise(member, question)
-                for member in self._get_others()
-            ),
+            *(self._ask(member) for member in self._get_others()),
         )
         for reply in replies:
-            if reply is not None and reply.granted:
-                self._ownership.accept_grant(reply.incarnation, now_ms)
+            if reply and take_reply(self._ownership, reply, now_ms):
                 self._context.metrics.count_event('promise_received')
 
+    async def _ask(self, member: Member) -> MemberReply | None:
+        question = make_question(self._ownership)
+        reply = await self._clients.ask_promise(member, question)
+        if reply is None:
+            return None
+        again = show_record(self._ownership, question, reply)
+        if again is None:
+            return reply
+        return await self._clients.ask_promise(member, again)
+
     async def introduce(self, members: Members) -> None:
         """Make sure that every live member has read a record with us in it."""
         if self._ownership.get_own_member() is None:
@@ -65,7 +75,7 @@
                 await self._introduce_to(member)
 
     async def _introduce_to(self, member: Member) -> None:
-        question = self._make_question()
+        question = make_question(self._ownership)
         reply = await self._clients.introduce(member, question)
         if reply is not None and reply.epoch >= question.epoch:
             self._ownership.note_known_by(member.instance)
@@ -76,9 +86,3 @@
             for member in self._ownership.assignment.members
             if member.instance != self._name
         ]
-
-    def _make_question(self) -> MemberQuestion:
-        return MemberQuestion(
-            instance=self._name,
-            epoch=self._ownership.assignment.epoch,
-        )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_routes.py
@@ -9,6 +9,7 @@
     MemberReply,
     RecordTransfer,
 )
+from ragworthollow.once.promises import reply_to
 from ragworthollow.transport import OnceKey
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.sidecar.once_agent import OnceAgent
@@ -78,12 +79,9 @@
         question = await _read_question(request)
         if question is None:
             return respond(Problem(error='not a question'), status=400)
-        granted = self._ownership.grant(
-            question.instance,
-            question.epoch,
-            get_monotonic_ms(),
+        return respond(
+            reply_to(self._ownership, question, get_monotonic_ms()),
         )
-        return respond(self._make_reply(granted=granted))
 
     async def meet(self, request: web.Request) -> web.Response:
         """Read the record that lists a new member."""
@@ -107,11 +105,10 @@
             self._ledger.merge(transfer.records)
         return respond(self._make_reply())
 
-    def _make_reply(self, *, granted: bool = False) -> MemberReply:
+    def _make_reply(self) -> MemberReply:
         return MemberReply(
             incarnation=self._ownership.incarnation,
             epoch=self._ownership.assignment.epoch,
-            granted=granted,
         )
 
 
--- a/packages/ragworthollow/src/ragworthollow/once/peer_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/once/peer_messages.py
@@ -1,5 +1,6 @@
 """Define what members of a pool say to each other."""
 
+from ragworthollow.once.assignment import Assignment
 from ragworthollow.once.record import KeyRecord
 from ragworthollow.utils.message import Message
 
@@ -14,10 +15,13 @@
         Who asks.
     epoch : int
         Epoch of the record that the asker knows.
+    assignment : Assignment or None
+        That record, for a member that knows an older one.
     """
 
     instance: str
     epoch: int
+    assignment: Assignment | None = None
 
 
 class MemberReply(Message):
@@ -32,11 +36,14 @@
         Epoch that it knows.
     granted : bool
         Whether it gives the promise that was asked for.
+    assignment : Assignment or None
+        Its record, for an asker that knows an older one.
     """
 
     incarnation: str
     epoch: int
     granted: bool = False
+    assignment: Assignment | None = None
 
 
 class RecordTransfer(Message):
--- a/tests/features/once_ownership.feature
+++ b/tests/features/once_ownership.feature
@@ -52,3 +52,11 @@
     Given an owner whose hand-over is still on its way
     When the owner is asked for keys of these ranges
     Then it refuses them until the record has changed
+
+  Scenario: The platform goes away while members know different records
+    # A peer has just rejoined, not everybody has read of it, and the platform
+    # goes away. Each refused the other's promise, since their records
+    # differed, and every key of the pool was refused until it came back.
+    Given members that know different records
+    When the platform is away for long
+    Then each of them is still certain of its keys
--- /dev/null
+++ b/tests/features/steps/at_most_once.py
@@ -0,0 +1,246 @@
+"""Steps of the guarantee that a call runs at most once."""
+
+import asyncio
+import signal
+import time
+
+from behave import given, then, when
+
+from ragworthollow.once import Assignment
+from ragworthollow.once.assignment import decode_assignment
+
+_PIPELINE = 'certificate-drafting'
+_POOL = 'ledger-api'
+_LEASE_S = 3
+_LIMIT_S = 60
+
+
+def _get_upstreams(context):
+    return context.stage.fleet.plan.get_pool(_POOL)
+
+
+def _set_faults(context, **faults):
+    for one in _get_upstreams(context):
+        context.stage.run(
+            context.stage.fleet.set_faults(one.upstream_port, **faults),
+        )
+
+
+async def _read_assignment(fleet) -> Assignment:
+    newest = Assignment()
+    for one in fleet.plan.get_pool(_POOL):
+        try:
+            async with asyncio.timeout(0.5):
+                async with fleet.session.get(
+                    f'http://{one.address}/v1/once/assignment',
+                    headers=fleet.cluster_headers,
+                ) as response:
+                    known = decode_assignment(await response.text())
+        except (OSError, TimeoutError):
+            continue
+        if known.epoch > newest.epoch:
+            newest = known
+    return newest
+
+
+def _find_owner(context) -> str:
+    stage = context.stage
+    sent = context.sent
+    key = f'{sent.organisation}/{sent.pipeline}/{sent.key}'
+    return stage.run(_read_assignment(stage.fleet)).get_owner(key).instance
+
+
+def _count_effects(context) -> int:
+    effects = context.stage.run(context.stage.fleet.get_effects())
+    return sum(
+        one['subject'] == context.sent.subject
+        and one['operation'] == 'record-custody'
+        for one in effects
+    )
+
+
+@when('a request is sent')
+def send(context):
+    stage = context.stage
+    context.sent = stage.callers.make(_PIPELINE)
+    context.outcome = stage.run(stage.callers.send(context.sent, stream=False))
+
+
+@when('a request is answered')
+def send_answered(context):
+    send(context)
+    assert context.outcome == 'done', context.sent
+
+
+@when('a request is answered and asked again through another entry')
+def repeat_elsewhere(context):
+    stage = context.stage
+    context.sent = stage.callers.make(_PIPELINE)
+    for entry in stage.fleet.entries:
+        stage.run(stage.callers.send(context.sent, address=entry.address))
+
+
+@when('a request is sent through both entries at once')
+def send_twice(context):
+    stage = context.stage
+    context.sent = stage.callers.make(_PIPELINE)
+
+    async def send_both():
+        await asyncio.gather(
+            *(
+                stage.callers.send(context.sent, address=entry.address)
+                for entry in stage.fleet.entries
+            ),
+        )
+
+    stage.run(send_both())
+
+
+@then('both answers are the same and it is recorded once')
+def check_same(context):
+    answers = context.sent.answers
+    assert len(answers) == 2, context.sent
+    assert answers[0] == answers[1]
+    assert _count_effects(context) == 1
+
+
+@when('a key is used again with other inputs')
+def reuse_key(context):
+    send_answered(context)
+    first = context.sent
+    context.sent = context.stage.callers.make(_PIPELINE)
+    context.sent.key = first.key
+    context.sent.organisation = first.organisation
+    context.outcome = context.stage.run(
+        context.stage.callers.send(context.sent, stream=False),
+    )
+
+
+@then('it is refused as {reason}')
+def check_reason(context, reason):
+    assert context.sent.reasons[-1] == reason, context.sent
+
+
+@given('the ledger loses its answers')
+def lose_answers(context):
+    _set_faults(context, lose_answer=1)
+
+
+@given('the ledger has the fault {fault}')
+def spoil_ledger(context, fault):
+    _set_faults(context, **{fault: 1})
+
+
+@given('the ledger behaves')
+def mend_ledger(context):
+    _set_faults(context)
+
+
+@given('the ledger is slow')
+def slow_ledger(context):
+    _set_faults(context, slow_ms=700)
+
+
+@when('it is asked again')
+def ask_again(context):
+    context.outcome = context.stage.run(
+        context.stage.callers.send(context.sent, stream=False),
+    )
+
+
+@when('it is asked again until it has a final answer')
+def ask_until_final(context):
+    end = time.monotonic() + _LIMIT_S
+    while time.monotonic() < end:
+        ask_again(context)
+        is_settled = context.outcome in {'done', 'unknown'}
+        if is_settled and context.sent.reasons[-1:] != ['ownership_unsure']:
+            return
+    raise AssertionError(context.sent)
+
+
+@then('its outcome is {outcome} and it is recorded once')
+def check_outcome(context, outcome):
+    assert context.outcome == outcome, context.sent
+    assert _count_effects(context) == 1
+
+
+@then('it is recorded at most once')
+def check_at_most_once(context):
+    assert _count_effects(context) <= 1
+
+
+@when('the owner of its key is killed and started again')
+def kill_owner(context):
+    fleet = context.stage.fleet
+    owner = _find_owner(context)
+    fleet.processes.send(owner, signal.SIGKILL)
+    fleet.processes.wait(owner, 5)
+    fleet.start_daemon(owner)
+    context.stage.run(fleet.wait_ready())
+
+
+@when('a request is sent and the owner of its key freezes meanwhile')
+def freeze_owner(context):
+    stage = context.stage
+    context.sent = stage.callers.make(_PIPELINE)
+    context.frozen = _find_owner(context)
+    upstream = stage.fleet.plan.get(context.frozen).upstream_port
+
+    async def send_and_freeze():
+        before = await stage.fleet.get_json(upstream, '/calls')
+        sending = asyncio.ensure_future(
+            stage.callers.send(context.sent, stream=False),
+        )
+        # The call has reached the ledger, which takes its time.
+        while await stage.fleet.get_json(upstream, '/calls') == before:
+            await asyncio.sleep(0.01)
+        stage.fleet.processes.send(context.frozen, signal.SIGSTOP)
+        return await sending
+
+    context.outcome = stage.run(send_and_freeze())
+
+
+@when('the key has a new owner')
+def wait_new_owner(context):
+    end = time.monotonic() + _LIMIT_S
+    while _find_owner(context) == context.frozen:
+        assert time.monotonic() < end, 'nobody took over'
+
+
+@when('the frozen owner wakes up')
+def wake_owner(context):
+    fleet = context.stage.fleet
+    fleet.processes.send(context.frozen, signal.SIGCONT)
+    context.stage.run(fleet.wait_ready())
+
+
+@given('the platform is down for three leases')
+def cut_platform(context):
+    fleet = context.stage.fleet
+    context.stage.run(fleet.set_faults(fleet.plan.kv_port, down=1))
+    context.stage.run(asyncio.sleep(3 * _LEASE_S))
+
+
+@given('the platform is back')
+def mend_platform(context):
+    fleet = context.stage.fleet
+    context.stage.run(fleet.set_faults(fleet.plan.kv_port))
+    context.stage.run(fleet.wait_ready())
+
+
+@when('{count:d} requests are sent')
+def send_many(context, count):
+    stage = context.stage
+    context.many = [stage.callers.make(_PIPELINE) for _ in range(count)]
+
+    async def send_all():
+        await asyncio.gather(*(stage.callers.send(one) for one in context.many))
+
+    stage.run(send_all())
+
+
+@then('all of them are answered')
+def check_all(context):
+    missing = [one for one in context.many if 'done' not in one.outcomes]
+    assert not missing, missing
--- /dev/null
+++ b/tests/features/steps/door.py
@@ -0,0 +1,127 @@
+"""Steps of the door."""
+
+import time
+import uuid
+
+from behave import then, when
+
+from measure.caller import summarise
+from measure.fleet import get_caller_key
+from ragworthollow.utils import make_identifier
+
+_PIPELINE = 'certificate-drafting'
+_INPUTS = {'encode': {'subject': 'door'}, 'record': {'subject': 'door'}}
+_BODY = {'deadline_ms': 2000, 'inputs': _INPUTS}
+_FUTURE_MS = 60_000
+
+
+def _get_future_key() -> str:
+    born_ms = int(time.time() * 1000) + _FUTURE_MS
+    return str(uuid.UUID(int=(born_ms << 80) | (7 << 76) | (2 << 62) | 1))
+
+
+def _make_request(what: str) -> dict:
+    """Return the parts in which a request differs from a good one."""
+    return {
+        'text that is not JSON': {'data': b'{"deadline'},
+        'a body with an unknown field': {'json': {**_BODY, 'dedline': 1}},
+        'a body without a deadline': {'json': {'inputs': _INPUTS}},
+        'a body that is too large': {'data': b' ' * 1_100_000},
+        'a key that nobody has': {'key': 'nobody'},
+        'no key': {'key': ''},
+        'a pipeline that does not exist': {'pipeline': 'no-such'},
+        "another organisation's pipeline": {'pipeline': 'lot-summaries'},
+        'a deadline that has passed': {'json': {**_BODY, 'deadline_ms': -5}},
+        'a deadline beyond the limit': {'json': {**_BODY, 'deadline_ms': 9e6}},
+        'a deadline that is not a number': {
+            'json': {**_BODY, 'deadline_ms': 'soon'},
+        },
+        'an idempotency key of no version': {'once': 'abc'},
+        'an idempotency key of the future': {'once': _get_future_key()},
+    }[what]
+
+
+@when('a caller sends {what}')
+def send(context, what):
+    if what == 'a whole request':
+        stage = context.stage
+        outcome = stage.run(stage.callers.send(stage.callers.make(_PIPELINE)))
+        assert outcome == 'done', outcome
+        return
+    context.answer = context.stage.run(_post(context, _make_request(what)))
+
+
+async def _post(context, parts: dict) -> dict:
+    fleet = context.stage.fleet
+    key = parts.get('key', get_caller_key('bluefields'))
+    headers = {'Idempotency-Key': parts.get('once', make_identifier())}
+    if key:
+        headers['Authorization'] = f'Bearer {key}'
+    body = {name: parts[name] for name in ('json', 'data') if name in parts}
+    pipeline = parts.get('pipeline', _PIPELINE)
+    async with fleet.session.post(
+        f'http://{fleet.entries[0].address}/v1/pipelines/{pipeline}',
+        headers=headers,
+        **(body or {'json': _BODY}),
+    ) as response:
+        return {'status': response.status, **(await response.json())}
+
+
+@then('the status is {status:d} with reason {reason} and outcome {outcome}')
+def check_refusal(context, status, reason, outcome):
+    answer = context.answer
+    assert answer['status'] == status, answer
+    assert answer['outcome'] == outcome, answer
+    refusal = answer['refusal']
+    assert refusal['reason'] == reason, answer
+    assert refusal['step'] and refusal['peer'], answer
+
+
+@then('nothing was recorded for it')
+def check_nothing(context):
+    effects = context.stage.run(context.stage.fleet.get_effects())
+    assert 'door' not in {one['subject'] for one in effects}
+
+
+@then('its key appears in no log of any process')
+def check_logs(context):
+    stage = context.stage
+    key = get_caller_key(stage.callers.sent[-1].organisation)
+    for name in stage.fleet.processes.get_names():
+        assert key not in stage.fleet.processes.read_log(name), name
+
+
+@when('a stranger calls {method} {path}')
+def call_as_stranger(context, method, path):
+    fleet = context.stage.fleet
+
+    async def call(address: str) -> int:
+        async with fleet.session.request(
+            method,
+            f'http://{address}{path}',
+            data=b'{}' if method == 'POST' else None,
+            headers={
+                'X-Ragworthollow-Cluster-Key': 'a guess',
+                'X-Ragworthollow-Operator-Key': 'a guess',
+            },
+        ) as response:
+            return response.status
+
+    addresses = [fleet.entries[0].address]
+    if '/operator/' not in path:
+        addresses.append(fleet.plan.get('ledger-api-0').address)
+    context.statuses = [context.stage.run(call(one)) for one in addresses]
+
+
+@then('the stranger is turned away')
+def check_turned_away(context):
+    assert set(context.statuses) == {401}, context.statuses
+
+
+@then('the books of all callers are clean')
+def check_books(context):
+    stage = context.stage
+    summary = stage.run(summarise(stage.fleet, stage.callers))
+    for name in ('lost', 'doubled', 'crossed', 'false_not_run'):
+        assert not summary[name], summary
+    assert not stage.run(stage.fleet.count_violations())
--- a/tests/features/steps/once_ownership.py
+++ b/tests/features/steps/once_ownership.py
@@ -45,6 +45,7 @@
     model.sidecars[0].cut = True
     for _ in range(20):
         model.run_for(500)
+        model.now_ms += 300
         _ask_keys(model, skew_ms=1900)
     context.doubled = model.get_doubled()
 
@@ -140,6 +141,35 @@
     assert context.doubled, 'the exploration is blind'
 
 
+@given('members that know different records')
+def split_knowledge(context):
+    model = Model()
+    model.sidecars[2].paused = True
+    model.run_for(12_000)
+    model.sidecars[2].paused = False
+    model.sidecars[0].cut = True
+    for _ in range(3):
+        model.step(2)
+    context.model = model
+    epochs = {one.ownership.assignment.epoch for one in model.sidecars}
+    assert len(epochs) > 1, epochs
+
+
+@when('the platform is away for long')
+def cut_all(context):
+    for one in context.model.sidecars:
+        one.cut = True
+    context.model.run_for(15_000)
+
+
+@then('each of them is still certain of its keys')
+def check_certain(context):
+    model = context.model
+    for one in model.sidecars:
+        if one.ownership.owns_any():
+            assert one.ownership.is_sure(model.now_ms), one.name
+
+
 def _ask_keys(model, *, skew_ms):
     for number in range(40):
         key = f'key-{model.now_ms}-{number}'
--- /dev/null
+++ b/tests/features/steps/streams.py
@@ -0,0 +1,155 @@
+"""Steps of generation and of repeatable stages."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+
+from measure.fleet import get_caller_key
+
+_ENGINES = 'ragworth-pool'
+_ENCODERS = 'encoder-pool'
+_LIMIT_S = 30
+
+
+def _set_faults(context, pool, **faults):
+    fleet = context.stage.fleet
+    for one in fleet.plan.get_pool(pool):
+        context.stage.run(fleet.set_faults(one.upstream_port, **faults))
+
+
+async def _count(fleet, path, field):
+    counts = [
+        await fleet.get_json(one.upstream_port, path)
+        for one in fleet.plan.get_pool(_ENGINES)
+    ]
+    return sum(one[field] for one in counts)
+
+
+@given('every engine breaks its next stream off')
+def break_streams(context):
+    _set_faults(context, _ENGINES, truncate=1, left=1)
+
+
+@given('every engine crosses its next answer')
+def cross_streams(context):
+    _set_faults(context, _ENGINES, cross=1, left=1)
+
+
+@given('the engines are slow')
+def slow_engines(context):
+    _set_faults(context, _ENGINES, slow_ms=50)
+
+
+@given('the engines behave')
+def mend_engines(context):
+    _set_faults(context, _ENGINES)
+
+
+@given('the encoders behave')
+def mend_encoders(context):
+    _set_faults(context, _ENCODERS)
+
+
+@when('{count:d} streamed requests are sent')
+def send_streams(context, count):
+    stage = context.stage
+    context.many = [stage.callers.make('lot-summaries') for _ in range(count)]
+
+    async def send_all():
+        await asyncio.gather(
+            *(stage.callers.send(one, stream=True) for one in context.many),
+        )
+
+    stage.run(send_all())
+
+
+@when('{count:d} requests of any kind are sent')
+def send_any(context, count):
+    stage = context.stage
+    context.many = [stage.callers.make() for _ in range(count)]
+
+    async def send_all():
+        for one in context.many:
+            await stage.callers.send(one)
+
+    stage.run(send_all())
+
+
+@then('a resumed stream was counted')
+def check_resumed(context):
+    stage = context.stage
+
+    async def read_metrics():
+        texts = []
+        for entry in stage.fleet.entries:
+            url = f'http://{entry.address}/metrics'
+            async with stage.fleet.session.get(url) as response:
+                texts.append(await response.text())
+        return '\n'.join(texts)
+
+    lines = stage.run(read_metrics()).splitlines()
+    assert any(
+        line.startswith('ragworthollow_retries_total') and 'summarise' in line
+        for line in lines
+    ), lines
+
+
+@when('a caller leaves after the first token')
+def leave_stream(context):
+    fleet = context.stage.fleet
+
+    async def leave():
+        context.cancelled = await _count(fleet, '/counts', 'cancelled')
+        async with fleet.session.post(
+            f'http://{fleet.entries[0].address}/v1/pipelines/lot-summaries',
+            json={'deadline_ms': 3000, 'inputs': {}, 'stream': True},
+            headers={'Authorization': f'Bearer {get_caller_key("buyers")}'},
+        ) as response:
+            await response.content.readline()
+            response.close()
+
+    context.stage.run(leave())
+
+
+@then('an engine cancels its work')
+def check_cancelled(context):
+    fleet = context.stage.fleet
+
+    async def wait():
+        end = time.monotonic() + _LIMIT_S
+        while time.monotonic() < end:
+            count = await _count(fleet, '/counts', 'cancelled')
+            if count > context.cancelled:
+                return True
+            await asyncio.sleep(0.05)
+        return False
+
+    assert context.stage.run(wait())
+
+
+@given('one encoder fails every call')
+def fail_encoder(context):
+    fleet = context.stage.fleet
+    context.broken = fleet.plan.get_pool(_ENCODERS)[0]
+    context.stage.run(
+        fleet.set_faults(context.broken.upstream_port, fail=1, left=1000),
+    )
+
+
+@then('it was tried for fewer than half of them')
+def check_avoided(context):
+    fleet = context.stage.fleet
+    log = fleet.session.get(f'http://{context.broken.address}/metrics')
+
+    async def read():
+        async with log as response:
+            return await response.text()
+
+    failed = sum(
+        float(line.split()[-1])
+        for line in context.stage.run(read()).splitlines()
+        if line.startswith('ragworthollow_attempts_total')
+        and 'outcome="failed"' in line
+    )
+    assert failed < len(context.many) / 2, failed
