--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/apply.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/apply.py
@@ -4,8 +4,6 @@
 import sys
 from pathlib import Path
 
-from result import Err
-
 from ragworthollow.checks import render_messages
 from ragworthollow.configuration.change_request import (
     ChangeAnswer,
@@ -14,10 +12,9 @@
 from ragworthollow.configuration.snapshot import Snapshot
 from ragworthollow.utils import make_identifier
 from ragworthollow_ctl.difference import compare
-from ragworthollow_ctl.folder import read_base, read_folder, write_base
+from ragworthollow_ctl.folder import open_folder, read_base, write_base
 from ragworthollow_ctl.service_client import ServiceClient, make_client
 
-_INVALID = 2
 _REFUSED = 1
 _UNSETTLED = 3
 
@@ -52,13 +49,10 @@
     change_id
         Of an earlier apply whose answer was lost.
     """
-    read = read_folder(folder)
-    if isinstance(read, Err):
-        sys.stderr.write(f'{render_messages([read.err_value])}\n')
-        sys.exit(_INVALID)
+    files = open_folder(folder)
     client = make_client(entry or ())
     snapshot = asyncio.run(client.get('snapshot', Snapshot))
-    found = compare(read.ok_value, snapshot, owner=owner, prune=prune)
+    found = compare(files, snapshot, owner=owner, prune=prune)
     if found.is_empty() and not change_id:
         _remember(folder, snapshot)
         sys.stdout.write('nothing to change\n')
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/show.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/show.py
@@ -4,14 +4,11 @@
 from pathlib import Path
 
 import msgspec
-from result import Err
 
 from ragworthollow.checks import render_messages
 from ragworthollow.configuration.checks import check_files
 from ragworthollow.configuration.merge import SECTIONS
-from ragworthollow_ctl.folder import read_folder
-
-_INVALID = 2
+from ragworthollow_ctl.folder import open_folder
 
 
 def show(folder: Path) -> None:
@@ -23,11 +20,8 @@
     folder
         Folder of configuration files.
     """
-    read = read_folder(folder)
-    if isinstance(read, Err):
-        sys.stderr.write(f'{render_messages([read.err_value])}\n')
-        sys.exit(_INVALID)
-    merged = check_files(read.ok_value)
+    files = open_folder(folder)
+    merged = check_files(files)
     for section in SECTIONS:
         for name, declared in getattr(merged.deployment, section).items():
             path = f'{section}.{name}'
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/folder.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/folder.py
@@ -1,16 +1,20 @@
 """Read and write the operators' folder."""
 
 import json
+import sys
+from collections.abc import Sequence
 from pathlib import Path
+from typing import NoReturn
 
 from result import Err, Ok, Result
 
-from ragworthollow.checks.check_message import CheckMessage
+from ragworthollow.checks import CheckMessage, render_messages
 from ragworthollow.conf import global_settings
-from ragworthollow.configuration.merge import SourceFile
+from ragworthollow.configuration.merge import SourceFile, parse_file
 
 BASE_NAME = '.ragworthollow-base.json'
 _PATTERN = '*.yaml'
+_INVALID = 2
 
 
 def read_folder(folder: Path) -> Result[list[SourceFile], CheckMessage]:
@@ -46,6 +50,39 @@
     return Ok(files)
 
 
+def open_folder(folder: Path) -> list[SourceFile]:
+    """
+    Read a folder for a command that needs every file to be readable.
+
+    A file that cannot be parsed has no owner; leaving it out would make an
+    apply look complete when it is not.
+
+    Parameters
+    ----------
+    folder : Path
+        The folder.
+
+    Returns
+    -------
+    list of SourceFile
+        Exits with the problems when there are any.
+    """
+    read = read_folder(folder)
+    if isinstance(read, Err):
+        exit_with([read.err_value])
+    parsed = [parse_file(source) for source in read.ok_value]
+    problems = [one.err_value for one in parsed if isinstance(one, Err)]
+    if problems:
+        exit_with(problems)
+    return read.ok_value
+
+
+def exit_with(problems: Sequence[CheckMessage]) -> NoReturn:
+    """Write problems to standard error and end the command."""
+    sys.stderr.write(f'{render_messages(problems)}\n')
+    sys.exit(_INVALID)
+
+
 def read_base(folder: Path) -> dict[str, str]:
     """Return the hash of each file as last seen from the service."""
     try:
--- /dev/null
+++ b/tests/features/steps/configuration_fleet.py
@@ -0,0 +1,375 @@
+"""Steps of configuration on a running fleet."""
+
+import asyncio
+import shutil
+import signal
+import time
+
+from behave import given, then, when
+
+from ragworthollow.configuration.change_request import ChangeRequest
+from ragworthollow.utils import make_identifier
+from ragworthollow.utils.hashing import get_rank
+
+_FILES = {'pikselis': '10-pikselis.yaml', 'storefronts': '20-storefronts.yaml'}
+_LIMIT_S = 40
+_RATE = 20
+
+
+def _get_generation(context) -> int:
+    stage = context.stage
+    status = stage.run(stage.fleet.get_status('entry-0'))
+    return status['generation']
+
+
+def _pull(context, operator, name=''):
+    folder = context.stage.fleet.folder / f'pulled-{operator}-{name}'
+    shutil.rmtree(folder, ignore_errors=True)
+    done = context.stage.fleet.run_tool(
+        operator,
+        'pull',
+        str(folder),
+        '--owner',
+        operator,
+    )
+    assert not done.returncode, done
+    return folder
+
+
+def _edit(folder, operator, note):
+    path = folder / _FILES[operator]
+    path.write_text(f'{path.read_text()}# {note}\n')
+
+
+def _apply(context, operator, folder, *more):
+    return context.stage.fleet.run_tool(
+        operator,
+        'apply',
+        str(folder),
+        '--owner',
+        operator,
+        '--yes',
+        *more,
+    )
+
+
+def _change(context, operator, note):
+    folder = _pull(context, operator)
+    _edit(folder, operator, note)
+    return _apply(context, operator, folder)
+
+
+def _wait_generation(context, least, names=None):
+    fleet = context.stage.fleet
+    wanted = names or [one.name for one in fleet.plan.instances]
+
+    async def wait():
+        end = time.monotonic() + _LIMIT_S
+        while time.monotonic() < end:
+            statuses = [await fleet.get_status(name) for name in wanted]
+            if all(one and one['generation'] >= least for one in statuses):
+                return [one['generation'] for one in statuses]
+            await asyncio.sleep(0.1)
+        return None
+
+    generations = context.stage.run(wait())
+    assert generations, 'a process stays behind'
+
+
+@when('pikselis and storefronts apply a change at the same time')
+def change_both(context):
+    context.before = _get_generation(context)
+    folders = {operator: _pull(context, operator) for operator in _FILES}
+    for operator, folder in folders.items():
+        _edit(folder, operator, 'at once')
+
+    async def apply_both():
+        return await asyncio.gather(
+            *(
+                asyncio.to_thread(_apply, context, operator, folder)
+                for operator, folder in folders.items()
+            ),
+        )
+
+    context.done = context.stage.run(apply_both())
+
+
+@then('both are accepted and in force in every process')
+def check_both(context):
+    assert not any(one.returncode for one in context.done), context.done
+    _wait_generation(context, context.before + 2)
+
+
+@when('two people of pikselis apply different changes of one file')
+def change_same(context):
+    first = _pull(context, 'pikselis', 'first')
+    second = _pull(context, 'pikselis', 'second')
+    _edit(first, 'pikselis', 'first')
+    _edit(second, 'pikselis', 'second')
+    context.first = _apply(context, 'pikselis', first)
+    context.done = _apply(context, 'pikselis', second)
+
+
+@then('the later one is told of a conflict that names {operator}')
+def check_conflict(context, operator):
+    assert not context.first.returncode, context.first
+    assert context.done.returncode == 1, context.done
+    assert 'conflict' in context.done.stderr, context.done
+    assert f'changed by {operator}' in context.done.stderr, context.done
+
+
+@when('storefronts applies a change of the file of pikselis')
+def change_rival(context):
+    context.before = _get_generation(context)
+    folder = _pull(context, 'pikselis')
+    _edit(folder, 'pikselis', 'rival')
+    context.done = context.stage.fleet.run_tool(
+        'storefronts',
+        'apply',
+        str(folder),
+        '--owner',
+        'pikselis',
+        '--yes',
+    )
+
+
+@when('storefronts applies a file that sets the portal pool')
+def override(context):
+    context.before = _get_generation(context)
+    folder = _pull(context, 'storefronts')
+    (folder / '90-override.yaml').write_text(
+        'owner: storefronts\npools:\n  portal: {concurrency: 1}\n',
+    )
+    context.done = _apply(context, 'storefronts', folder)
+
+
+@then('it is refused and nothing changes')
+def check_refused(context):
+    assert context.done.returncode, context.done
+    assert context.done.stderr, context.done
+    assert 'Traceback' not in context.done.stderr, context.done.stderr
+    assert _get_generation(context) == context.before
+
+
+@then('it is refused with {check_id} and nothing changes')
+def check_refused_with(context, check_id):
+    check_refused(context)
+    assert check_id in context.done.stderr, context.done.stderr
+
+
+@when('the platform loses the answer to a change of pikselis')
+def lose_answer(context):
+    fleet = context.stage.fleet
+    context.before = _get_generation(context)
+    folder = _pull(context, 'pikselis')
+    _edit(folder, 'pikselis', 'lost answer')
+    context.stage.run(
+        fleet.set_faults(fleet.plan.kv_port, lose_answer=1, left=3),
+    )
+    context.done = [_apply(context, 'pikselis', folder)]
+    context.stage.run(fleet.set_faults(fleet.plan.kv_port))
+
+
+@then('the change is accepted once and in force in every process')
+def check_once(context):
+    assert not context.done[0].returncode, context.done
+    _wait_generation(context, context.before + 1)
+    assert _get_generation(context) == context.before + 1
+
+
+@when('the platform goes down right after a change of pikselis')
+def fail_after(context):
+    fleet = context.stage.fleet
+    context.before = _get_generation(context)
+    folder = _pull(context, 'pikselis')
+    _edit(folder, 'pikselis', 'then down')
+
+    async def stop_renewals_and_change():
+        # The first write after this is answered, then the platform is gone.
+        await fleet.set_faults(fleet.plan.kv_port, down_after_manifest=1)
+        return await asyncio.to_thread(_apply, context, 'pikselis', folder)
+
+    context.done = [context.stage.run(stop_renewals_and_change())]
+    assert not context.done[0].returncode, context.done
+
+
+@then('the change is in force in every process')
+def check_everywhere(context):
+    _wait_generation(context, context.before + 1)
+
+
+@when('a sidecar is killed and started during the outage')
+def restart_sidecar(context):
+    fleet = context.stage.fleet
+    fleet.processes.send('capture-1', signal.SIGKILL)
+    fleet.processes.wait('capture-1', 5)
+    fleet.start_daemon('capture-1')
+
+
+@given('the platform has come back')
+def mend(context):
+    fleet = context.stage.fleet
+    context.stage.run(fleet.set_faults(fleet.plan.kv_port))
+    context.stage.run(fleet.wait_ready())
+
+
+@when('all watchers of a failure domain but one are frozen during a change')
+def freeze_watchers(context):
+    fleet = context.stage.fleet
+    context.before = _get_generation(context)
+    domain = 'riga-c'
+    members = [
+        one.name
+        for one in fleet.plan.instances
+        if one.failure_domain == domain and one.kind != 'entry'
+    ]
+    members.sort(
+        key=lambda name: get_rank(f'watch/{domain}', name),
+        reverse=True,
+    )
+    context.frozen = members[:1]
+    for name in context.frozen:
+        fleet.processes.send(name, signal.SIGSTOP)
+    done = _change(context, 'pikselis', 'frozen watcher')
+    assert not done.returncode, done
+
+
+@then('the change is in force in every process that runs')
+def check_running(context):
+    names = [
+        one.name
+        for one in context.stage.fleet.plan.instances
+        if one.name not in context.frozen
+    ]
+    _wait_generation(context, context.before + 1, names)
+
+
+@given('all processes run')
+def thaw(context):
+    for name in context.frozen:
+        context.stage.fleet.processes.send(name, signal.SIGCONT)
+    context.stage.run(context.stage.fleet.wait_ready())
+
+
+_BAD_FILES = {
+    'a file with an unknown field': b'owner: pikselis\npols: {}\n',
+    'a file with a key written twice': b'owner: pikselis\nowner: pikselis\n',
+    'a file with a cyclic alias': b'owner: pikselis\npools: &a {b: *a}\n',
+    'a file that is too large': b'owner: pikselis\n'.ljust(1_000_100, b'#'),
+    'a file that is not UTF-8': b'owner: pikselis\n# \xff\xfe\n',
+    'a file without an owner': b'pools: {}\n',
+    'a pipeline of an undeclared pool': (
+        b'owner: pikselis\npipelines:\n  x:\n    organisations: []\n'
+        b'    stages: [{name: a, kind: plain, pool: nowhere}]\n'
+    ),
+}
+
+
+@when('an operator sends {what}')
+def send_bad(context, what):
+    context.before = _get_generation(context)
+    if what == 'a change with a wrong key':
+        context.done = context.stage.fleet.run_tool(
+            'nobody',
+            'history',
+        )
+        return
+    folder = _pull(context, 'pikselis')
+    bad = _BAD_FILES[what]
+    (folder / '15-bad.yaml').write_bytes(bad)
+    context.done = _apply(context, 'pikselis', folder)
+    if len(bad) < 1_000_000 and b'\xff' not in bad:
+        # The service itself refuses it, too, whatever the tool does.
+        answer = context.stage.run(_post_change(context, bad.decode()))
+        assert not answer['accepted'], answer
+
+
+async def _post_change(context, text):
+    fleet = context.stage.fleet
+    request = ChangeRequest(
+        change_id=make_identifier(),
+        base={},
+        puts={'15-bad.yaml': text},
+    )
+    async with fleet.session.post(
+        f'http://{fleet.entries[0].address}/v1/operator/changes',
+        json={
+            'change_id': request.change_id,
+            'base': request.base,
+            'puts': request.puts,
+        },
+        headers={
+            'X-Ragworthollow-Operator-Key': 'demo-key-of-operator-pikselis',
+        },
+    ) as response:
+        return {'accepted': False, **(await response.json())}
+
+
+@given('a steady load of requests')
+def load(context):
+    stage = context.stage
+    context.tasks = []
+    context.first = len(stage.callers.sent)
+
+    async def send_on():
+        while True:
+            sent = stage.callers.make()
+            context.tasks.append(
+                asyncio.ensure_future(stage.callers.send(sent)),
+            )
+            await asyncio.sleep(1 / _RATE)
+
+    context.load = stage.loop.create_task(send_on())
+    context.add_cleanup(context.load.cancel)
+
+
+@when('consortium changes the version of a model')
+def change_model(context):
+    folder = _pull(context, 'consortium')
+    path = folder / '00-consortium.yaml'
+    path.write_text(path.read_text().replace('"2026.11"', '"2027.01"'))
+    done = _apply(context, 'consortium', folder)
+    assert not done.returncode, done
+
+
+@then('every engine carries the new version')
+def check_version(context):
+    fleet = context.stage.fleet
+
+    async def wait():
+        end = time.monotonic() + _LIMIT_S
+        while time.monotonic() < end:
+            carried = [
+                await fleet.get_json(one.upstream_port, '/v1/models')
+                for one in fleet.plan.get_pool('lm-pool')
+            ]
+            versions = {one['models'].get('vision-7b') for one in carried}
+            if versions == {'2027.01'}:
+                return True
+            await asyncio.sleep(0.2)
+        return False
+
+    assert context.stage.run(wait())
+
+
+@then('every request was answered')
+def check_answered(context):
+    stage = context.stage
+    context.load.cancel()
+    stage.run(asyncio.wait(context.tasks))
+    sent = stage.callers.sent[context.first :]
+    missing = [one for one in sent if 'done' not in one.outcomes]
+    assert sent and not missing, missing
+
+
+@when('the history is shown')
+def show_history(context):
+    context.done = context.stage.fleet.run_tool('consortium', 'history')
+
+
+@then('it names {operator} and its files')
+def check_history(context, operator):
+    lines = context.done.stdout.splitlines()
+    assert any(
+        operator in line and _FILES[operator] in line for line in lines
+    ), lines
--- a/tests/standins/key_value.py
+++ b/tests/standins/key_value.py
@@ -66,13 +66,23 @@
             is_write = path == '/v3/kv/txn'
             if is_write and self.faults.has('lose_answer'):
                 return drop(request)
-            if is_write and self.faults.active.get('down_after_write'):
+            if is_write and self._is_manifest(body):
                 self.faults.active = {'down': 1}
             reply['header'] = {'revision': str(self.revision)}
             return web.json_response(reply)
 
         return serve
 
+    def _is_manifest(self, body: dict) -> bool:
+        """Tell whether the service is to fail after this very write."""
+        if not self.faults.active.get('down_after_manifest'):
+            return False
+        keys = [
+            base64.b64decode(operation['requestPut']['key'])
+            for operation in body.get('success', ())
+        ]
+        return any(key.endswith(b'config/manifest') for key in keys)
+
     async def _show_counts(self, _request: web.Request) -> web.Response:
         return web.json_response(
             {**self.counts, 'waiting_watches': len(self.watchers)},
