--- /dev/null
+++ b/tests/features/hop.feature
@@ -0,0 +1,28 @@
+Feature: One hop tells truthfully how it ended
+  Only what provably never left the caller is not_run.
+
+  Scenario Outline: A sidecar <does> during a <kind> call
+    # The connection between an entry and a sidecar breaks at one point; the
+    # entry must neither claim too much nor too little.
+    Given a sidecar that <does>
+    When an entry sends it a <kind> call
+    Then the attempt ended as <outcome> for <reason>
+
+    Examples:
+      | does                                 | kind           | outcome | reason             |
+      | does not listen                      | repeatable     | not_run | connect_failed     |
+      | does not listen                      | non-repeatable | not_run | connect_failed     |
+      | closes at once                       | non-repeatable | not_run | connect_failed     |
+      | closes after the head                | non-repeatable | not_run | connect_failed     |
+      | is silent after the head             | non-repeatable | not_run | connect_failed     |
+      | closes after the body                | repeatable     | unknown | connection_lost    |
+      | closes after the body                | non-repeatable | unknown | connection_lost    |
+      | is silent after the body             | repeatable     | unknown | attempt_timeout    |
+      | is silent after the body             | non-repeatable | unknown | attempt_timeout    |
+      | closes in the middle of the answer   | non-repeatable | unknown | connection_lost    |
+      | answers something else than JSON     | non-repeatable | unknown | truncated          |
+      | answers another request              | repeatable     | unknown | mismatched_answer  |
+      | answers another attempt              | non-repeatable | unknown | mismatched_answer  |
+      | answers an earlier stage             | repeatable     | unknown | mismatched_answer  |
+      | answers status 500                   | non-repeatable | unknown | connection_lost    |
+      | answers whole                        | non-repeatable | done    | nothing            |
--- /dev/null
+++ b/tests/features/steps/admission.py
@@ -0,0 +1,210 @@
+"""Steps of admission."""
+
+import heapq
+import random
+from collections import Counter
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+from result import Ok
+
+from ragworthollow.admission import AdmissionQueue, Share, Ticket
+from ragworthollow.admission.estimate import get_retry_after_ms
+
+_SERVICE_MS = 50
+_CAPACITY = 8
+_DEADLINE_MS = 600
+
+
+def _make_queue() -> AdmissionQueue:
+    queue = AdmissionQueue(capacity=_CAPACITY, service_ms=_SERVICE_MS)
+    queue.shares = {
+        name: Share(guarantee=0.5, weight=1) for name in ('one', 'two')
+    }
+    return queue
+
+
+def _simulate(queue, rates, span_ms, start_ms=0):
+    """Let organisations send at their rates; return who got how much."""
+    rng = random.Random(1)
+    events = []
+    for name, per_second in rates.items():
+        moment = float(start_ms)
+        while per_second and moment < start_ms + span_ms:
+            moment += rng.expovariate(per_second / 1000)
+            heapq.heappush(events, (moment, rng.random(), 'come', name))
+    sent, done, busy = Counter(), Counter(), Counter()
+    number = 0
+    while events:
+        moment, _, what, payload = heapq.heappop(events)
+        if what == 'come':
+            number += 1
+            sent[payload] += 1
+            ticket = Ticket(
+                ticket_id=number,
+                organisation=payload,
+                deadline_ms=moment + _DEADLINE_MS,
+                cost_ms=_SERVICE_MS,
+            )
+            queue.offer(ticket, moment)
+        else:
+            queue.finish(payload, _SERVICE_MS, moment)
+            done[payload.organisation] += 1
+        for ticket in queue.take(moment).started:
+            busy[ticket.organisation] += _SERVICE_MS
+            end = moment + _SERVICE_MS
+            heapq.heappush(events, (end, rng.random(), 'end', ticket))
+    return sent, done, busy
+
+
+@when('any calls arrive and end in any order')
+def run_any(context):
+    call = st.tuples(
+        st.sampled_from('abc'),
+        st.integers(0, 400),
+        st.floats(0.1, 10),
+        st.booleans(),
+    )
+
+    @for_all(st.lists(call, max_size=60))
+    @settings(derandomize=True, database=None, deadline=None)
+    def check(calls):
+        queue = AdmissionQueue(capacity=3, limit=10, service_ms=20)
+        state = {}
+        running = []
+        for number, (organisation, slack, worth, is_ended) in enumerate(calls):
+            now = number * 5.0
+            ticket = Ticket(
+                ticket_id=number,
+                organisation=organisation,
+                deadline_ms=now + slack,
+                worth=worth,
+                cost_ms=20,
+            )
+            offered = queue.offer(ticket, now)
+            if isinstance(offered, Ok):
+                state[number] = 'waiting'
+                for gone in offered.ok_value.evicted:
+                    assert state[gone.ticket_id] == 'waiting'
+                    state[gone.ticket_id] = 'evicted'
+            if is_ended and running:
+                queue.finish(running.pop(), 20, now)
+            turn = queue.take(now)
+            for late in turn.expired:
+                assert state[late.ticket_id] == 'waiting'
+                state[late.ticket_id] = 'expired'
+            for started in turn.started:
+                assert state[started.ticket_id] == 'waiting'
+                state[started.ticket_id] = 'running'
+                running.append(started)
+            assert queue.running == len(running) <= 3
+            waiting = sum(one == 'waiting' for one in state.values())
+            assert queue.waiting == waiting <= 10
+        context.checked = True
+
+    check()
+
+
+@then('none is lost, none runs twice and no slot is overbooked')
+def check_books(context):
+    assert context.checked
+
+
+@given('two organisations of equal guarantee')
+def make_two(context):
+    context.queue = _make_queue()
+
+
+_FULL_RATE = _CAPACITY * 1000 / _SERVICE_MS
+
+
+@when('one sends ten times its share and the other half of its share')
+def overload(context):
+    context.sent, context.done, _ = _simulate(
+        context.queue,
+        {'one': 5 * _FULL_RATE, 'two': 0.25 * _FULL_RATE},
+        10_000,
+    )
+
+
+@then('the other loses less than 2 in 100 of its calls')
+def check_unhurt(context):
+    share = context.done['two'] / context.sent['two']
+    assert share > 0.98, share
+
+
+@when('one sends twice its share while the other is idle')
+def lend(context):
+    busy = _simulate(context.queue, {'one': 1.2 * _FULL_RATE}, 5000)[-1]
+    context.share = busy['one'] / (5000 * _CAPACITY)
+
+
+@then('it uses more than nine tenths of the upstream')
+def check_lent(context):
+    assert context.share > 0.9, context.share
+
+
+@when('the other comes back with its full share')
+def take_back(context):
+    context.busy = _simulate(
+        context.queue,
+        {'one': 1.2 * _FULL_RATE, 'two': 0.5 * _FULL_RATE},
+        1000,
+        start_ms=6000,
+    )[-1]
+
+
+@then('the other gets its share within a second')
+def check_taken_back(context):
+    share = context.busy['two'] / (1000 * _CAPACITY)
+    assert share > 0.45, share
+
+
+@given('a full queue of calls of little worth')
+def fill(context):
+    context.queue = AdmissionQueue(capacity=1, service_ms=100)
+    for number in range(5):
+        ticket = Ticket(
+            ticket_id=number,
+            organisation='one',
+            deadline_ms=900,
+            cost_ms=100,
+        )
+        assert isinstance(context.queue.offer(ticket, 0), Ok)
+    context.queue.take(0)
+
+
+def _offer(context, *, deadline_ms, worth):
+    ticket = Ticket(
+        ticket_id=99,
+        organisation='two',
+        deadline_ms=deadline_ms,
+        worth=worth,
+        cost_ms=100,
+    )
+    return context.queue.offer(ticket, 0)
+
+
+@when('a call of great worth arrives that would come too late')
+def offer_worthy(context):
+    context.offered = _offer(context, deadline_ms=380, worth=10)
+
+
+@then('calls of little worth make room for it')
+def check_evicted(context):
+    assert isinstance(context.offered, Ok), context.offered
+    assert context.offered.ok_value.evicted
+
+
+@when('a call arrives whose deadline is closer than the wait')
+def offer_late(context):
+    context.offered = _offer(context, deadline_ms=300, worth=1)
+
+
+@then('it is refused as overloaded and told when to come back')
+def check_overloaded(context):
+    rejection = context.offered.err_value
+    assert rejection.reason == 'overloaded', rejection
+    assert get_retry_after_ms(rejection.wait_ms) > 0
