Parse only the changed file of a configuration, with the C loader

Cause: each change parsed every file in pure Python on the loop. Aliases are still refused, now by the parser's events.

--- a/packages/ragworthollow/src/ragworthollow/configuration/checks.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/checks.py
@@ -4,7 +4,12 @@
 
 from ragworthollow.checks.check_message import CheckMessage, Severity
 from ragworthollow.conf import global_settings
-from ragworthollow.configuration.merge import Merged, SourceFile, merge_files
+from ragworthollow.configuration.merge import (
+    Merged,
+    Parse,
+    SourceFile,
+    merge_files,
+)
 from ragworthollow.configuration.pipeline import Pipeline
 from ragworthollow.configuration.stage import Stage, StageKind
 
@@ -14,7 +19,10 @@
 Check = Callable[[Merged], Iterator[CheckMessage]]
 
 
-def check_files(files: list[SourceFile]) -> Merged:
+def check_files(
+    files: list[SourceFile],
+    parse: Parse | None = None,
+) -> Merged:
     """
     Merge files and run every check on the whole.
 
@@ -22,13 +30,15 @@
     ----------
     files : list of SourceFile
         All files of the folder.
+    parse : callable or None
+        Parses one file, perhaps from memory.
 
     Returns
     -------
     Merged
         The merge, its problems extended by those of the checks.
     """
-    merged = merge_files(files)
+    merged = merge_files(files, parse)
     found = list(merged.problems)
     for check in _CHECKS:
         found.extend(check(merged))
--- a/packages/ragworthollow/src/ragworthollow/configuration/merge.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/merge.py
@@ -1,5 +1,6 @@
 """Merge configuration files in the order of their names."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -9,6 +10,8 @@
 from ragworthollow.configuration.deployment import Deployment
 from ragworthollow.utils.strict_yaml import load_yaml
 
+Parse = Callable[['SourceFile'], Result[Deployment, CheckMessage]]
+
 SECTIONS = ('organisations', 'pipelines', 'pools', 'models')
 
 
@@ -96,7 +99,10 @@
         return path in self._overridable[earlier]
 
 
-def merge_files(files: list[SourceFile]) -> Merged:
+def merge_files(
+    files: list[SourceFile],
+    parse: Parse | None = None,
+) -> Merged:
     """
     Merge files in name order and report every problem found on the way.
 
@@ -104,6 +110,8 @@
     ----------
     files : list of SourceFile
         In any order.
+    parse : callable or None
+        Parses one file, perhaps from memory.
 
     Returns
     -------
@@ -112,7 +120,7 @@
     """
     merger = _Merger()
     for source in sorted(files, key=lambda each: each.name):
-        parsed = parse_file(source)
+        parsed = (parse or parse_file)(source)
         if isinstance(parsed, Err):
             merger.problems.append(parsed.err_value)
         else:
--- a/packages/ragworthollow/src/ragworthollow/configuration/publisher.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/publisher.py
@@ -168,6 +168,7 @@
                 SourceFile(name=entry.name, text=texts[entry.sha256])
                 for entry in entries
             ],
+            self._store.memory.parse,
         )
         refused = _check_merged(operator, request, merged, manifest)
         if refused is not None:
--- a/packages/ragworthollow/src/ragworthollow/configuration/store.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/store.py
@@ -12,6 +12,7 @@
 from ragworthollow.configuration.exceptions import ConfigurationError
 from ragworthollow.configuration.manifest import Manifest
 from ragworthollow.configuration.merge import SourceFile
+from ragworthollow.configuration.parse_memory import ParseMemory
 from ragworthollow.configuration.snapshot import Snapshot, hash_text
 from ragworthollow.outcomes import Reason
 
@@ -32,6 +33,7 @@
         self._instance = instance
         self.manifest = Manifest()
         self.texts: dict[str, str] = {}
+        self.memory = ParseMemory()
         self.deployment = Deployment()
         self.shares: dict[str, Share] = {}
         self._organisations_by_key: dict[str, str] = {}
@@ -102,17 +104,17 @@
         missing = _find_missing(snapshot.manifest, texts)
         if missing:
             return Err(self._explain(f'{missing} is missing or damaged'))
-        merged = check_files(
-            [
-                SourceFile(name=entry.name, text=texts[entry.sha256])
-                for entry in snapshot.manifest.files
-            ],
-        )
+        files = [
+            SourceFile(name=entry.name, text=texts[entry.sha256])
+            for entry in snapshot.manifest.files
+        ]
+        merged = check_files(files, self.memory.parse)
         if has_errors(merged.problems):
             return Err(self._explain(str(merged.problems[0])))
         kept = {entry.sha256 for entry in snapshot.manifest.files}
         self.manifest = snapshot.manifest
         self.texts = {key: texts[key] for key in kept}
+        self.memory.keep_only(set(files))
         self._index(merged.deployment)
         for listener in self._listeners:
             listener()
--- a/packages/ragworthollow/src/ragworthollow/utils/strict_yaml.py
+++ b/packages/ragworthollow/src/ragworthollow/utils/strict_yaml.py
@@ -8,24 +8,8 @@
 from ragworthollow.conf import global_settings
 
 
-class _StrictLoader(yaml.SafeLoader):
-    """Refuse aliases and repeated keys, which hide what is in force."""
-
-    def compose_node(
-        self,
-        parent: yaml.Node | None,
-        index: int,
-    ) -> yaml.Node | None:
-        """Refuse an alias: cyclic and nested ones exhaust memory."""
-        if self.check_event(yaml.AliasEvent):
-            event = self.peek_event()
-            raise yaml.constructor.ConstructorError(
-                None,
-                None,
-                f'alias {event.anchor!r} is not allowed',
-                event.start_mark,
-            )
-        return super().compose_node(parent, index)
+class _StrictLoader(yaml.CSafeLoader):
+    """Refuse repeated keys, which hide what is in force."""
 
     def construct_mapping(
         self,
@@ -80,7 +64,7 @@
 
 def _parse(text: str) -> Result[dict[str, object], str]:
     try:
-        document = yaml.load(text, Loader=_StrictLoader)  # noqa: S506
+        document = _load(text)
     except yaml.MarkedYAMLError as error:
         mark = error.problem_mark
         where = f' at line {mark.line + 1}' if mark else ''
@@ -92,3 +76,16 @@
     if not isinstance(document, dict):
         return Err('the top of the file is not a mapping')
     return Ok(document)
+
+
+def _load(text: str) -> object:
+    for event in yaml.parse(text, Loader=yaml.CSafeLoader):
+        if isinstance(event, yaml.AliasEvent):
+            # Cyclic and nested aliases exhaust memory.
+            raise yaml.constructor.ConstructorError(
+                None,
+                None,
+                f'alias {event.anchor!r} is not allowed',
+                event.start_mark,
+            )
+    return yaml.load(text, Loader=_StrictLoader)  # noqa: S506
