--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_agent.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_agent.py
@@ -61,6 +61,7 @@
             clients=self._clients,
         )
         self._unsettled: Compare | None = None
+        self._is_platform_up = True
         self._wake = asyncio.Event()
         self._lock = asyncio.Lock()
 
@@ -108,7 +109,9 @@
         interval_ms = min(
             self._context.settings.lease_ttl_ms
             / global_settings.RENEWALS_PER_LEASE,
-            global_settings.OWNERSHIP_INTERVAL_MS,
+            global_settings.OWNERSHIP_INTERVAL_MS
+            if self._is_platform_up
+            else global_settings.OWNERSHIP_OUTAGE_INTERVAL_MS,
         )
         try:
             async with asyncio.timeout(interval_ms / _MILLISECONDS):
@@ -119,6 +122,7 @@
     async def _step(self) -> None:
         self._wake.clear()
         members = await self._reader.refresh()
+        self._is_platform_up = members is not None
         if members is None:
             self._context.metrics.count_event('platform_unavailable')
             await self._relations.ask_promises()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/application.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/application.py
@@ -16,6 +16,7 @@
 # Paths that callers, operators, scrapers and the balancer use; all others
 # are for processes of this deployment only.
 _OPEN_PATHS = ('/v1/pipelines/', '/v1/operator/', '/healthz', '/readyz')
+_STAGES_PATH = '/v1/stages'
 _SCRAPED_PATHS = ('/metrics', '/status')
 
 
@@ -44,6 +45,8 @@
         if not is_open and not is_authentic(request.headers, cluster_key):
             context.metrics.count_event('unauthenticated_peer')
             return respond(Problem(error='unauthenticated'), status=401)
+        if not is_open and request.path != _STAGES_PATH:
+            context.metrics.count_event('control_message')
         response = await handler(request)
         if context.drain.is_draining and not response.prepared:
             # The next request of this connection goes to another process.
--- a/packages/ragworthollow/src/ragworthollow/configuration/follower.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/follower.py
@@ -200,13 +200,24 @@
         async for stored in self._key_value.watch(
             MANIFEST_KEY,
             start_revision=start_revision,
-            idle_ms=global_settings.CONFIGURATION_REREAD_MS,
+            idle_ms=self._get_idle_ms(),
         ):
             if decode_manifest(stored.text).generation > self._store.generation:
                 await self._read_platform()
             if not self._peers.is_watcher():
                 return
 
+    def _get_idle_ms(self) -> float:
+        """
+        Return how long a watch may be silent before all is looked at anew.
+
+        A process that is not listed yet watches only until it is: otherwise
+        a fleet that starts at once would all wait at the platform.
+        """
+        if self._peers.is_listed():
+            return global_settings.CONFIGURATION_REREAD_MS
+        return global_settings.CONFIGURATION_WAIT_MS
+
     def _report(self, source: str) -> None:
         self._count_event('configuration_applied')
         log_event(
--- a/packages/ragworthollow/src/ragworthollow/membership/peers.py
+++ b/packages/ragworthollow/src/ragworthollow/membership/peers.py
@@ -44,8 +44,13 @@
         """
         watchers = self._get_watchers(self._failure_domain)
         names = {one.instance for one in watchers}
-        listed = {one.instance for one in self.listed.instances}
-        return self._instance in names or self._instance not in listed
+        return self._instance in names or not self.is_listed()
+
+    def is_listed(self) -> bool:
+        """Tell whether the platform lists this process."""
+        return any(
+            one.instance == self._instance for one in self.listed.instances
+        )
 
     def get_all_watchers(self) -> list[InstanceEntry]:
         """Return the watchers of every failure domain but ourselves."""
