Ignore suspicion when most of a pool is suspect

Cause: after a short outage of a whole pool every instance stayed avoided for up to half a minute, and all work went to the one whose time ended first.

--- a/packages/ragworthollow/src/ragworthollow/admission/queue.py
+++ b/packages/ragworthollow/src/ragworthollow/admission/queue.py
@@ -48,7 +48,7 @@
         self.limit = limit
         self.service_ms = service_ms
         self.shares: Mapping[str, Share] = {}
-        self._deviation_ms = 0.0
+        self._deviation_ms: float = 0
         self._lines = WaitingLines()
         self._book = UsageBook()
 
--- a/packages/ragworthollow/src/ragworthollow/routing/choice.py
+++ b/packages/ragworthollow/src/ragworthollow/routing/choice.py
@@ -60,16 +60,15 @@
     untried = [
         peer for peer in peers if peer.instance.instance not in wish.avoid
     ]
+    staying = [peer for peer in untried if not peer.load.leaving]
     usable = [peer for peer in untried if peer.is_usable(now_ms)]
+    if len(usable) < len(staying) * global_settings.PANIC_SHARE:
+        # When most are suspect the pool failed as a whole, and suspicion
+        # says nothing about single instances any more: the few that are
+        # left, or the first to come back, would drown in the work of all.
+        usable = staying
     if not usable:
-        # All are suspect: the one whose suspicion ends first is the best
-        # guess, unless it has said that it leaves.
-        staying = [peer for peer in untried if not peer.load.leaving]
-        return min(
-            staying,
-            key=lambda peer: peer.avoid_until_ms,
-            default=None,
-        )
+        return None
     preferred = _find_preferred(usable, wish.affinity_key, now_ms)
     if preferred is not None:
         return preferred
