Follow prefix affinity only to free slots

Cause: all calls of an organisation went to one instance up to 1.25 times the average depth; under overload that depth is large, and its guarantee, which holds on each instance, covered a sixth of its demand there. Ruled out: the order of the queue (within the guarantee a call goes first) and the wait estimate (62 ms for a guaranteed call).

--- a/packages/ragworthollow/src/ragworthollow/routing/choice.py
+++ b/packages/ragworthollow/src/ragworthollow/routing/choice.py
@@ -37,9 +37,10 @@
     """
     Choose the instance for one attempt.
 
-    The instance that holds the prefix is taken while it is not much deeper
-    in work than the average (bounded load); otherwise the better of two
-    random ones, which stays stable when what is known is old.
+    The instance that holds the prefix is taken while it has free slots;
+    otherwise the better of two random ones, which stays stable when what is
+    known is old.  A busy pool spreads each organisation over all instances:
+    its guarantee holds on each of them, and one instance could not serve it.
 
     Parameters
     ----------
@@ -111,8 +112,5 @@
         usable,
         key=lambda peer: get_rank(affinity_key, peer.instance.instance),
     )
-    depths = [peer.get_depth(now_ms) for peer in usable]
-    average = sum(depths) / len(depths)
-    bound = global_settings.AFFINITY_SLACK * average
-    is_overfull = preferred.get_depth(now_ms) > max(bound, 0.5)
-    return None if is_overfull else preferred
+    depth = preferred.get_depth(now_ms)
+    return None if depth > global_settings.AFFINITY_DEPTH else preferred
