Trust reported load of others by half

Cause: a report two seconds old outweighed what the entry itself has in flight, so that an instance looked empty or full long after. Change: own calls count whole, what others add counts half, fading with age.

--- a/packages/ragworthollow/src/ragworthollow/routing/peer_state.py
+++ b/packages/ragworthollow/src/ragworthollow/routing/peer_state.py
@@ -5,6 +5,7 @@
 from ragworthollow.transport.load_report import LoadReport
 
 _LONGEST_SUSPICION = 5
+_OTHERS_WEIGHT = 0.5
 
 
 class PeerState:
@@ -72,5 +73,6 @@
         """
         age_ms = now_ms - self.load_at_ms
         trust = max(0, 1 - age_ms / global_settings.LOAD_STALE_MS)
-        reported = (self.load.running + self.load.waiting) * trust
-        return max(reported, self.in_flight) / max(self.load.concurrency, 1)
+        reported = self.load.running + self.load.waiting
+        others = max(0, reported - self.in_flight) * trust * _OTHERS_WEIGHT
+        return (self.in_flight + others) / max(self.load.concurrency, 1)
