--- a/measure/simulated_pool.py
+++ b/measure/simulated_pool.py
@@ -9,6 +9,7 @@
 from measure.policies import FifoQueue, OurQueue, Policy, Router, make_report
 from measure.scenarios import CAPACITY_PER_S, SPAN_MS, Scenario
 from ragworthollow.admission import Share, Ticket
+from ragworthollow.conf import global_settings
 from ragworthollow.platform import InstanceEntry
 from ragworthollow.routing import PeerState
 from ragworthollow_daemon.entry.estimates import Estimates
@@ -284,7 +285,10 @@
         if outcome == 'failed':
             peer.record_failure(self.now_ms)
         is_late = self.now_ms > request.arrived_ms + DEADLINE_MS
-        if is_late or (outcome == 'busy' and request.attempts > 1):
+        if is_late or (
+            outcome == 'busy'
+            and request.attempts >= global_settings.OVERLOAD_RETRIES
+        ):
             request.is_over = True
         elif outcome == 'busy' or router.may_retry(request.attempts):
             self.further += 1
--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -20,7 +20,8 @@
 }
 _POLLS = 1500
 _CHANGES = 12
-_IDLE_S = 8
+_IDLE_S = 12
+_SETTLE_S = 8
 _FLEETS = (6, 12, 24)
 _RECORDS = 1500
 _IN_FLIGHT = 200
@@ -84,7 +85,7 @@
 
 async def measure_messages(fleet: SmallFleet) -> dict:
     """Measure one control message, one change and standing still."""
-    await asyncio.sleep(2)
+    await asyncio.sleep(_SETTLE_S)
     report = {}
     names = ('entry-own', 'sidecar-own')
     before = {name: fleet.read_usage(name) for name in names}
@@ -254,7 +255,7 @@
 
 
 async def _count_messages(fleet: SmallFleet) -> dict:
-    await asyncio.sleep(8)
+    await asyncio.sleep(_SETTLE_S)
     names = list(fleet.daemons)
     before = {name: await fleet.count_control(name) for name in names}
     kv_before = await fleet.get_json(fleet.kv_port, '/counts')
