--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,10 @@
 PYTHON = $(VENV)/bin/python
 SEED ?= 1
 SECONDS ?= 60
+DEPLOYMENT ?= kingston
 CODE = packages tests measure
 
-.PHONY: setup demo test lint format measure slopes soak
+.PHONY: setup serve demo test lint format measure slopes soak
 
 setup: $(VENV)/.ready
 
@@ -19,6 +20,9 @@
 demo: setup
 	$(PYTHON) -m measure.demo
 
+serve: setup
+	$(PYTHON) -m measure.serve $(DEPLOYMENT)
+
 lint: setup
 	$(VENV)/bin/ruff format --check $(CODE)
 	$(VENV)/bin/ruff check $(CODE)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/request_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/request_routes.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 from result import Err
 
+from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.outcomes import Outcome, Reason, Refusal
 from ragworthollow.utils import make_identifier
@@ -70,6 +71,8 @@
 
     async def run_pipeline(self, request: web.Request) -> web.StreamResponse:
         """Run one pipeline for one caller."""
+        if self._context.drain.in_flight >= global_settings.MAX_IN_FLIGHT:
+            return self._refuse(self._make_full_refusal())
         with self._context.drain.serving():
             admitted = await self._door.admit(request)
             if isinstance(admitted, Err):
@@ -108,6 +111,16 @@
             return _render(answer)
         return await stream.finish(answer)
 
+    def _make_full_refusal(self) -> Refusal:
+        return Refusal(
+            outcome=Outcome.not_run,
+            reason=Reason.overloaded,
+            step='door',
+            peer=self._context.settings.instance,
+            detail='this entry serves as many requests as it may',
+            retry_after_ms=global_settings.RETRY_AFTER_FLOOR_MS,
+        )
+
     def _refuse(self, refusal: Refusal) -> web.Response:
         self._context.metrics.count_request('', refusal.outcome, refusal.reason)
         request_id = make_identifier()
