Show a written assignment to every member at once

Ruled out: the hand-over of records (the new owner held them) and the lookup's patience (the owner was unreachable, not silent). Change: whoever writes a record shows it to all members before it goes on.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/member_relations.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/member_relations.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+
 from ragworthollow.once import Member, Ownership
 from ragworthollow.once.peer_messages import MemberReply
 from ragworthollow.once.promises import (
@@ -74,6 +76,25 @@
             if not is_known and member.instance in members:
                 await self._introduce_to(member)
 
+    async def announce(self) -> None:
+        """
+        Show every member the record that we have just written.
+
+        A new owner would otherwise learn of its ranges at its next read,
+        and an old one that stops is gone by then: nobody could say who owns
+        them, and their keys would be answered as unknown.
+        """
+        question = msgspec.structs.replace(
+            make_question(self._ownership),
+            assignment=self._ownership.assignment,
+        )
+        await asyncio.gather(
+            *(
+                self._clients.introduce(member, question)
+                for member in self._get_others()
+            ),
+        )
+
     async def _introduce_to(self, member: Member) -> None:
         question = make_question(self._ownership)
         reply = await self._clients.introduce(member, question)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_agent.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_agent.py
@@ -174,6 +174,8 @@
             self._unsettled = self._reader.compare_record()
         elif written.ok_value:
             self._report(plan)
+            self._ownership.learn(plan.assignment)
+            await self._relations.announce()
         elif not self._is_unsettled():
             self._ownership.taking = ''
             self._ownership.moving = frozenset()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_routes.py
@@ -88,7 +88,9 @@
         question = await _read_question(request)
         if question is None:
             return respond(Problem(error='not a question'), status=400)
-        if question.epoch > self._ownership.assignment.epoch:
+        if question.assignment is not None:
+            self._ownership.learn(question.assignment)
+        elif question.epoch > self._ownership.assignment.epoch:
             await self._agent.learn()
         return respond(self._make_reply())
 
