Note every attempt of a race, and give up at once without an instance

Two faults found by reading, each with a test that failed first: - of two hedged attempts only the last end was noted: the first lost after its hand-over and the second refused as busy made the request 'not_run'; - a pool without an instance left was looked at until the deadline without a pause (271,828 looks in 5 s in the test), and nobody else was served meanwhile. Ruled out for the second: keyed stages, which wait 50 ms between looks.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/pipeline_runner.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/pipeline_runner.py
@@ -16,6 +16,7 @@
 from ragworthollow_daemon.entry.messages import PipelineAnswer
 from ragworthollow_daemon.entry.pool_router import PoolRouter
 from ragworthollow_daemon.entry.refusals import make_refusal, refuse_request
+from ragworthollow_daemon.entry.stage_caller import StageCaller
 from ragworthollow_daemon.entry.stage_runner import StageRunner
 from ragworthollow_daemon.entry.stage_work import StageWork
 from ragworthollow_daemon.process_context import ProcessContext
@@ -62,6 +63,7 @@
             pools=pools,
             keys=keys,
             estimates=self._estimates,
+            caller=StageCaller(context=context),
         )
 
     async def run(self, request: AdmittedRequest) -> PipelineAnswer:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/retry_rules.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/retry_rules.py
@@ -32,6 +32,6 @@
         return work.busy_refusals < global_settings.OVERLOAD_RETRIES
     if reason not in _ELSEWHERE:
         return False
-    if work.request.is_keyed() and not work.stage.repeatable:
+    if work.is_keyed_once():
         return True
     return work.attempts < global_settings.MAX_ATTEMPTS
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/stage_runner.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/stage_runner.py
@@ -37,6 +37,8 @@
         Finds owners of keys.
     estimates : Estimates
         Learns how long stages take.
+    caller : StageCaller
+        Sends single attempts.
     """
 
     def __init__(
@@ -46,12 +48,13 @@
         pools: PoolRouter,
         keys: KeyRouter,
         estimates: Estimates,
+        caller: StageCaller,
     ) -> None:
         self._context = context
         self._pools = pools
         self._keys = keys
         self._estimates = estimates
-        self._caller = StageCaller(context=context)
+        self._caller = caller
 
     async def run(self, work: StageWork) -> StageAnswer:
         """
@@ -71,7 +74,6 @@
         self._pools.get_budget(pool).earn()
         while True:
             answer = await self._try_once(work)
-            work.effects.note(work.stage, answer)
             if answer.outcome is Outcome.done:
                 return answer
             if not self._may_retry(work, answer):
@@ -80,7 +82,7 @@
                 work.stage.name,
                 answer.refusal.reason,
             )
-            if work.request.is_keyed() and not work.stage.repeatable:
+            if work.is_keyed_once():
                 await self._keys.refresh(pool)
                 await asyncio.sleep(
                     global_settings.KEYED_RETRY_MS / _MILLISECONDS,
@@ -105,7 +107,7 @@
 
     async def _choose(self, work: StageWork) -> PeerState | None:
         request = work.request
-        if request.is_keyed() and not work.stage.repeatable:
+        if work.is_keyed_once():
             return await self._keys.find_owner(
                 work.stage.pool, request.once.key
             )
@@ -179,12 +181,16 @@
                 ),
             )
 
-        return await self._caller.call(
+        answer = await self._caller.call(
             peer,
             call,
             emit,
             self._get_timeout_ms(work),
         )
+        # Each end counts, also that of an attempt that loses a race: only
+        # when none has reached an upstream was the request not run.
+        work.effects.note(work.stage, answer)
+        return answer
 
     def _check_offset(
         self,
@@ -229,6 +235,11 @@
         if work.request.get_remaining_ms() <= 0:
             return False
         if answer.outcome is Outcome.not_run:
+            is_ours = answer.refusal.peer == self._context.settings.instance
+            if is_ours and not work.is_keyed_once():
+                # Nothing was left to try: looking again would find nothing
+                # and keep the loop from everybody else's requests.
+                return False
             return may_go_elsewhere(work, answer.refusal.reason)
         if not work.stage.repeatable:
             return False
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/stage_work.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/stage_work.py
@@ -50,6 +50,10 @@
     tried: set[str] = field(default_factory=set)
     tokens: list[str] = field(default_factory=list)
 
+    def is_keyed_once(self) -> bool:
+        """Tell whether only the owner of the caller's key may run it."""
+        return self.request.is_keyed() and not self.stage.repeatable
+
     def get_key(self) -> str:
         """Return the name under which estimates are kept."""
         return f'{self.request.pipeline_name}/{self.stage.name}'
--- /dev/null
+++ b/tests/features/steps/hedging.py
@@ -0,0 +1,122 @@
+"""Steps of hedged attempts."""
+
+import asyncio
+from types import SimpleNamespace
+
+import msgspec
+from behave import given, then, when
+
+from ragworthollow.configuration import Pipeline, Stage, StageKind
+from ragworthollow.metrics import Metrics
+from ragworthollow.outcomes import Outcome, Reason
+from ragworthollow.platform import InstanceEntry
+from ragworthollow.retries import RetryBudget
+from ragworthollow.routing import PeerState
+from ragworthollow.transport.stage_answer import refuse
+from ragworthollow.utils import get_monotonic_ms
+from ragworthollow_daemon.entry.admitted_request import AdmittedRequest
+from ragworthollow_daemon.entry.effect_tracker import EffectTracker
+from ragworthollow_daemon.entry.estimates import Estimates
+from ragworthollow_daemon.entry.stage_runner import StageRunner
+from ragworthollow_daemon.entry.stage_work import StageWork
+
+_STAGE = Stage(name='encode', kind=StageKind.encode, pool='encoder-pool')
+
+
+class FakePools:
+    """Offer two instances, one after the other, and one hedge."""
+
+    def __init__(self, *names: str) -> None:
+        self.looks = 0
+        self._left = [self._make(name) for name in names]
+        self._budget = RetryBudget(ratio=0, burst=1)
+
+    def get_budget(self, _pool):
+        return self._budget
+
+    def choose(self, _pool, _model, _wish):
+        self.looks += 1
+        return self._left.pop(0) if self._left else None
+
+    def _make(self, name):
+        return PeerState(
+            instance=InstanceEntry(
+                instance=name,
+                pool='encoder-pool',
+                failure_domain='',
+                address='',
+            ),
+        )
+
+
+class FakeCaller:
+    """Lose the first attempt after a while, refuse the second later."""
+
+    async def call(self, peer, call, _emit, _timeout_ms):
+        name = peer.instance.instance
+        is_first = name == 'first'
+        await asyncio.sleep(0.1 if is_first else 0.3)
+        return refuse(
+            call,
+            outcome=Outcome.unknown if is_first else Outcome.not_run,
+            reason=Reason.connection_lost if is_first else Reason.overloaded,
+            peer=name,
+        )
+
+
+@given('a first attempt that is lost and a hedge that is refused later')
+def make_pair(context):
+    _make_runner(context, FakePools('first', 'second'))
+
+
+@given('a pool without instances')
+def make_empty(context):
+    _make_runner(context, FakePools())
+
+
+def _make_runner(context, pools):
+    context.pools = pools
+    context.runner = StageRunner(
+        context=SimpleNamespace(
+            metrics=Metrics(),
+            settings=SimpleNamespace(instance='entry-0'),
+        ),
+        pools=pools,
+        keys=None,
+        estimates=Estimates(),
+        caller=FakeCaller(),
+    )
+
+
+@when('the stage is given up')
+def run_stage(context):
+    context.work = StageWork(
+        request=AdmittedRequest(
+            request_id='request',
+            organisation='one',
+            pipeline_name='two',
+            pipeline=Pipeline(organisations=('one',), stages=(_STAGE,)),
+            deadline_ms=get_monotonic_ms() + 5000,
+            inputs={},
+            worth=1,
+        ),
+        stage=_STAGE,
+        payload=msgspec.Raw(b'null'),
+        earlier={},
+        later_ms=0,
+        cost_ms=0,
+        effects=EffectTracker(),
+    )
+    context.last = asyncio.run(context.runner.run(context.work))
+
+
+@then('the outcome of the request is {outcome}')
+def check_outcome(context, outcome):
+    assert context.last.outcome is Outcome.not_run, context.last
+    found = context.work.effects.get_outcome(context.last.outcome)
+    assert found == outcome, found
+
+
+@then('no instance was looked for again and again')
+def check_looks(context):
+    assert context.pools.looks < 10, context.pools.looks
