Wait out the birth margin before freezing an owner in a test

Cause: a full run hung: the scenario's key was born within half a second of the takeover of the scenario before, was refused as born before it, and the test waited for a call that never came. The test now waits and fails instead of hanging.

--- a/tests/features/steps/at_most_once.py
+++ b/tests/features/steps/at_most_once.py
@@ -183,6 +183,9 @@
 @when('a request is sent and the owner of its key freezes meanwhile')
 def freeze_owner(context):
     stage = context.stage
+    # A key born within half a second of the takeover before this scenario is
+    # refused, and its call would never reach the ledger.
+    stage.run(asyncio.sleep(1))
     context.sent = stage.callers.make(_PIPELINE)
     context.frozen = _find_owner(context)
     upstream = stage.fleet.plan.get(context.frozen).upstream_port
@@ -194,6 +197,7 @@
         )
         # The call has reached the ledger, which takes its time.
         while await stage.fleet.get_json(upstream, '/calls') == before:
+            assert not sending.done(), context.sent
             await asyncio.sleep(0.01)
         stage.fleet.processes.send(context.frozen, signal.SIGSTOP)
         return await sending
