--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Pass callers' requests through to upstream pools, by route."""
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -0,0 +1,115 @@
+"""Hold what the parts of a gateway share."""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+
+import aiohttp
+
+from ragworthollow.conf import GatewaySettings, global_settings
+from ragworthollow.logs.events import log_error
+from ragworthollow.metrics import InvariantMonitor, Metrics
+from ragworthollow.platform.store_client import StoreClient
+from ragworthollow.retries import RetryBudget
+from ragworthollow.routes import RouteTable
+from ragworthollow.transport.checked_connector import make_upstream_session
+from ragworthollow.transport.session import make_plain_session
+from ragworthollow.upstreams import Directory, LoadBook
+from ragworthollow.utils import make_identifier
+from ragworthollow_daemon.drain import DrainState
+
+
+class GatewayContext:
+    """
+    Own the sessions, the metrics and the state of one gateway.
+
+    To be made inside the running loop.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Checked settings.
+    """
+
+    def __init__(self, *, settings: GatewaySettings) -> None:
+        self.settings = settings
+        self.incarnation = make_identifier()
+        self.metrics = Metrics()
+        self.monitor = InvariantMonitor(metrics=self.metrics)
+        self.drain = DrainState()
+        self.rng = random.Random(self.incarnation)  # noqa: S311
+        self.session = make_plain_session()
+        self.upstream_session = make_upstream_session()
+        self.store = StoreClient(
+            session=self.session,
+            base_url=settings.store_url,
+        )
+        self.table: RouteTable | None = None
+        self.directory = Directory()
+        self.book = LoadBook()
+        self.members = 1
+        self._budgets: dict[str, RetryBudget] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def get_budget(self, pool: str) -> RetryBudget:
+        """Return this gateway's part of the retry budget of a pool."""
+        budget = self._budgets.get(pool)
+        if budget is None:
+            budget = RetryBudget(
+                ratio=self.settings.retry_ratio
+                * global_settings.RETRY_BUDGET_USE,
+                burst=self._get_burst(),
+            )
+            self._budgets[pool] = budget
+        return budget
+
+    def set_members(self, members: int) -> None:
+        """Share the retry budget among this many gateways."""
+        if members == self.members:
+            return
+        self.members = members
+        for budget in self._budgets.values():
+            budget.set_burst(self._get_burst())
+
+    def spawn(self, coroutine: Coroutine[None, None, None]) -> None:
+        """Run a loop or a task of this process until it closes."""
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
+
+    async def close(self) -> None:
+        """End the loops and the sessions."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.session.close()
+        await self.upstream_session.close()
+
+    def _get_burst(self) -> float:
+        used = self.settings.retry_slack * global_settings.RETRY_BUDGET_USE
+        return max(1, used / max(self.members, 4))
+
+    def _end_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            log_error('task_failed', step='lifecycle', error=repr(error))
+
+
+def make_timeout(total_ms: float, connect_ms: float) -> aiohttp.ClientTimeout:
+    """
+    Make a timeout for a whole exchange.
+
+    Parameters
+    ----------
+    total_ms : float
+        Milliseconds from the first byte to the last.
+    connect_ms : float
+        Milliseconds until the connection stands.
+    """
+    return aiohttp.ClientTimeout(
+        total=total_ms / 1000,
+        sock_connect=connect_ms / 1000,
+    )
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
@@ -0,0 +1,187 @@
+"""Register this gateway and follow the others."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+from result import Err
+
+from ragworthollow.conf import global_settings
+from ragworthollow.logs.events import log_error, log_event
+from ragworthollow.membership.gateway_member import GatewayMember
+from ragworthollow.membership.gateway_members import GatewayMembers
+from ragworthollow.platform.stored import Stored
+from ragworthollow.platform.transaction import Put
+from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
+
+_PREFIX = 'gateways/'
+_STEP = 'membership'
+PING_PATH = '/v1/ping'
+
+
+class Membership:
+    """
+    Keep a leased entry in the store, and ask hosts whether they live.
+
+    The entry says where this gateway can be reached; its lease ends by
+    itself when the process does.  Liveness is asked for directly, since a
+    lease outlives its holder by seconds and the store may be away.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Of this process.
+    members : GatewayMembers
+        Where the others are kept.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: GatewayContext,
+        members: GatewayMembers,
+    ) -> None:
+        self._context = context
+        self._members = members
+        self._lease = 0
+        self._is_leaving = False
+
+    async def run(self) -> None:
+        """Register and follow until cancelled."""
+        while True:
+            if not self._is_leaving:
+                await self._keep_entry()
+            await self._read_others()
+            await asyncio.sleep(global_settings.MEMBER_POLL_MS / 1000)
+
+    async def watch_hosts(self) -> None:
+        """Ask the hosts of gates whether they live, until cancelled."""
+        while True:
+            await asyncio.sleep(global_settings.HOST_PING_MS / 1000)
+            await asyncio.gather(*map(self._ping, self._get_hosts()))
+
+    async def leave(self) -> None:
+        """End the lease, so that others choose other hosts at once."""
+        self._is_leaving = True
+        if self._lease:
+            await self._context.store.revoke_lease(self._lease)
+
+    async def _keep_entry(self) -> None:
+        if self._lease:
+            renewed = await self._context.store.renew_lease(self._lease)
+            # A renewal without an answer may have worked; only a plain no
+            # calls for a new lease.
+            if isinstance(renewed, Err) or renewed.ok_value:
+                return
+            log_event('lease_lapsed', step=_STEP, lease=self._lease)
+        self._lease = 0
+        granted = await self._context.store.grant_lease(
+            global_settings.MEMBER_LEASE_MS,
+        )
+        if isinstance(granted, Err):
+            return
+        lease = granted.ok_value
+        settings = self._context.settings
+        entry = GatewayMember(
+            instance=settings.instance,
+            incarnation=self._context.incarnation,
+            peer_address=settings.peer_address,
+            failure_domain=settings.failure_domain,
+        )
+        written = await self._context.store.commit(
+            compares=(),
+            puts=[
+                Put(
+                    key=f'{_PREFIX}{settings.instance}',
+                    text=msgspec.json.encode(entry).decode(),
+                    lease=lease,
+                ),
+            ],
+        )
+        if isinstance(written, Err):
+            self._context.metrics.count_event('registration_failed')
+            return
+        self._lease = lease
+        log_event('registered', step=_STEP, lease=lease)
+
+    async def _read_others(self) -> None:
+        found = await self._context.store.read_prefix(_PREFIX)
+        if isinstance(found, Err):
+            self._context.metrics.count_event('member_list_unavailable')
+            return
+        earlier = self._members.get_members().keys()
+        self._members.replace(_decode(found.ok_value))
+        present = self._members.get_members().keys()
+        self._context.set_members(self._members.count())
+        if earlier != present:
+            log_event(
+                'members_changed',
+                step=_STEP,
+                appeared=sorted(present - earlier),
+                left=sorted(earlier - present),
+            )
+
+    def _get_hosts(self) -> list[GatewayMember]:
+        """Return the others that host gates, or would if they answered."""
+        table = self._context.table
+        if table is None:
+            return []
+        hosts: dict[str, GatewayMember] = {}
+        for pool in table.pools.values():
+            if pool.pieces is None:
+                continue
+            for host in (
+                self._members.find_host(pool.name),
+                self._members.find_first(pool.name),
+            ):
+                if host is not None:
+                    hosts[host.instance] = host
+        hosts.pop(self._context.settings.instance, None)
+        return list(hosts.values())
+
+    async def _ping(self, host: GatewayMember) -> None:
+        try:
+            async with self._context.session.get(
+                f'http://{host.peer_address}{PING_PATH}',
+                timeout=make_timeout(
+                    global_settings.HOST_PING_TIMEOUT_MS,
+                    global_settings.PEER_CONNECT_TIMEOUT_MS,
+                ),
+            ) as response:
+                answered = await response.text()
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            self._note_silent(host, repr(error))
+            return
+        if answered != host.instance:
+            self._note_silent(host, 'another process answered')
+            return
+        if self._members.is_silent(host.instance):
+            log_event('peer_regained', step=_STEP, peer=host.instance)
+        self._members.note_answer(host.instance)
+
+    def _note_silent(self, host: GatewayMember, detail: str) -> None:
+        if not self._members.is_silent(host.instance):
+            log_event(
+                'peer_lost',
+                step=_STEP,
+                peer=host.instance,
+                error=detail,
+            )
+        self._members.note_silent(host.instance)
+
+
+def _decode(found: dict[str, Stored]) -> list[GatewayMember]:
+    members = []
+    for key, stored in found.items():
+        try:
+            member = msgspec.json.decode(stored.text, type=GatewayMember)
+        except msgspec.DecodeError as error:
+            log_error(
+                'member_unreadable',
+                step=_STEP,
+                peer=key,
+                error=str(error),
+            )
+            continue
+        members.append(member)
+    return members
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -0,0 +1,77 @@
+"""Serve other gateways."""
+
+import msgspec
+from aiohttp import web
+
+from ragworthollow.conf import global_settings
+from ragworthollow.transport.piece_messages import (
+    PiecesOrder,
+    ResultsRelease,
+    decode_pieces,
+    encode_results,
+)
+from ragworthollow.utils import get_monotonic_ms
+from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.membership import PING_PATH
+from ragworthollow_daemon.gateway.piece_client import FREE_PATH, RUN_PATH
+from ragworthollow_daemon.gateway.piece_service import PieceService
+from ragworthollow_daemon.web.responses import Problem, respond
+
+_BAD_REQUEST = 400
+
+
+class PeerRoutes:
+    """
+    Let other gateways use the gates hosted here.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Of this process.
+    service : PieceService
+        The gates.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: GatewayContext,
+        service: PieceService,
+    ) -> None:
+        self._context = context
+        self._service = service
+
+    def make_application(self) -> web.Application:
+        """Make the application for the peer address."""
+        application = web.Application(
+            client_max_size=global_settings.MAX_BODY_BYTES,
+        )
+        application.router.add_get(PING_PATH, self.answer_ping)
+        application.router.add_post(RUN_PATH, self.run_pieces)
+        application.router.add_post(FREE_PATH, self.free_results)
+        return application
+
+    async def answer_ping(self, _request: web.Request) -> web.Response:
+        """Say who is alive here."""
+        return web.Response(text=self._context.settings.instance)
+
+    async def run_pieces(self, request: web.Request) -> web.Response:
+        """Have pieces done; an asker who leaves takes them back."""
+        body = await request.read()
+        try:
+            order = msgspec.json.decode(body, type=PiecesOrder)
+        except msgspec.DecodeError as error:
+            return respond(Problem(error=str(error)), status=_BAD_REQUEST)
+        pieces = decode_pieces(order, get_monotonic_ms())
+        found = await self._service.run(order.pool, pieces)
+        return respond(encode_results(found))
+
+    async def free_results(self, request: web.Request) -> web.Response:
+        """Give results up."""
+        body = await request.read()
+        try:
+            release = msgspec.json.decode(body, type=ResultsRelease)
+        except msgspec.DecodeError as error:
+            return respond(Problem(error=str(error)), status=_BAD_REQUEST)
+        self._service.free(release.pool, release.handles)
+        return web.Response()
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
@@ -0,0 +1,160 @@
+"""Have pieces done by the gate of their pool, wherever it is hosted."""
+
+import asyncio
+from collections.abc import Sequence
+
+import aiohttp
+import msgspec
+
+from ragworthollow.conf import global_settings
+from ragworthollow.logs.events import log_event
+from ragworthollow.membership.gateway_member import GatewayMember
+from ragworthollow.membership.gateway_members import GatewayMembers
+from ragworthollow.pieces import Piece, PieceResult
+from ragworthollow.transport.piece_messages import (
+    ResultsRelease,
+    decode_results,
+    encode_pieces,
+)
+from ragworthollow.utils import get_monotonic_ms
+from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
+from ragworthollow_daemon.gateway.piece_service import PieceService
+
+_STEP = 'pieces'
+_OK = 200
+RUN_PATH = '/v1/pieces/run'
+FREE_PATH = '/v1/pieces/free'
+
+Found = tuple[PieceResult, ...]
+
+
+class PieceClient:
+    """
+    Reach the gate of a pool.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Of this process.
+    members : GatewayMembers
+        The other gateways.
+    service : PieceService
+        Gates hosted by this process.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: GatewayContext,
+        members: GatewayMembers,
+        service: PieceService,
+    ) -> None:
+        self._context = context
+        self._members = members
+        self._service = service
+
+    async def run(self, pool: str, pieces: Sequence[Piece]) -> Found:
+        """
+        Have the pieces of one stage of one request done.
+
+        A host that falls silent loses its turn: the pieces go to the next
+        one, in the end to this process itself.  Pieces may be done again, so
+        that nothing has to be known of what the silent host did.
+        """
+        while True:
+            host = self._members.find_host(pool)
+            if host is None:
+                return await self._service.run(pool, pieces)
+            found = await self._run_at(host, pool, tuple(pieces))
+            if found is not None:
+                return found
+
+    def free(self, pool: str, handles: Sequence[str]) -> None:
+        """Give results up."""
+        if not handles:
+            return
+        host = self._members.find_host(pool)
+        if host is None:
+            self._service.free(pool, handles)
+            return
+        release = ResultsRelease(pool=pool, handles=tuple(handles))
+        self._context.spawn(self._free_at(host, release))
+
+    async def _run_at(
+        self,
+        host: GatewayMember,
+        pool: str,
+        pieces: tuple[Piece, ...],
+    ) -> Found | None:
+        asking = asyncio.ensure_future(self._ask(host, pool, pieces))
+        try:
+            while not asking.done():
+                await asyncio.wait(
+                    {asking},
+                    timeout=global_settings.GATE_TICK_MS / 1000,
+                )
+                if self._members.is_silent(host.instance):
+                    break
+        finally:
+            asking.cancel()
+        if asking.done() and not asking.cancelled():
+            return asking.result()
+        return None
+
+    async def _ask(
+        self,
+        host: GatewayMember,
+        pool: str,
+        pieces: tuple[Piece, ...],
+    ) -> Found | None:
+        try:
+            async with self._context.session.post(
+                f'http://{host.peer_address}{RUN_PATH}',
+                data=encode_pieces(pool, pieces, get_monotonic_ms()),
+                timeout=aiohttp.ClientTimeout(
+                    total=None,
+                    sock_connect=(
+                        global_settings.PEER_CONNECT_TIMEOUT_MS / 1000
+                    ),
+                ),
+            ) as response:
+                text = await response.read()
+                status = response.status
+            if status == _OK:
+                return decode_results(text)
+            detail = f'status {status}'
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            msgspec.DecodeError,
+        ) as error:
+            detail = repr(error)
+        self._members.note_silent(host.instance)
+        log_event('peer_lost', step=_STEP, peer=host.instance, error=detail)
+        return None
+
+    async def _free_at(
+        self,
+        host: GatewayMember,
+        release: ResultsRelease,
+    ) -> None:
+        try:
+            async with self._context.session.post(
+                f'http://{host.peer_address}{FREE_PATH}',
+                data=msgspec.json.encode(release),
+                timeout=make_timeout(
+                    global_settings.HOST_PING_TIMEOUT_MS,
+                    global_settings.PEER_CONNECT_TIMEOUT_MS,
+                ),
+            ) as response:
+                await response.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            # The maker frees results by itself after a while.
+            self._context.metrics.count_event('free_failed')
+            log_event(
+                'free_failed',
+                step=_STEP,
+                peer=host.instance,
+                error=repr(error),
+            )
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
@@ -0,0 +1,382 @@
+"""Host the gates of pools and send their calls."""
+
+import asyncio
+from collections.abc import Sequence
+
+import aiohttp
+import msgspec
+from result import Err, Ok, Result
+
+from ragworthollow.conf import global_settings
+from ragworthollow.logs.events import log_event
+from ragworthollow.outcomes import Outcome, Reason
+from ragworthollow.pieces import (
+    Piece,
+    PieceCall,
+    PieceGate,
+    PieceOutcome,
+    PieceResult,
+    WaitingPiece,
+)
+from ragworthollow.platform.answer_wire import read_marks
+from ragworthollow.platform.stage_wire import (
+    EXPECT_INSTANCE,
+    FREE_PATH,
+    RUN_PATH,
+    decode_run,
+    encode_free,
+    encode_run,
+)
+from ragworthollow.utils import get_monotonic_ms
+from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
+from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
+
+_STEP = 'pieces'
+_OK = 200
+_JSON = 'application/json'
+_RETRIED = frozenset((PieceOutcome.no_room, PieceOutcome.failed))
+
+Found = tuple[PieceResult, ...]
+
+
+class PieceService:
+    """
+    Fill calls across all requests whose pieces come here.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Of this process.
+    """
+
+    def __init__(self, *, context: GatewayContext) -> None:
+        self._context = context
+        self._gates: dict[str, PieceGate] = {}
+
+    async def run(self, pool: str, pieces: Sequence[Piece]) -> Found:
+        """
+        Have pieces done.
+
+        Parameters
+        ----------
+        pool : str
+            Pool that does them.
+        pieces : sequence of Piece
+            Of one stage of one request.
+
+        Returns
+        -------
+        tuple of PieceResult
+            In the order of the pieces.
+        """
+        self._context.get_budget(pool).earn()
+        loop = asyncio.get_running_loop()
+        gate = self._gates.setdefault(pool, PieceGate())
+        futures = []
+        submitted = []
+        for piece in pieces:
+            future = loop.create_future()
+            waiting = WaitingPiece(
+                piece=piece,
+                arrived_ms=get_monotonic_ms(),
+                settle=_make_settler(future),
+            )
+            gate.submit(waiting)
+            futures.append(future)
+            submitted.append(waiting)
+        self.advance(pool)
+        try:
+            return tuple(await asyncio.gather(*futures))
+        finally:
+            for waiting in submitted:
+                waiting.is_wanted = False
+
+    async def tick(self) -> None:
+        """Advance every gate now and then, until cancelled."""
+        while True:
+            await asyncio.sleep(global_settings.GATE_TICK_MS / 1000)
+            self.advance_all()
+
+    def advance_all(self) -> None:
+        """Advance every gate."""
+        for pool in self._gates:
+            self.advance(pool)
+
+    def advance(self, pool: str) -> None:
+        """Send the calls that a gate wants sent now."""
+        table = self._context.table
+        gate = self._gates.get(pool)
+        described = None if table is None else table.pools.get(pool)
+        if gate is None or described is None or described.pieces is None:
+            return
+        calls = gate.plan(
+            described.pieces,
+            self._context.directory.get_pool(pool),
+            self._context.book,
+            get_monotonic_ms(),
+        )
+        for call in calls:
+            self._context.spawn(self._send(pool, gate, call))
+
+    def free(self, pool: str, handles: Sequence[str]) -> None:
+        """Give results up, at their makers."""
+        gate = self._gates.get(pool)
+        if gate is None:
+            return
+        by_maker: dict[str, list[str]] = {}
+        for handle in handles:
+            maker = gate.room.free(handle)
+            if maker:
+                by_maker.setdefault(maker, []).append(handle)
+        for maker, given_up in by_maker.items():
+            self._context.spawn(self._free_at(maker, tuple(given_up)))
+
+    async def _send(self, pool: str, gate: PieceGate, call: PieceCall) -> None:
+        sending = asyncio.ensure_future(self._call(call))
+        try:
+            while not sending.done():
+                await asyncio.wait(
+                    {sending},
+                    timeout=global_settings.GATE_TICK_MS / 1000,
+                )
+                if not any(one.is_wanted for one in call.waiting):
+                    # Everybody has left; the close drops a call that waits.
+                    break
+        finally:
+            sending.cancel()
+            gate.finish(call)
+        if sending.cancelled() or not sending.done():
+            self.advance(pool)
+            return
+        answered = sending.result()
+        if isinstance(answered, Err):
+            self._note_failure(pool, gate, call, answered.err_value)
+        else:
+            self._note_results(pool, gate, call, answered.ok_value)
+        self.advance(pool)
+
+    async def _call(
+        self,
+        call: PieceCall,
+    ) -> Result[Found, UpstreamFailure]:
+        now_ms = get_monotonic_ms()
+        pieces = tuple(waiting.piece for waiting in call.waiting)
+        timeout_ms = call.expected_ms * global_settings.PIECE_CALL_PATIENCE
+        try:
+            async with self._context.upstream_session.post(
+                f'http://{call.instance.address}{RUN_PATH}',
+                data=encode_run(pieces, now_ms),
+                headers={
+                    'Content-Type': _JSON,
+                    EXPECT_INSTANCE: call.instance.instance,
+                },
+                timeout=make_timeout(
+                    timeout_ms,
+                    global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
+                ),
+            ) as response:
+                text = await response.read()
+                return self._read(call, response, text)
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            return _fail(call, Reason.connect_failed, repr(error))
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return _fail(
+                call, Reason.connection_lost, repr(error), Outcome.unknown
+            )
+
+    def _read(
+        self,
+        call: PieceCall,
+        response: aiohttp.ClientResponse,
+        text: bytes,
+    ) -> Result[Found, UpstreamFailure]:
+        marks = read_marks(response.status, response.headers)
+        if marks.load is not None:
+            self._context.book.note_load(
+                call.instance.instance,
+                marks.load,
+                get_monotonic_ms(),
+            )
+        if marks.is_not_run:
+            return _fail(
+                call, Reason.upstream_full, f'status {response.status}'
+            )
+        if response.status != _OK:
+            return _fail(
+                call,
+                Reason.upstream_error,
+                f'status {response.status}',
+                Outcome.unknown,
+            )
+        try:
+            found = decode_run(text)
+        except msgspec.DecodeError as error:
+            return _fail(call, Reason.truncated, str(error), Outcome.unknown)
+        if len(found) != len(call.waiting):
+            return _fail(
+                call,
+                Reason.mismatched_answer,
+                f'{len(found)} results for {len(call.waiting)} pieces',
+                Outcome.unknown,
+            )
+        return Ok(found)
+
+    def _note_results(
+        self,
+        pool: str,
+        gate: PieceGate,
+        call: PieceCall,
+        found: Found,
+    ) -> None:
+        now_ms = get_monotonic_ms()
+        self._context.book.note_success(call.instance.instance)
+        self._context.metrics.latency.record(
+            f'pieces/{pool}',
+            now_ms - call.started_ms,
+        )
+        described = self._context.table.pools[pool]
+        until_ms = now_ms + described.pieces.kept_ms
+        for waiting, piece_result in zip(call.waiting, found, strict=True):
+            if piece_result.outcome is PieceOutcome.done:
+                gate.room.keep(
+                    handle=piece_result.handle,
+                    instance=call.instance.instance,
+                    result_bytes=waiting.piece.result_bytes,
+                    until_ms=until_ms,
+                )
+            self._settle(pool, gate, call, waiting, piece_result)
+        self._log(pool, call, 'pieces_done', outcomes=_count(found))
+
+    def _settle(
+        self,
+        pool: str,
+        gate: PieceGate,
+        call: PieceCall,
+        waiting: WaitingPiece,
+        piece_result: PieceResult,
+    ) -> None:
+        if piece_result.outcome in _RETRIED and self._may_retry(pool, waiting):
+            waiting.attempts += 1
+            waiting.avoid.add(call.instance.instance)
+            gate.submit(waiting)
+            return
+        if not waiting.is_wanted and piece_result.handle:
+            self.free(pool, (piece_result.handle,))
+        waiting.settle(piece_result)
+
+    def _note_failure(
+        self,
+        pool: str,
+        gate: PieceGate,
+        call: PieceCall,
+        failure: UpstreamFailure,
+    ) -> None:
+        self._context.book.note_failure(
+            call.instance.instance,
+            get_monotonic_ms(),
+        )
+        self._context.metrics.count_attempt(
+            pool,
+            failure.outcome,
+            failure.reason,
+        )
+        self._log(
+            pool,
+            call,
+            'piece_call_failed',
+            reason=failure.reason,
+            detail=failure.detail,
+        )
+        is_free = failure.reason is Reason.connect_failed
+        for waiting in call.waiting:
+            if is_free or self._may_retry(pool, waiting):
+                waiting.attempts += 1
+                gate.submit(waiting)
+            else:
+                waiting.settle(PieceResult(outcome=PieceOutcome.failed))
+
+    def _may_retry(self, pool: str, waiting: WaitingPiece) -> bool:
+        if not waiting.is_wanted:
+            return False
+        if waiting.attempts + 1 >= global_settings.PIECE_ATTEMPTS:
+            return False
+        may_spend = self._context.get_budget(pool).spend()
+        reason = 'piece' if may_spend else 'budget_spent'
+        self._context.metrics.count_retry(pool, reason)
+        return may_spend
+
+    async def _free_at(self, maker: str, handles: tuple[str, ...]) -> None:
+        instance = self._context.directory.get(maker)
+        if instance is None:
+            return
+        try:
+            async with self._context.upstream_session.post(
+                f'http://{instance.address}{FREE_PATH}',
+                data=encode_free(handles),
+                headers={'Content-Type': _JSON, EXPECT_INSTANCE: maker},
+                timeout=make_timeout(
+                    global_settings.STORE_TIMEOUT_MS,
+                    global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
+                ),
+            ) as response:
+                await response.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            # The maker frees results by itself after a while.
+            self._context.metrics.count_event('free_failed')
+            log_event('free_failed', step=_STEP, peer=maker, error=repr(error))
+
+    def _log(
+        self,
+        pool: str,
+        call: PieceCall,
+        event: str,
+        **fields: object,
+    ) -> None:
+        gate = self._gates[pool]
+        log_event(
+            event,
+            step=_STEP,
+            pool=pool,
+            peer=call.instance.instance,
+            requests=sorted({one.piece.request_id for one in call.waiting}),
+            pieces=len(call.waiting),
+            queued=gate.get_depth(),
+            expected_ms=round(call.expected_ms),
+            took_ms=round(get_monotonic_ms() - call.started_ms),
+            **fields,
+        )
+
+
+def _make_settler(future: asyncio.Future[PieceResult]):
+    def settle(piece_result: PieceResult) -> None:
+        if not future.done():
+            future.set_result(piece_result)
+
+    return settle
+
+
+def _count(found: Found) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for one in found:
+        counts[one.outcome] = counts.get(one.outcome, 0) + 1
+    return counts
+
+
+def _fail(
+    call: PieceCall,
+    reason: Reason,
+    detail: str,
+    outcome: Outcome = Outcome.not_run,
+) -> Err[UpstreamFailure]:
+    return Err(
+        UpstreamFailure(
+            outcome=outcome,
+            reason=reason,
+            step=_STEP,
+            peer=call.instance.instance,
+            detail=detail,
+        ),
+    )
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/readiness.py
@@ -0,0 +1,36 @@
+"""Answer the balancer's readiness checks."""
+
+from aiohttp import web
+
+from ragworthollow.platform.request_wire import READY_PATH
+from ragworthollow_daemon.gateway.context import GatewayContext
+
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+
+
+class Readiness:
+    """
+    Tell whether new connections are welcome.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Of this process.
+    """
+
+    def __init__(self, *, context: GatewayContext) -> None:
+        self._context = context
+
+    def is_ready(self) -> bool:
+        """Tell whether a request could be served now."""
+        context = self._context
+        return context.table is not None and not context.drain.is_draining
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one check."""
+        if request.path != READY_PATH:
+            return web.Response(status=_NOT_FOUND)
+        if self.is_ready():
+            return web.Response(text='ready\n')
+        return web.Response(status=_UNAVAILABLE, text='not ready\n')
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/refusals.py
@@ -0,0 +1,81 @@
+"""Answer requests that get no answer from an upstream."""
+
+import math
+import random
+
+from aiohttp import web
+
+from ragworthollow.conf import global_settings
+from ragworthollow.outcomes import Outcome, Reason
+from ragworthollow.utils.message import Message
+from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
+from ragworthollow_daemon.web.responses import respond
+
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
+_TIMEOUTS = frozenset((Reason.attempt_timeout, Reason.deadline_exceeded))
+_CALLER_STATUSES = {
+    Reason.bad_request: 400,
+    Reason.unauthorized: 401,
+    Reason.unknown_route: 404,
+    Reason.body_too_large: 413,
+}
+
+
+class RefusalBody(Message):
+    """
+    Tell a caller why there is no answer.
+
+    Attributes
+    ----------
+    outcome : Outcome
+        Whether the request may have run.
+    reason : Reason
+        Why.
+    """
+
+    outcome: Outcome
+    reason: Reason
+
+
+def get_status(failure: UpstreamFailure) -> int:
+    """
+    Return the status for a failure.
+
+    503 promises that the request has not run and never will; whatever may
+    have run is answered 502 or 504, which promise nothing.
+    """
+    status = _CALLER_STATUSES.get(failure.reason)
+    if status is not None:
+        return status
+    if failure.outcome is Outcome.not_run:
+        return _UNAVAILABLE
+    if failure.reason in _TIMEOUTS:
+        return _GATEWAY_TIMEOUT
+    return _BAD_GATEWAY
+
+
+def refuse(failure: UpstreamFailure, rng: random.Random) -> web.Response:
+    """
+    Make the answer for a failure.
+
+    Parameters
+    ----------
+    failure : UpstreamFailure
+        Why there is no other answer.
+    rng : Random
+        Spreads the time after which callers return.
+    """
+    status = get_status(failure)
+    response = respond(
+        RefusalBody(outcome=failure.outcome, reason=failure.reason),
+        status=status,
+    )
+    if status == _UNAVAILABLE:
+        wait_ms = failure.retry_after_ms
+        if wait_ms is None or math.isinf(wait_ms):
+            wait_ms = global_settings.GATEWAY_RETRY_AFTER_MS
+        spread = 1 + rng.random() * global_settings.RETRY_AFTER_SPREAD
+        response.headers['Retry-After'] = f'{wait_ms * spread / 1000:.3f}'
+    return response
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
@@ -0,0 +1,59 @@
+"""Define one caller's request on its way through a gateway."""
+
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from ragworthollow.exchange import RequestTerms
+from ragworthollow.routes import KeyHolder, Route
+from ragworthollow.utils import get_monotonic_ms
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RequestJob:
+    """
+    Hold what is known of a request once it is admitted.
+
+    Attributes
+    ----------
+    request : BaseRequest
+        As received, its body read.
+    body : bytes
+        Whole body.
+    terms : RequestTerms
+        What the caller asks for.
+    route : Route
+        Route in force when the request came.
+    holder : KeyHolder or None
+        Who sent it; None for a public route.
+    pool : str
+        Pool that is to answer it.
+    version : int
+        Configuration by which it is served.
+    received_ms, deadline_ms : float
+        On the monotonic clock; after the deadline nobody waits any more.
+    """
+
+    request: web.BaseRequest
+    body: bytes
+    terms: RequestTerms
+    route: Route
+    holder: KeyHolder | None
+    pool: str
+    version: int
+    received_ms: float
+    deadline_ms: float
+
+    def get_remaining_ms(self) -> float:
+        """Return the time left in milliseconds."""
+        return self.deadline_ms - get_monotonic_ms()
+
+    def get_priority(self) -> int:
+        """Return the rank, the organisation's before the route's."""
+        if self.holder is not None and self.holder.priority is not None:
+            return self.holder.priority
+        return self.route.priority
+
+    def get_organisation(self) -> str:
+        """Return the organisation's name; empty without a key."""
+        return '' if self.holder is None else self.holder.organisation
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -0,0 +1,142 @@
+"""Assemble a gateway."""
+
+import asyncio
+
+from aiohttp import web
+
+from ragworthollow.conf import GatewaySettings, global_settings
+from ragworthollow.logs.events import log_event
+from ragworthollow.membership.gateway_members import GatewayMembers
+from ragworthollow.utils import get_monotonic_ms
+from ragworthollow_daemon.gateway.configuration_follower import (
+    ConfigurationFollower,
+)
+from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.front import Front
+from ragworthollow_daemon.gateway.instances_follower import InstancesFollower
+from ragworthollow_daemon.gateway.membership import Membership
+from ragworthollow_daemon.gateway.peer_routes import PeerRoutes
+from ragworthollow_daemon.gateway.piece_client import PieceClient
+from ragworthollow_daemon.gateway.piece_service import PieceService
+from ragworthollow_daemon.gateway.readiness import Readiness
+
+_KEEPALIVE_S = 75.0
+
+
+class GatewayRole:
+    """
+    Run one gateway.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Checked settings.
+    """
+
+    def __init__(self, *, settings: GatewaySettings) -> None:
+        self._settings = settings
+        self.context = GatewayContext(settings=settings)
+        self._members = GatewayMembers(instance=settings.instance)
+        self._membership = Membership(
+            context=self.context,
+            members=self._members,
+        )
+        self._service = PieceService(context=self.context)
+        self._configuration = ConfigurationFollower(context=self.context)
+        self._instances = InstancesFollower(
+            context=self.context,
+            on_change=self._service.advance_all,
+        )
+        self._runners: list[web.BaseRunner] = []
+
+    async def start(self) -> None:
+        """Listen, then learn what is needed."""
+        readiness = Readiness(context=self.context)
+        front = Front(
+            context=self.context,
+            pieces=PieceClient(
+                context=self.context,
+                members=self._members,
+                service=self._service,
+            ),
+        )
+        peers = PeerRoutes(context=self.context, service=self._service)
+        await self._listen(self._settings.ready_address, readiness.handle)
+        await self._listen(self._settings.front_address, front.handle)
+        await self._serve_application(
+            self._settings.peer_address,
+            peers.make_application(),
+        )
+        self.context.spawn(self._instances.run())
+        self.context.spawn(self._configuration.run())
+        self.context.spawn(self._service.tick())
+        self.context.spawn(self._membership.run())
+        self.context.spawn(self._membership.watch_hosts())
+
+    async def stop(self) -> None:
+        """
+        Serve on until the balancer has moved away and nothing is served.
+
+        The balancer asks once a second and needs two negative answers, so
+        that new connections keep coming for a while; they are served like
+        any other, and each answer closes its connection.
+        """
+        started_ms = get_monotonic_ms()
+        limit_ms = (
+            self._settings.grace_s * 1000
+            - global_settings.GATEWAY_STOP_MARGIN_MS
+        )
+        await self._membership.leave()
+        await asyncio.sleep(global_settings.GATEWAY_BALANCER_LAG_MS / 1000)
+        spent_ms = get_monotonic_ms() - started_ms
+        await self.context.drain.wait_quiet(limit_ms - spent_ms)
+        log_event(
+            'drained',
+            step='lifecycle',
+            peer=self._settings.instance,
+            cut=self.context.drain.in_flight,
+            elapsed_ms=round(get_monotonic_ms() - started_ms),
+        )
+
+    async def close(self) -> None:
+        """Stop listening and end everything."""
+        for runner in self._runners:
+            await runner.cleanup()
+        await self.context.close()
+
+    async def _listen(self, address: str, handler) -> None:
+        server = web.Server(
+            handler,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=_KEEPALIVE_S,
+            max_line_size=global_settings.GATEWAY_HEADER_BYTES,
+            max_field_size=global_settings.GATEWAY_HEADER_BYTES,
+        )
+        await self._run(web.ServerRunner(server, shutdown_timeout=0.1), address)
+
+    async def _serve_application(
+        self,
+        address: str,
+        application: web.Application,
+    ) -> None:
+        runner = web.AppRunner(
+            application,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=0.1,
+        )
+        await self._run(runner, address)
+
+    async def _run(self, runner: web.BaseRunner, address: str) -> None:
+        host, _, port = address.rpartition(':')
+        await runner.setup()
+        site = web.TCPSite(
+            runner,
+            host,
+            int(port),
+            backlog=global_settings.MAX_CONNECTIONS,
+            reuse_address=True,
+        )
+        await site.start()
+        self._runners.append(runner)
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
@@ -0,0 +1,107 @@
+"""Pass a stream through to the caller, from one upstream or several."""
+
+from collections.abc import Callable
+
+from aiohttp import ClientResponse, web
+
+from ragworthollow.platform.answer_wire import make_caller_headers
+from ragworthollow.utils import get_monotonic_ms
+from ragworthollow_daemon.gateway.event_splitter import EventSplitter
+from ragworthollow_daemon.gateway.request_job import RequestJob
+
+
+class StreamRelay:
+    """
+    Write the events of a stream as they arrive.
+
+    The head and its signature are the first upstream's, also when another
+    one goes on.
+
+    Parameters
+    ----------
+    job : RequestJob
+        The request.
+    """
+
+    def __init__(self, *, job: RequestJob) -> None:
+        self._job = job
+        self._response: web.StreamResponse | None = None
+        self._splitter = EventSplitter()
+        self.first_event_ms: float | None = None
+        self.events_bytes = 0
+
+    def is_started(self) -> bool:
+        """Tell whether the caller has the head of the answer."""
+        return self._response is not None
+
+    def get_last_event_id(self) -> str:
+        """Return the id after which the stream would go on."""
+        return self._splitter.last_event_id or self._job.terms.last_event_id
+
+    async def start(self, upstream: ClientResponse) -> None:
+        """Send the head, unless an earlier upstream's has been sent."""
+        if self._response is not None:
+            return
+        response = web.StreamResponse(
+            status=upstream.status,
+            headers=make_caller_headers(upstream.headers),
+        )
+        response.enable_chunked_encoding()
+        self._response = response
+        await response.prepare(self._job.request)
+
+    async def pump(
+        self,
+        upstream: ClientResponse,
+        on_first_event: Callable[[], None],
+    ) -> None:
+        """
+        Pass events on until the upstream has ended its stream.
+
+        Parameters
+        ----------
+        upstream : ClientResponse
+            Its open answer.
+        on_first_event : callable
+            Called when events have come: the upstream has begun to generate
+            and needs its inputs no more.
+
+        Raises
+        ------
+        ClientError
+            The upstream broke off; `get_last_event_id` tells where.
+        """
+        self._splitter.take_rest()
+        async for chunk, _ in upstream.content.iter_chunks():
+            whole = self._splitter.feed(chunk)
+            if whole:
+                on_first_event()
+                await self._write(whole)
+        rest = self._splitter.take_rest()
+        if rest:
+            await self._write(rest)
+
+    async def finish(self) -> web.StreamResponse:
+        """End the answer as complete."""
+        await self._response.write_eof()
+        return self._response
+
+    def abort(self) -> None:
+        """
+        End the connection so that the answer does not look complete.
+
+        Raises
+        ------
+        ConnectionResetError
+            Always: the server must not end the body in the regular way.
+        """
+        transport = self._job.request.transport
+        if transport is not None:
+            transport.close()
+        raise ConnectionResetError('stream broken off')
+
+    async def _write(self, events: bytes) -> None:
+        if self.first_event_ms is None:
+            self.first_event_ms = get_monotonic_ms()
+        self.events_bytes += len(events)
+        await self._response.write(events)
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/conf/gateway_settings.py
@@ -0,0 +1,49 @@
+"""Define the settings of a gateway."""
+
+from typing import Literal
+
+from ragworthollow.conf import global_settings
+from ragworthollow.utils.message import StrictMessage
+
+
+class GatewaySettings(StrictMessage):
+    """
+    Configure one gateway.
+
+    Attributes
+    ----------
+    role : str
+        Always `gateway`.
+    instance : str
+        Name of the instance, unique in the deployment.
+    failure_domain : str
+        Where it runs.
+    front_address, ready_address : str
+        Where callers and the balancer's readiness checks connect, `IP:PORT`.
+    peer_address : str
+        Where other gateways connect.
+    metrics_address : str
+        Where metrics and status are served; empty for nowhere.
+    store_url : str
+        Base address of the platform's store.
+    grace_s : float
+        Time between TERM and the end of the process.
+    retry_ratio, retry_slack : float
+        Further attempts that all gateways together may make in a window, as
+        a share of requests and as a number beside it.
+    cpu_share : float
+        Share of a core that this process has.
+    """
+
+    role: Literal['gateway']
+    instance: str
+    failure_domain: str
+    front_address: str
+    ready_address: str
+    peer_address: str
+    store_url: str
+    metrics_address: str = ''
+    grace_s: float = global_settings.GATEWAY_GRACE_S
+    retry_ratio: float = global_settings.GATEWAY_RETRY_RATIO
+    retry_slack: float = global_settings.GATEWAY_RETRY_SLACK
+    cpu_share: float = 1.0
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -110,3 +110,79 @@
 KEYED_RETRY_MS = 50
 OVERLOAD_RETRIES = 2
 EJECTION_INTERVAL_MS = 500
+
+# Gateway: what a caller may send until a configuration says otherwise.
+GATEWAY_HEADER_BYTES = 16_384
+GATEWAY_BODY_BYTES = 4_194_304
+GATEWAY_HEADER_TIMEOUT_MS = 3_000
+GATEWAY_IDLE_TIMEOUT_MS = 15_000
+
+# Upstream instances of a gateway.
+# Entries that lapsed while the store was away return within 2 s of its
+# return; one poll is kept as a margin below the bound on leaving instances.
+LAPSED_ENTRY_MS = 1_400
+# How long after a failed read a missing entry may be the store's fault.
+OUTAGE_AFTERMATH_MS = 2_500
+# First time out of rotation after a failure; doubles up to 2**4 times.
+UPSTREAM_SUSPECT_MS = 500
+SUSPECT_DOUBLINGS_LIMIT = 4
+# Others' load is as old as its report, and is known by all gateways at once:
+# half of it keeps them from moving together (routing measurements).
+REPORTED_LOAD_TRUST = 0.5
+# Bounded-load hashing: an instance above this multiple of the mean, plus a
+# twentieth of its slots, passes requests on to the next in rank.
+AFFINITY_LOAD_FACTOR = 1.25
+AFFINITY_LOAD_SLACK = 0.05
+
+# Pieces of stages.
+# A piece that is this late may still end in time: stage times are
+# approximate to about a tenth of a call of 300 to 400 ms.
+PIECE_LATE_GRACE_MS = 30
+
+# Gateway: stop, retries and the store.
+# What the platform grants between TERM and KILL.
+GATEWAY_GRACE_S = 8.0
+# Time before KILL at which what still runs is cut by ourselves, so that the
+# cut is logged.
+GATEWAY_STOP_MARGIN_MS = 400
+# The balancer asks once a second and moves away after two misses; one more
+# second covers the new connections that cross.
+GATEWAY_BALANCER_LAG_MS = 3_300
+GATEWAY_RETRY_RATIO = 0.2
+GATEWAY_RETRY_SLACK = 20.0
+# Part of the shared retry budget that gateways use; the rest covers those
+# that restart with a full bucket or are not yet known to the others.
+RETRY_BUDGET_USE = 0.6
+# The store answers in milliseconds; a call that takes this long runs on a
+# silent connection.
+STORE_TIMEOUT_MS = 450
+# Configuration and instances must be in force within 2 s; with a timeout of
+# 450 ms, one lost poll still leaves a second to spare.
+CONFIGURATION_POLL_MS = 400
+UPSTREAM_POLL_MS = 400
+# Membership of gateways: a lease outlives two lost renewals.
+MEMBER_LEASE_MS = 3_500
+MEMBER_POLL_MS = 1_000
+# A host of a gate that does not answer for this long is replaced; a core may
+# be taken away for a tenth of a second at a time.
+HOST_PING_MS = 250
+HOST_PING_TIMEOUT_MS = 500
+PEER_CONNECT_TIMEOUT_MS = 300
+
+# Gateway: attempts.
+# A live machine accepts within milliseconds on these networks.
+UPSTREAM_CONNECT_TIMEOUT_MS = 300
+# Engines close idle connections; one that was idle for longer than this is
+# not used again, since a request that crosses the close is lost.
+UPSTREAM_IDLE_MS = 2_000
+# Share of the time left that a repeatable attempt may take while another one
+# could still follow.
+ATTEMPT_TIME_SHARE = 0.5
+# A stage call that takes this many times its expected time is given up.
+PIECE_CALL_PATIENCE = 3.0
+PIECE_ATTEMPTS = 3
+GATE_TICK_MS = 50
+# When a refused caller may come back at the earliest; spread by a half so
+# that those refused together do not return together.
+GATEWAY_RETRY_AFTER_MS = 400
+RETRY_AFTER_SPREAD = 0.5
--- a/packages/ragworthollow/src/ragworthollow/conf/loading.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/loading.py
@@ -8,10 +8,15 @@
 from ragworthollow.checks.check_message import CheckMessage
 from ragworthollow.conf.checks import check_settings
 from ragworthollow.conf.daemon_settings import DaemonSettings
+from ragworthollow.conf.gateway_settings import GatewaySettings
 from ragworthollow.utils.strict_yaml import load_yaml
 
+AnySettings = DaemonSettings | GatewaySettings
 
-def load_settings(path: Path) -> Result[DaemonSettings, CheckMessage]:
+_GATEWAY_ROLE = 'gateway'
+
+
+def load_settings(path: Path) -> Result[AnySettings, CheckMessage]:
     """
     Read, parse and check the settings of a daemon.
 
@@ -52,9 +57,13 @@
 def _convert(
     path: Path,
     document: dict[str, object],
-) -> Result[DaemonSettings, CheckMessage]:
+) -> Result[AnySettings, CheckMessage]:
+    is_gateway = document.get('role') == _GATEWAY_ROLE
     try:
-        settings = msgspec.convert(document, DaemonSettings)
+        settings = msgspec.convert(
+            document,
+            GatewaySettings if is_gateway else DaemonSettings,
+        )
     except msgspec.ValidationError as error:
         return Err(
             CheckMessage(
@@ -64,5 +73,7 @@
                 where=str(path),
             ),
         )
+    if isinstance(settings, GatewaySettings):
+        return Ok(settings)
     problems = check_settings(settings, str(path))
     return Err(problems[0]) if problems else Ok(settings)
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/exchange/__init__.py
@@ -0,0 +1,7 @@
+"""Hold what one request and its answers say, apart from any wire."""
+
+from ragworthollow.exchange.answer_marks import AnswerMarks
+from ragworthollow.exchange.request_terms import PromptPart, RequestTerms
+from ragworthollow.exchange.upstream_order import UpstreamOrder
+
+__all__ = ('AnswerMarks', 'PromptPart', 'RequestTerms', 'UpstreamOrder')
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/exchange/answer_marks.py
@@ -0,0 +1,31 @@
+"""Define what an upstream's answer says beside its body."""
+
+from dataclasses import dataclass
+
+from ragworthollow.upstreams.instance_load import InstanceLoad
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerMarks:
+    """
+    Hold the marks of one answer.
+
+    Attributes
+    ----------
+    request_id : str
+        Request that the answer belongs to, as the upstream says.
+    is_signed : bool
+        Whether the upstream has signed it.
+    is_not_run : bool
+        Whether it proves that the request has not run and will not.
+    is_misdirected : bool
+        Whether another incarnation listens at the address.
+    load : InstanceLoad or None
+        Load of the upstream.
+    """
+
+    request_id: str
+    is_signed: bool
+    is_not_run: bool
+    is_misdirected: bool = False
+    load: InstanceLoad | None = None
--- a/packages/ragworthollow/src/ragworthollow/logs/formatter.py
+++ b/packages/ragworthollow/src/ragworthollow/logs/formatter.py
@@ -39,7 +39,7 @@
 
 def set_up_logging(*, instance: str) -> None:
     """
-    Send the log of this process to standard error as JSON lines.
+    Send the log of this process to standard output as JSON lines.
 
     Parameters
     ----------
@@ -49,7 +49,7 @@
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.setFormatter(JsonFormatter(instance=instance))
-    handler.python_handler.stream = sys.stderr
+    handler.python_handler.stream = sys.stdout
     logging.set_verbosity(logging.INFO)
     for noisy in ('aiohttp.access', 'asyncio', 'aiomisc'):
         std_logging.getLogger(noisy).setLevel(std_logging.WARNING)
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
@@ -0,0 +1,80 @@
+"""Know the gateways and choose which of them hosts a gate."""
+
+from collections.abc import Iterable, Mapping
+
+from ragworthollow.membership.gateway_member import GatewayMember
+from ragworthollow.utils.hashing import get_rank
+
+
+class GatewayMembers:
+    """
+    Hold the gateways that this one knows.
+
+    A gate's host is a choice that each gateway makes for itself: the member
+    that ranks highest for the pool among those that answer.  No agreement is
+    needed, since two hosts for a moment cost full calls, not answers.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this gateway, which is always a member.
+    """
+
+    def __init__(self, *, instance: str) -> None:
+        self._instance = instance
+        self._members: dict[str, GatewayMember] = {}
+        self._silent: set[str] = set()
+
+    def replace(self, members: Iterable[GatewayMember]) -> None:
+        """Take a whole list of members."""
+        self._members = {one.instance: one for one in members}
+        self._silent &= self._members.keys()
+
+    def note_silent(self, instance: str) -> None:
+        """Pass over a member until it answers again."""
+        self._silent.add(instance)
+
+    def note_answer(self, instance: str) -> None:
+        """Choose a member again."""
+        self._silent.discard(instance)
+
+    def is_silent(self, instance: str) -> bool:
+        """Tell whether a member is passed over."""
+        return instance in self._silent
+
+    def count(self) -> int:
+        """Return the number of gateways, this one included."""
+        return len(self._members.keys() | {self._instance})
+
+    def get_members(self) -> Mapping[str, GatewayMember]:
+        """Return the members by name."""
+        return self._members
+
+    def find_host(self, pool: str) -> GatewayMember | None:
+        """
+        Return the member that hosts the gate of a pool.
+
+        Returns
+        -------
+        GatewayMember or None
+            None when this gateway hosts it.
+        """
+        ranked = self._rank(pool)
+        for name in ranked:
+            if name == self._instance:
+                return None
+            if name not in self._silent:
+                return self._members[name]
+        return None
+
+    def find_first(self, pool: str) -> GatewayMember | None:
+        """Return the member that ranks highest, silent or not."""
+        return self._members.get(self._rank(pool)[0])
+
+    def _rank(self, pool: str) -> list[str]:
+        names = self._members.keys() | {self._instance}
+        return sorted(
+            names,
+            key=lambda name: get_rank(pool, name),
+            reverse=True,
+        )
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/pieces/gate.py
@@ -0,0 +1,225 @@
+"""Decide which pieces go to which instance, and when."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from ragworthollow.conf import global_settings
+from ragworthollow.pieces.piece import PieceOutcome, PieceResult
+from ragworthollow.pieces.result_room import ResultRoom
+from ragworthollow.pieces.waiting_piece import WaitingPiece
+from ragworthollow.routes.upstream_pool import PieceProfile
+from ragworthollow.upstreams import LoadBook, UpstreamInstance
+
+
+@dataclass(frozen=True, kw_only=True, slots=True, eq=False)
+class PieceCall:
+    """
+    Hold one call to one instance.
+
+    Attributes
+    ----------
+    instance : UpstreamInstance
+        Who works on it.
+    waiting : tuple of WaitingPiece
+        Its pieces, in order.
+    started_ms : float
+        When it was sent.
+    expected_ms : float
+        How long it should take.
+    """
+
+    instance: UpstreamInstance
+    waiting: tuple[WaitingPiece, ...]
+    started_ms: float
+    expected_ms: float
+
+
+class PieceGate:
+    """
+    Queue the pieces of one pool and fill calls with them.
+
+    A call costs the same fixed time for one piece as for a full batch, so
+    pieces of different requests share calls.  Pieces are taken by the latest
+    start that still meets their objective; those that have missed it come
+    after all others, since an answer in time is worth several late ones.
+    """
+
+    def __init__(self) -> None:
+        self.room = ResultRoom()
+        self._queue: list[WaitingPiece] = []
+        self._calls: list[PieceCall] = []
+
+    def submit(self, waiting: WaitingPiece) -> None:
+        """Queue a piece."""
+        self._queue.append(waiting)
+
+    def get_depth(self) -> int:
+        """Return the number of pieces that wait."""
+        return len(self._queue)
+
+    def get_calls(self) -> tuple[PieceCall, ...]:
+        """Return the calls that instances work on."""
+        return tuple(self._calls)
+
+    def finish(self, call: PieceCall) -> None:
+        """Note that a call has ended."""
+        self._calls.remove(call)
+
+    def drop_unwanted(self, now_ms: float) -> None:
+        """Take out pieces that nobody waits for any more."""
+        staying = []
+        for waiting in self._queue:
+            if not waiting.is_wanted:
+                continue
+            if waiting.piece.expires_ms <= now_ms:
+                waiting.settle(PieceResult(outcome=PieceOutcome.not_run))
+                continue
+            staying.append(waiting)
+        self._queue = staying
+
+    def estimate_wait_ms(
+        self,
+        profile: PieceProfile,
+        instances: int,
+        now_ms: float,
+    ) -> float:
+        """
+        Estimate how long a piece that came now would wait for its call.
+
+        Parameters
+        ----------
+        profile : PieceProfile
+            Of the pool.
+        instances : int
+            Instances that may get work.
+        now_ms : float
+            Time on the monotonic clock.
+        """
+        if not instances:
+            return float('inf')
+        full_ms = profile.estimate_ms(profile.batch_limit)
+        ahead = len(self._queue) // profile.batch_limit
+        busy_ms = sum(
+            max(0, call.started_ms + call.expected_ms - now_ms)
+            for call in self._calls
+        )
+        if len(self._calls) < instances * profile.concurrency and not ahead:
+            return 0
+        return (busy_ms + ahead * full_ms) / instances
+
+    def plan(
+        self,
+        profile: PieceProfile,
+        instances: Sequence[UpstreamInstance],
+        book: LoadBook,
+        now_ms: float,
+    ) -> list[PieceCall]:
+        """
+        Make the calls that are to be sent now.
+
+        Parameters
+        ----------
+        profile : PieceProfile
+            Of the pool.
+        instances : sequence of UpstreamInstance
+            Instances that may get work.
+        book : LoadBook
+            Which of them are suspect.
+        now_ms : float
+            Time on the monotonic clock.
+
+        Returns
+        -------
+        list of PieceCall
+            Each noted as running until `finish`.
+        """
+        self.drop_unwanted(now_ms)
+        if not self._queue:
+            return []
+        idle = self._find_idle(profile, instances, book, now_ms)
+        used = self.room.get_used(now_ms)
+        self._queue.sort(key=lambda one: _rank(one, now_ms))
+        calls = []
+        while idle and self._queue:
+            instance = _prefer_domain(idle, self._queue[0])
+            idle.remove(instance)
+            call = self._fill(profile, instance, used, now_ms)
+            if call is not None:
+                calls.append(call)
+        return calls
+
+    def _find_idle(
+        self,
+        profile: PieceProfile,
+        instances: Sequence[UpstreamInstance],
+        book: LoadBook,
+        now_ms: float,
+    ) -> list[UpstreamInstance]:
+        busy = [call.instance.instance for call in self._calls]
+        idle = [
+            one
+            for one in instances
+            if busy.count(one.instance) < profile.concurrency
+        ]
+        trusted = [
+            one
+            for one in idle
+            if book.get(one.instance).suspect_until_ms <= now_ms
+        ]
+        # With every instance suspect, a doubtful call beats none.
+        all_suspect = all(
+            book.get(one.instance).suspect_until_ms > now_ms
+            for one in instances
+        )
+        return idle if all_suspect else trusted
+
+    def _fill(
+        self,
+        profile: PieceProfile,
+        instance: UpstreamInstance,
+        used: dict[str, int],
+        now_ms: float,
+    ) -> PieceCall | None:
+        free_bytes = profile.room_bytes - used.get(instance.instance, 0)
+        taken: list[WaitingPiece] = []
+        for waiting in self._queue:
+            if len(taken) == profile.batch_limit:
+                break
+            needed_bytes = waiting.piece.result_bytes
+            is_avoided = instance.instance in waiting.avoid
+            if is_avoided or needed_bytes > free_bytes:
+                continue
+            free_bytes -= needed_bytes
+            taken.append(waiting)
+        if not taken:
+            return None
+        chosen = {id(one) for one in taken}
+        self._queue = [one for one in self._queue if id(one) not in chosen]
+        call = PieceCall(
+            instance=instance,
+            waiting=tuple(taken),
+            started_ms=now_ms,
+            expected_ms=profile.estimate_ms(len(taken)),
+        )
+        self._calls.append(call)
+        return call
+
+
+def _rank(waiting: WaitingPiece, now_ms: float) -> tuple[bool, float]:
+    due_ms = waiting.piece.due_ms
+    return (due_ms + global_settings.PIECE_LATE_GRACE_MS < now_ms, due_ms)
+
+
+def _prefer_domain(
+    idle: Sequence[UpstreamInstance],
+    first: WaitingPiece,
+) -> UpstreamInstance:
+    """Return an idle instance, near the reader of the result if possible."""
+    for one in idle:
+        is_near = one.failure_domain == first.piece.failure_domain
+        if is_near and one.instance not in first.avoid:
+            return one
+    for one in idle:
+        if one.instance not in first.avoid:
+            return one
+    return idle[0]
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/pieces/piece.py
@@ -0,0 +1,71 @@
+"""Define a piece of a stage and what became of it."""
+
+import enum
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Piece:
+    """
+    Describe one piece of one stage of one request.
+
+    Attributes
+    ----------
+    request_id : str
+        Request that needs it.
+    position : int
+        Position of the stage in its route.
+    number : int
+        Number of the piece in its stage, from 0.
+    key : str
+        What a stage without inputs reads.
+    inputs : tuple of str
+        Handles of all results that the stage needs.
+    due_ms : float
+        Latest start, on the monotonic clock, with which the request still
+        meets its objective.
+    expires_ms : float
+        Time after which nobody waits for the result any more.
+    result_bytes : int
+        Approximate size of the result.
+    failure_domain : str
+        Where the result will be read; empty when that is not known.
+    """
+
+    request_id: str
+    position: int
+    number: int
+    key: str = ''
+    inputs: tuple[str, ...] = ()
+    due_ms: float
+    expires_ms: float
+    result_bytes: int = 0
+    failure_domain: str = ''
+
+
+class PieceOutcome(enum.StrEnum):
+    """Say what became of a piece."""
+
+    done = 'done'
+    late = 'late'
+    input_gone = 'input_gone'
+    no_room = 'no_room'
+    failed = 'failed'
+    not_run = 'not_run'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PieceResult:
+    """
+    Hold a result, or why there is none.
+
+    Attributes
+    ----------
+    outcome : PieceOutcome
+        What became of the piece.
+    handle : str
+        Names the result towards upstreams; empty when there is none.
+    """
+
+    outcome: PieceOutcome
+    handle: str = ''
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/pieces/waiting_piece.py
@@ -0,0 +1,35 @@
+"""Define a piece in the queue of a gate."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ragworthollow.pieces.piece import Piece, PieceResult
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class WaitingPiece:
+    """
+    Hold a piece until its result is known.
+
+    Attributes
+    ----------
+    piece : Piece
+        What is to be done.
+    arrived_ms : float
+        When it came.
+    settle : callable
+        Called once with the result.
+    attempts : int
+        Calls that it has been part of.
+    avoid : set of str
+        Instances that have failed it.
+    is_wanted : bool
+        False when whoever asked has left.
+    """
+
+    piece: Piece
+    arrived_ms: float
+    settle: Callable[[PieceResult], None]
+    attempts: int = 0
+    avoid: set[str] = field(default_factory=set)
+    is_wanted: bool = True
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/platform/answer_wire.py
@@ -0,0 +1,74 @@
+"""Decode what an upstream's answer says beside its body."""
+
+from collections.abc import Mapping
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from ragworthollow.exchange import AnswerMarks
+from ragworthollow.upstreams import InstanceLoad
+
+_ID = 'X-Ragworthollow-Request-Id'
+_SIGNATURE = 'X-Ragworthollow-Response-Signature'
+_NOT_RUN = 'X-Ragworthollow-Not-Executed'
+_LOAD = 'X-Ragworthollow-Server-Load'
+_INSTANCE = 'X-Ragworthollow-Instance-Id'
+_MISDIRECTED = 421
+_LOAD_FIELDS = 3
+
+_NOT_FORWARDED = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'date',
+        'server',
+        _LOAD.lower(),
+        _INSTANCE.lower(),
+    )
+)
+
+
+def read_marks(status: int, headers: Mapping[str, str]) -> AnswerMarks:
+    """
+    Decode the marks of an answer.
+
+    Parameters
+    ----------
+    status : int
+        Status of the answer; 421 proves that the request did not run.
+    headers : mapping of str to str
+        As received.
+    """
+    return AnswerMarks(
+        request_id=headers.get(_ID, ''),
+        is_signed=_SIGNATURE in headers,
+        is_not_run=_NOT_RUN in headers or status == _MISDIRECTED,
+        is_misdirected=status == _MISDIRECTED,
+        load=read_load(headers),
+    )
+
+
+def read_load(headers: Mapping[str, str]) -> InstanceLoad | None:
+    """Decode a load report, `running,waiting,slots`; None without one."""
+    fields = headers.get(_LOAD, '').split(',')
+    is_whole = len(fields) == _LOAD_FIELDS
+    if not is_whole or not all(field.strip().isdecimal() for field in fields):
+        return None
+    running, waiting, slots = (int(field) for field in fields)
+    return InstanceLoad(running=running, waiting=waiting, slots=slots)
+
+
+def make_caller_headers(
+    received: CIMultiDictProxy[str],
+) -> CIMultiDict[str]:
+    """Make the headers of the answer to the caller, signature included."""
+    return CIMultiDict(
+        (name, text)
+        for name, text in received.items()
+        if name.lower() not in _NOT_FORWARDED
+    )
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/platform/request_wire.py
@@ -0,0 +1,160 @@
+"""Decode what callers ask for, and encode what upstreams are told."""
+
+from collections.abc import Mapping
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from ragworthollow.exchange import PromptPart, RequestTerms, UpstreamOrder
+
+READY_PATH = '/api/ready'
+
+_ID = 'X-Ragworthollow-Request-Id'
+_DEADLINE = 'X-Ragworthollow-Deadline-Ms'
+_PREFIX = 'X-Ragworthollow-Prefix-Hash'
+_TOKENS = 'X-Ragworthollow-Token-Usage'
+_PIECES = 'X-Ragworthollow-Pieces'
+_PIECE_KEY = 'X-Ragworthollow-Piece-Key'
+_LAST_EVENT = 'Last-Event-Id'
+_EXPECT_INSTANCE = 'X-Ragworthollow-Expect-Instance'
+_TENANT = 'X-Ragworthollow-Tenant'
+_PRIORITY = 'X-Ragworthollow-Request-Priority'
+_INPUTS = 'X-Ragworthollow-Inputs'
+_SCHEME = 'bearer '
+
+# Headers that concern one connection only, and those that only this system
+# may set: a caller who forges one would run under another's name, or hold
+# and move memory of engines that is not its own.
+_NOT_FORWARDED = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-connection',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'expect',
+        'content-length',
+        'authorization',
+        'kv-from',
+        'kv-fetch',
+        'wait-ms',
+        _DEADLINE.lower(),
+        _LAST_EVENT.lower(),
+        _EXPECT_INSTANCE.lower(),
+        _TENANT.lower(),
+        _PRIORITY.lower(),
+        _INPUTS.lower(),
+        'x-ragworthollow-expect-version',
+        'x-ragworthollow-hold',
+        'x-ragworthollow-pin-ms',
+        'x-ragworthollow-kv-backup',
+        'x-ragworthollow-instance-id',
+        'x-ragworthollow-server-load',
+        'x-ragworthollow-response-signature',
+        'x-ragworthollow-not-executed',
+    )
+)
+
+
+def read_terms(headers: Mapping[str, str]) -> RequestTerms:
+    """
+    Decode the headers that decide how a request is served.
+
+    A header that cannot be read counts as absent: the upstream is the one
+    to judge it.
+
+    Parameters
+    ----------
+    headers : mapping of str to str
+        As received.
+    """
+    prompt_tokens, output_tokens = _read_pair(headers.get(_TOKENS, ''))
+    return RequestTerms(
+        request_id=headers.get(_ID, ''),
+        key=_read_key(headers.get('Authorization', '')),
+        time_limit_ms=_read_number(headers.get(_DEADLINE, '')),
+        prompt_parts=_read_parts(headers.get(_PREFIX, '')),
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
+        piece_counts=_read_counts(headers.get(_PIECES, '')),
+        piece_key=headers.get(_PIECE_KEY, ''),
+        last_event_id=headers.get(_LAST_EVENT, ''),
+    )
+
+
+def make_upstream_headers(
+    received: CIMultiDictProxy[str],
+    order: UpstreamOrder,
+) -> CIMultiDict[str]:
+    """
+    Make the headers of one attempt.
+
+    Parameters
+    ----------
+    received : CIMultiDictProxy
+        The caller's headers.
+    order : UpstreamOrder
+        What this attempt adds.
+    """
+    named = {
+        name.strip().lower()
+        for line in received.getall('Connection', ())
+        for name in line.split(',')
+    }
+    headers = CIMultiDict(
+        (name, text)
+        for name, text in received.items()
+        if name.lower() not in _NOT_FORWARDED and name.lower() not in named
+    )
+    headers[_DEADLINE] = str(max(1, int(order.time_limit_ms)))
+    headers[_EXPECT_INSTANCE] = order.instance
+    _set_present(headers, _TENANT, order.organisation)
+    _set_present(headers, _INPUTS, ','.join(order.inputs))
+    _set_present(headers, _LAST_EVENT, order.last_event_id)
+    if order.priority is not None:
+        headers[_PRIORITY] = str(order.priority)
+    return headers
+
+
+def _set_present(headers: CIMultiDict[str], name: str, text: str) -> None:
+    if text:
+        headers[name] = text
+
+
+def _read_key(text: str) -> str:
+    if text.lower().startswith(_SCHEME):
+        return text[len(_SCHEME) :].strip()
+    return ''
+
+
+def _read_number(text: str) -> float | None:
+    try:
+        return float(text)
+    except ValueError:
+        return None
+
+
+def _read_pair(text: str) -> tuple[int, int]:
+    first, _, second = text.partition(',')
+    if first.strip().isdecimal() and second.strip().isdecimal():
+        return int(first), int(second)
+    return 0, 0
+
+
+def _read_counts(text: str) -> tuple[int, ...]:
+    fields = [field.strip() for field in text.split(',')]
+    if all(field.isdecimal() for field in fields):
+        return tuple(int(field) for field in fields)
+    return ()
+
+
+def _read_parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in text.split(','):
+        name, _, tokens = entry.strip().partition(':')
+        if tokens.isdecimal():
+            parts.append(PromptPart(part=name, tokens=int(tokens)))
+    return tuple(parts)
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_client.py
@@ -0,0 +1,262 @@
+"""Call the platform's store."""
+
+import base64
+from collections.abc import Sequence
+from http import HTTPStatus
+
+import aiohttp
+import msgspec
+from result import Err, Ok, Result
+from yarl import URL
+
+from ragworthollow.conf import global_settings
+from ragworthollow.platform.exceptions import PlatformError
+from ragworthollow.platform.store_wire import (
+    ExpectedRevision,
+    Item,
+    LeaseAnswer,
+    LeaseCall,
+    RangePage,
+    TransactionCall,
+    WatchPage,
+    Write,
+)
+from ragworthollow.platform.stored import Stored
+from ragworthollow.platform.transaction import Compare, Put
+
+_MILLISECONDS = 1000
+
+
+class StoreClient:
+    """
+    Call the store with a timeout of our own on every call.
+
+    A connection to the store may fall silent for good without a reset; a
+    call that runs into its timeout closes its connection, so that the next
+    call opens a new one.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Session to call with.
+    base_url : str
+        Address of the store.
+    """
+
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        base_url: str,
+    ) -> None:
+        self._session = session
+        self._base = URL(base_url)
+        self.calls = 0
+
+    async def read(self, key: str) -> Result[Stored, PlatformError]:
+        """
+        Read one key, linearizably.
+
+        Returns
+        -------
+        Result
+            What is stored, absent keys included, or the store's failure.
+        """
+        answer = await self._call(
+            'GET',
+            '/api/kv-key',
+            query={'key': key},
+            absent_status=HTTPStatus.NOT_FOUND,
+        )
+        return answer.map(
+            lambda body: (
+                Stored()
+                if body is None
+                else _to_stored(msgspec.json.decode(body, type=Item))
+            ),
+        )
+
+    async def read_prefix(
+        self,
+        prefix: str,
+    ) -> Result[dict[str, Stored], PlatformError]:
+        """
+        Read all keys that begin with `prefix`, by key.
+
+        Pages are no snapshot; an error on any of them is an error of all,
+        so that a part of a list never passes for the whole.
+        """
+        found: dict[str, Stored] = {}
+        query = {'path_prefix': prefix}
+        while True:
+            answer = await self._call('GET', '/api/kv-range', query=query)
+            if isinstance(answer, Err):
+                return answer
+            page = msgspec.json.decode(answer.ok_value, type=RangePage)
+            found.update((one.key, _to_stored(one)) for one in page.items)
+            if not page.has_more or not page.items:
+                return Ok(found)
+            query['after'] = page.items[-1].key
+
+    async def commit(
+        self,
+        *,
+        compares: Sequence[Compare],
+        puts: Sequence[Put],
+        removes: Sequence[str] = (),
+    ) -> Result[bool, PlatformError]:
+        """
+        Write when every comparison holds.
+
+        Returns
+        -------
+        Result
+            Whether the comparisons held; an error says whether the write
+            may have taken effect all the same.
+        """
+        call = TransactionCall(
+            expect_rev=tuple(
+                ExpectedRevision(key=one.key, rev=one.revision)
+                for one in compares
+            ),
+            writes=tuple(
+                Write(
+                    key=one.key,
+                    encoded=base64.b64encode(one.text.encode()).decode(),
+                    lease=one.lease,
+                )
+                for one in puts
+            ),
+            remove=tuple(removes),
+        )
+        answer = await self._call(
+            'POST',
+            '/api/kv-txn',
+            body=msgspec.json.encode(call),
+            absent_status=HTTPStatus.PRECONDITION_FAILED,
+        )
+        return answer.map(lambda body: body is not None)
+
+    async def grant_lease(self, ttl_ms: int) -> Result[int, PlatformError]:
+        """Create a lease and return its identifier."""
+        answer = await self._call(
+            'POST',
+            '/api/kv-lease',
+            body=msgspec.json.encode(LeaseCall(ttl_ms=ttl_ms)),
+        )
+        return answer.map(
+            lambda body: msgspec.json.decode(body, type=LeaseAnswer).lease,
+        )
+
+    async def renew_lease(self, lease: int) -> Result[bool, PlatformError]:
+        """Renew a lease; False when it has lapsed."""
+        answer = await self._call(
+            'POST',
+            f'/api/kv-keep/{lease}',
+            absent_status=HTTPStatus.NOT_FOUND,
+        )
+        return answer.map(lambda body: body is not None)
+
+    async def revoke_lease(self, lease: int) -> Result[bool, PlatformError]:
+        """End a lease, which deletes its keys."""
+        answer = await self._call(
+            'DELETE',
+            f'/api/kv-lease-end/{lease}',
+            absent_status=HTTPStatus.NOT_FOUND,
+        )
+        return answer.map(lambda _: True)
+
+    async def watch(
+        self,
+        prefix: str,
+        *,
+        after_revision: int,
+        wait_ms: int,
+    ) -> Result[WatchPage | None, PlatformError]:
+        """
+        Wait for changes of keys that begin with `prefix`.
+
+        Returns
+        -------
+        Result
+            The changes, perhaps none; None when the history after
+            `after_revision` is no longer kept and the keys must be read.
+        """
+        answer = await self._call(
+            'GET',
+            '/api/kv-watch',
+            query={
+                'path_prefix': prefix,
+                'after': str(after_revision),
+                'wait_ms': str(wait_ms),
+            },
+            absent_status=HTTPStatus.GONE,
+            extra_ms=wait_ms,
+        )
+        return answer.map(
+            lambda body: (
+                None
+                if body is None
+                else msgspec.json.decode(body, type=WatchPage)
+            ),
+        )
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        query: dict[str, str] | None = None,
+        body: bytes | None = None,
+        absent_status: HTTPStatus | None = None,
+        extra_ms: float = 0,
+    ) -> Result[bytes | None, PlatformError]:
+        self.calls += 1
+        timeout_ms = global_settings.STORE_TIMEOUT_MS + extra_ms
+        try:
+            async with self._session.request(
+                method,
+                (self._base / path.removeprefix('/')).with_query(query),
+                data=body,
+                headers=_HEADERS if body else None,
+                timeout=aiohttp.ClientTimeout(total=timeout_ms / _MILLISECONDS),
+            ) as response:
+                text = await response.read()
+                status = response.status
+        except aiohttp.ClientConnectorError as error:
+            return Err(self._explain(path, repr(error), applied=False))
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return Err(self._explain(path, repr(error), applied=True))
+        if status == HTTPStatus.OK:
+            return Ok(text)
+        if status == absent_status:
+            return Ok(None)
+        # Every other status says that the store did nothing.
+        detail = f'status {status}'
+        return Err(self._explain(path, detail, applied=False))
+
+    def _explain(
+        self,
+        path: str,
+        detail: str,
+        *,
+        applied: bool,
+    ) -> PlatformError:
+        return PlatformError(
+            step=path,
+            peer=str(self._base),
+            detail=detail,
+            may_have_applied=applied,
+        )
+
+
+_HEADERS = {'Content-Type': 'application/json'}
+
+
+def _to_stored(item: Item) -> Stored:
+    return Stored(
+        text=base64.b64decode(item.encoded).decode(),
+        mod_revision=item.rev,
+        create_revision=item.create_revision,
+        read_revision=item.as_of,
+    )
--- a/packages/ragworthollow/src/ragworthollow/retries/budget.py
+++ b/packages/ragworthollow/src/ragworthollow/retries/budget.py
@@ -29,6 +29,11 @@
         self._burst = burst
         self.tokens = burst
 
+    def set_burst(self, burst: float) -> None:
+        """Change how many tokens may be kept."""
+        self._burst = burst
+        self.tokens = min(self.tokens, burst)
+
     def earn(self) -> None:
         """Credit a first attempt."""
         self.tokens = min(self._burst, self.tokens + self._ratio)
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
@@ -0,0 +1,68 @@
+"""Reuse connections to upstreams only while nothing odd happened on them."""
+
+import aiohttp
+from aiohttp.client_reqrep import ClientRequest
+from aiohttp.connector import Connection
+from aiohttp.tracing import Trace
+
+from ragworthollow.conf import global_settings
+
+_MILLISECONDS = 1000
+
+
+class CheckedConnector(aiohttp.TCPConnector):
+    """
+    Skip kept connections on which bytes arrived that nobody asked for.
+
+    An upstream may send a second answer after a complete one.  The library
+    would hand it to the next request of the connection as its answer; that
+    request may have run by then, and its own answer would be lost.
+    """
+
+    async def connect(
+        self,
+        req: ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Connection:
+        """Return a connection without unread bytes."""
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            protocol = connection.protocol
+            if protocol is None or not protocol.should_close:
+                return connection
+            connection.close()
+
+
+def make_upstream_session() -> aiohttp.ClientSession:
+    """
+    Make a session for requests to upstreams.
+
+    Returns
+    -------
+    ClientSession
+        To be closed by the caller.
+    """
+    session = aiohttp.ClientSession(
+        connector=CheckedConnector(
+            limit=0,
+            use_dns_cache=False,
+            keepalive_timeout=(
+                global_settings.UPSTREAM_IDLE_MS / _MILLISECONDS
+            ),
+        ),
+        read_bufsize=global_settings.STREAM_READ_LIMIT_BYTES,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=(
+            'User-Agent',
+            'Accept',
+            'Accept-Encoding',
+            'Content-Type',
+        ),
+    )
+    # The library sends a GET once more by itself when a kept connection
+    # breaks.  That second attempt would not be counted, and a GET of a route
+    # that may not be repeated would run twice.
+    session._retry_connection = False  # noqa: SLF001
+    return session
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
@@ -0,0 +1,133 @@
+"""Define what gateways say to each other about pieces."""
+
+import msgspec
+
+from ragworthollow.pieces import Piece, PieceOutcome, PieceResult
+from ragworthollow.utils.message import Message
+
+
+class PieceOrder(Message):
+    """
+    Ask for one piece.
+
+    Times are relative, since no two processes share a monotonic clock.
+
+    Attributes
+    ----------
+    request_id, position, number, key, inputs : various
+        As in `Piece`.
+    due_in_ms, expires_in_ms : float
+        From now; negative when the moment has passed.
+    result_bytes : int
+        Approximate size of the result.
+    failure_domain : str
+        Where the result will be read.
+    """
+
+    request_id: str
+    position: int
+    number: int
+    due_in_ms: float
+    expires_in_ms: float
+    key: str = ''
+    inputs: tuple[str, ...] = ()
+    result_bytes: int = 0
+    failure_domain: str = ''
+
+
+class PieceResultMessage(Message):
+    """Tell what became of a piece, as `PieceResult` does."""
+
+    outcome: PieceOutcome
+    handle: str = ''
+
+
+class PiecesOrder(Message):
+    """Ask the gate of a pool for pieces of one stage of one request."""
+
+    pool: str
+    orders: tuple[PieceOrder, ...]
+
+
+class PiecesAnswer(Message):
+    """Answer with results in the order of the pieces."""
+
+    results: tuple[PieceResultMessage, ...]
+
+
+class ResultsRelease(Message):
+    """Give results of a pool up."""
+
+    pool: str
+    handles: tuple[str, ...]
+
+
+def encode_pieces(
+    pool: str,
+    pieces: tuple[Piece, ...],
+    now_ms: float,
+) -> bytes:
+    """Encode pieces for a host whose clock is another."""
+    return msgspec.json.encode(
+        PiecesOrder(
+            pool=pool,
+            orders=tuple(
+                PieceOrder(
+                    request_id=piece.request_id,
+                    position=piece.position,
+                    number=piece.number,
+                    due_in_ms=piece.due_ms - now_ms,
+                    expires_in_ms=piece.expires_ms - now_ms,
+                    key=piece.key,
+                    inputs=piece.inputs,
+                    result_bytes=piece.result_bytes,
+                    failure_domain=piece.failure_domain,
+                )
+                for piece in pieces
+            ),
+        ),
+    )
+
+
+def decode_pieces(order: PiecesOrder, now_ms: float) -> tuple[Piece, ...]:
+    """Decode pieces onto this process's clock."""
+    return tuple(
+        Piece(
+            request_id=one.request_id,
+            position=one.position,
+            number=one.number,
+            key=one.key,
+            inputs=one.inputs,
+            due_ms=now_ms + one.due_in_ms,
+            expires_ms=now_ms + one.expires_in_ms,
+            result_bytes=one.result_bytes,
+            failure_domain=one.failure_domain,
+        )
+        for one in order.orders
+    )
+
+
+def encode_results(results: tuple[PieceResult, ...]) -> PiecesAnswer:
+    """Make the answer to a gateway."""
+    return PiecesAnswer(
+        results=tuple(
+            PieceResultMessage(outcome=one.outcome, handle=one.handle)
+            for one in results
+        ),
+    )
+
+
+def decode_results(text: bytes) -> tuple[PieceResult, ...]:
+    """
+    Decode a host's answer.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        The bytes are no such answer.
+    """
+    answer = msgspec.json.decode(text, type=PiecesAnswer)
+    return tuple(
+        PieceResult(outcome=one.outcome, handle=one.handle)
+        for one in answer.results
+    )
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/__init__.py
@@ -0,0 +1,16 @@
+"""Know the upstream instances and choose among them."""
+
+from ragworthollow.upstreams.choice import UpstreamWish, choose_upstream
+from ragworthollow.upstreams.directory import Directory
+from ragworthollow.upstreams.instance_load import InstanceLoad
+from ragworthollow.upstreams.load_book import LoadBook
+from ragworthollow.upstreams.upstream_instance import UpstreamInstance
+
+__all__ = (
+    'Directory',
+    'InstanceLoad',
+    'LoadBook',
+    'UpstreamInstance',
+    'UpstreamWish',
+    'choose_upstream',
+)
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/directory.py
@@ -0,0 +1,118 @@
+"""Hold the upstream instances that may get work."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ragworthollow.conf import global_settings
+from ragworthollow.upstreams.upstream_instance import UpstreamInstance
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DirectoryChange:
+    """
+    Say what a new list changed.
+
+    Attributes
+    ----------
+    appeared : tuple of str
+        Instances that may get work from now on.
+    left : tuple of str
+        Instances that get no further work.
+    """
+
+    appeared: tuple[str, ...]
+    left: tuple[str, ...]
+
+
+class Directory:
+    """
+    Know which instances may get work.
+
+    An instance that announces its leaving, or whose entry is gone, gets no
+    new work from the moment at which the list is taken.  One exception: a
+    store that was away may have let the entries of live instances lapse, and
+    these come back within seconds of its return.  Dropping them at once would
+    empty the pools, so entries that are missing right after an outage are
+    kept for `LAPSED_ENTRY_MS`.
+    """
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, UpstreamInstance] = {}
+        self._by_pool: dict[str, tuple[UpstreamInstance, ...]] = {}
+        self._missing_since_ms: dict[str, float] = {}
+        self._outage_ended_ms = float('-inf')
+        self.updated_ms = float('-inf')
+
+    def note_outage(self, now_ms: float) -> None:
+        """Note that the list could not be read at `now_ms`."""
+        self._outage_ended_ms = now_ms
+
+    def replace(
+        self,
+        listed: Iterable[UpstreamInstance],
+        now_ms: float,
+    ) -> DirectoryChange:
+        """
+        Take a whole list.
+
+        Parameters
+        ----------
+        listed : iterable of UpstreamInstance
+            Every entry, leaving ones included.
+        now_ms : float
+            When the list was asked for, on the monotonic clock.
+
+        Returns
+        -------
+        DirectoryChange
+            Which instances appeared and which get no further work.
+        """
+        everything = {entry.instance: entry for entry in listed}
+        fresh = {
+            name: entry
+            for name, entry in everything.items()
+            if not entry.is_leaving
+        }
+        for name, entry in self._by_id.items():
+            if name not in everything and self._is_excused(name, now_ms):
+                fresh[name] = entry
+        for name in tuple(self._missing_since_ms):
+            if name in everything or name not in fresh:
+                self._missing_since_ms.pop(name)
+        change = DirectoryChange(
+            appeared=tuple(fresh.keys() - self._by_id.keys()),
+            left=tuple(self._by_id.keys() - fresh.keys()),
+        )
+        self._by_id = fresh
+        self._by_pool = _group(fresh.values())
+        self.updated_ms = now_ms
+        return change
+
+    def get_pool(self, pool: str) -> tuple[UpstreamInstance, ...]:
+        """Return the instances of a pool that may get work."""
+        return self._by_pool.get(pool, ())
+
+    def get(self, instance: str) -> UpstreamInstance | None:
+        """Return an instance that may get work, or None."""
+        return self._by_id.get(instance)
+
+    def _is_excused(self, name: str, now_ms: float) -> bool:
+        first_ms = self._missing_since_ms.setdefault(name, now_ms)
+        was_away = (
+            first_ms - self._outage_ended_ms
+            < global_settings.OUTAGE_AFTERMATH_MS
+        )
+        is_recent = now_ms - first_ms < global_settings.LAPSED_ENTRY_MS
+        return was_away and is_recent
+
+
+def _group(
+    instances: Iterable[UpstreamInstance],
+) -> dict[str, tuple[UpstreamInstance, ...]]:
+    grouped: dict[str, list[UpstreamInstance]] = {}
+    for entry in instances:
+        grouped.setdefault(entry.pool, []).append(entry)
+    return {
+        pool: tuple(sorted(members, key=lambda one: one.instance))
+        for pool, members in grouped.items()
+    }
