Refuse stage work that cannot start in time; free results when read

Ruled out: the engines (light), the route to the gate (answers came). Change: a gate refuses first-stage work whose wait is over its slack, gives up late work on which nothing was spent, results are freed as soon as every stage that reads them is done and through the host that had them made, an instance without room rests for 100 ms; a leaving caller is logged.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
@@ -30,6 +30,18 @@
 _STEP = 'forward'
 _SERVER_ERROR = 500
 _SUCCESS = range(200, 300)
+# Failures that speak of the instance, not of the request: a short time limit
+# or an error of its own says nothing of how the next request would fare.
+_SUSPICIOUS = frozenset(
+    (
+        Reason.connect_failed,
+        Reason.connection_lost,
+        Reason.truncated,
+        Reason.mismatched_answer,
+        Reason.misdirected,
+        Reason.upstream_full,
+    )
+)
 
 Forwarded = Result[web.StreamResponse, UpstreamFailure]
 
@@ -257,7 +269,7 @@
             failure.outcome,
             failure.reason,
         )
-        if failure.reason not in {Reason.upstream_error, Reason.inputs_gone}:
+        if failure.reason in _SUSPICIOUS:
             self._context.book.note_failure(
                 plan.instance.instance,
                 get_monotonic_ms(),
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
@@ -55,7 +55,7 @@
                 job = None
             else:
                 job, table = admitted.ok_value
-                answered = await self._serve(job, table)
+                answered = await self._serve_present(job, table)
         response = self._finish(request, received_ms, job, answered)
         if self._context.drain.is_draining and not response.prepared:
             response.force_close()
@@ -103,6 +103,32 @@
         chosen = self._context.rng.choices(route.shares, weights)
         return chosen[0].pool
 
+    async def _serve_present(
+        self,
+        job: RequestJob,
+        table: RouteTable,
+    ) -> Answered:
+        """Serve as long as the caller is there; say so when it leaves."""
+        try:
+            return await self._serve(job, table)
+        except (asyncio.CancelledError, ConnectionError) as error:
+            self._context.metrics.count_request(
+                job.route.name,
+                Outcome.unknown,
+                Reason.cancelled,
+            )
+            log_event(
+                'request_abandoned',
+                step=_STEP,
+                request_id=job.terms.request_id,
+                route=job.route.name,
+                pool=job.pool,
+                version=job.version,
+                error=repr(error),
+                elapsed_ms=round(get_monotonic_ms() - job.received_ms),
+            )
+            raise
+
     async def _serve(self, job: RequestJob, table: RouteTable) -> Answered:
         stages = StageWork(client=self._pieces, job=job, table=table)
         try:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 import aiohttp
 import msgspec
@@ -28,6 +29,23 @@
 Found = tuple[PieceResult, ...]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PieceRun:
+    """
+    Hold what became of pieces, and which host knows their makers.
+
+    Attributes
+    ----------
+    host : GatewayMember or None
+        None for this process.
+    found : tuple of PieceResult
+        In the order of the pieces.
+    """
+
+    host: GatewayMember | None
+    found: Found
+
+
 class PieceClient:
     """
     Reach the gate of a pool.
@@ -53,7 +71,7 @@
         self._members = members
         self._service = service
 
-    async def run(self, pool: str, pieces: Sequence[Piece]) -> Found:
+    async def run(self, pool: str, pieces: Sequence[Piece]) -> PieceRun:
         """
         Have the pieces of one stage of one request done.
 
@@ -64,16 +82,21 @@
         while True:
             host = self._members.find_host(pool)
             if host is None:
-                return await self._service.run(pool, pieces)
+                found = await self._service.run(pool, pieces)
+                return PieceRun(host=None, found=found)
             found = await self._run_at(host, pool, tuple(pieces))
             if found is not None:
-                return found
+                return PieceRun(host=host, found=found)
 
-    def free(self, pool: str, handles: Sequence[str]) -> None:
-        """Give results up."""
+    def free(
+        self,
+        pool: str,
+        host: GatewayMember | None,
+        handles: Sequence[str],
+    ) -> None:
+        """Give results up, through the host that had them made."""
         if not handles:
             return
-        host = self._members.find_host(pool)
         if host is None:
             self._service.free(pool, handles)
             return
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
@@ -69,6 +69,9 @@
         tuple of PieceResult
             In the order of the pieces.
         """
+        refused = self._refuse(pool, pieces)
+        if refused is not None:
+            return refused
         self._context.get_budget(pool).earn()
         loop = asyncio.get_running_loop()
         gate = self._gates.setdefault(pool, PieceGate())
@@ -81,16 +84,52 @@
                 arrived_ms=get_monotonic_ms(),
                 settle=_make_settler(future),
             )
-            gate.submit(waiting)
             futures.append(future)
             submitted.append(waiting)
+        for waiting in submitted:
+            gate.submit(waiting)
         self.advance(pool)
         try:
             return tuple(await asyncio.gather(*futures))
+        except asyncio.CancelledError:
+            # Whoever asked has left: results made so far would take their
+            # makers' space until they expire.
+            self.free(pool, _get_handles(futures))
+            raise
         finally:
             for waiting in submitted:
                 waiting.is_wanted = False
 
+    def _refuse(self, pool: str, pieces: Sequence[Piece]) -> Found | None:
+        """Refuse at once what cannot start in time; None lets it in."""
+        table = self._context.table
+        described = None if table is None else table.pools.get(pool)
+        first = pieces[0]
+        if described is None or described.pieces is None or first.inputs:
+            return None
+        now_ms = get_monotonic_ms()
+        wait_ms = self._gates.setdefault(pool, PieceGate()).estimate_wait_ms(
+            described.pieces,
+            len(self._context.directory.get_pool(pool)),
+            first.due_ms,
+            now_ms,
+        )
+        late_ms = now_ms + wait_ms - first.due_ms
+        if late_ms <= global_settings.ADMISSION_GRACE_MS:
+            return None
+        self._context.metrics.count_event('pieces_refused')
+        log_event(
+            'pieces_refused',
+            step=_STEP,
+            pool=pool,
+            request_id=first.request_id,
+            pieces=len(pieces),
+            wait_ms=round(wait_ms),
+            late_ms=round(late_ms),
+        )
+        refusal = PieceResult(outcome=PieceOutcome.refused, wait_ms=wait_ms)
+        return (refusal,) * len(pieces)
+
     async def tick(self) -> None:
         """Advance every gate now and then, until cancelled."""
         while True:
@@ -240,6 +279,11 @@
         described = self._context.table.pools[pool]
         until_ms = now_ms + described.pieces.kept_ms
         for waiting, piece_result in zip(call.waiting, found, strict=True):
+            if piece_result.outcome is PieceOutcome.no_room:
+                gate.room.note_full(
+                    call.instance.instance,
+                    now_ms + global_settings.ROOM_RETRY_MS,
+                )
             if piece_result.outcome is PieceOutcome.done:
                 gate.room.keep(
                     handle=piece_result.handle,
@@ -358,6 +402,14 @@
     return settle
 
 
+def _get_handles(futures: Sequence[asyncio.Future[PieceResult]]) -> list[str]:
+    return [
+        future.result().handle
+        for future in futures
+        if future.done() and not future.cancelled() and future.result().handle
+    ]
+
+
 def _count(found: Found) -> dict[str, int]:
     counts: dict[str, int] = {}
     for one in found:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
@@ -48,6 +48,15 @@
         """Return the time left in milliseconds."""
         return self.deadline_ms - get_monotonic_ms()
 
+    def get_active_stages(self) -> tuple[int, ...]:
+        """Return the positions of the stages that have pieces."""
+        counts = self.terms.piece_counts
+        return tuple(
+            position
+            for position in range(len(self.route.stages))
+            if position < len(counts) and counts[position] > 0
+        )
+
     def get_priority(self) -> int:
         """Return the rank, the organisation's before the route's."""
         if self.holder is not None and self.holder.priority is not None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
@@ -1,10 +1,11 @@
 """Do the work that a request needs before it can run."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
+from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.pieces import Piece, PieceOutcome, PieceResult
 from ragworthollow.routes import RouteTable
@@ -17,24 +18,28 @@
     PieceOutcome.late: Reason.stage_late,
     PieceOutcome.not_run: Reason.stage_late,
     PieceOutcome.input_gone: Reason.inputs_gone,
+    PieceOutcome.refused: Reason.overloaded,
 }
 
 
-@dataclass(kw_only=True, slots=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class StageResults:
     """
-    Hold the results of a request's stages.
+    Hold the results of one stage.
 
     Attributes
     ----------
-    handles : dict
-        Handles by the position of the stage.
-    pools : dict
-        Pool of each stage, by position.
+    pool : str
+        Pool that made them.
+    host : GatewayMember or None
+        Gateway whose gate had them made; None for this one.
+    handles : tuple of str
+        Their names, in the order of the pieces.
     """
 
-    handles: dict[int, tuple[str, ...]] = field(default_factory=dict)
-    pools: dict[int, str] = field(default_factory=dict)
+    pool: str
+    host: GatewayMember | None
+    handles: tuple[str, ...]
 
 
 class StageWork:
@@ -61,7 +66,8 @@
         self._client = client
         self._job = job
         self._table = table
-        self.results = StageResults()
+        self._results: dict[int, StageResults] = {}
+        self._active = job.get_active_stages()
 
     async def run(self) -> Result[tuple[str, ...], UpstreamFailure]:
         """
@@ -73,47 +79,49 @@
             Handles of the results that the request itself reads, or why
             there are none.
         """
-        counts = self._job.terms.piece_counts
-        stages = self._job.route.stages
-        active = tuple(
-            position
-            for position in range(len(stages))
-            if position < len(counts) and counts[position] > 0
-        )
         tasks: dict[int, asyncio.Task[UpstreamFailure | None]] = {}
-        for position in active:
+        for position in self._active:
             tasks[position] = asyncio.ensure_future(
                 self._run_stage(position, tasks),
             )
         try:
-            ended = await asyncio.gather(*tasks.values())
+            # One failure ends all: the rest would be made in vain.
+            for ended in asyncio.as_completed(tasks.values()):
+                failure = await ended
+                if failure is not None:
+                    return Err(failure)
         finally:
             for task in tasks.values():
                 task.cancel()
-        for failure in ended:
-            if failure is not None:
-                return Err(failure)
-        return Ok(self._collect(active))
+        return Ok(self._collect())
 
     def free(self) -> None:
         """Give all results up."""
-        for position, handles in self.results.handles.items():
-            self._client.free(self.results.pools[position], handles)
-        self.results.handles.clear()
+        for position in tuple(self._results):
+            self._free_stage(position)
 
-    def _collect(self, active: tuple[int, ...]) -> tuple[str, ...]:
+    def _free_stage(self, position: int) -> None:
+        made = self._results.pop(position, None)
+        if made is not None:
+            self._client.free(made.pool, made.host, made.handles)
+
+    def _collect(self) -> tuple[str, ...]:
         """Return what no other active stage reads."""
-        stages = self._job.route.stages
-        read = {
-            before for position in active for before in stages[position].after
-        }
         return tuple(
             handle
-            for position in active
-            if position not in read
-            for handle in self.results.handles.get(position, ())
+            for position in self._active
+            if not self._get_readers(position)
+            for handle in self._results[position].handles
         )
 
+    def _get_readers(self, position: int) -> list[int]:
+        stages = self._job.route.stages
+        return [
+            reader
+            for reader in self._active
+            if position in stages[reader].after
+        ]
+
     async def _run_stage(
         self,
         position: int,
@@ -122,21 +130,33 @@
         # One turn of the loop, so that all stages have their tasks.
         await asyncio.sleep(0)
         stage = self._job.route.stages[position]
-        handles_by_position = self.results.handles
-        inputs: list[str] = []
-        for before in stage.after:
-            if before not in tasks:
-                continue
+        read = [before for before in stage.after if before in tasks]
+        for before in read:
             failure = await asyncio.shield(tasks[before])
             if failure is not None:
                 return failure
-            inputs.extend(handles_by_position[before])
-        pieces = self._make_pieces(position, tuple(inputs))
-        found = await self._client.run(stage.pool, pieces)
-        handles = tuple(one.handle for one in found if one.handle)
-        self.results.pools[position] = stage.pool
-        self.results.handles[position] = handles
-        return _find_failure(found, stage.pool)
+        inputs = tuple(
+            handle
+            for before in read
+            for handle in self._results[before].handles
+        )
+        pieces = self._make_pieces(position, inputs)
+        run = await self._client.run(stage.pool, pieces)
+        self._results[position] = StageResults(
+            pool=stage.pool,
+            host=run.host,
+            handles=tuple(one.handle for one in run.found if one.handle),
+        )
+        self._free_read(read)
+        return _find_failure(run.found, stage.pool)
+
+    def _free_read(self, read: list[int]) -> None:
+        """Free results that every stage which needs them has read."""
+        for before in read:
+            if all(
+                reader in self._results for reader in self._get_readers(before)
+            ):
+                self._free_stage(before)
 
     def _make_pieces(
         self,
@@ -176,11 +196,7 @@
                 min(counts[position], pool.pieces.batch_limit),
             )
         later_ms = [
-            self._get_rest_ms(after)
-            for after in range(len(stages))
-            if position in stages[after].after
-            and after < len(counts)
-            and counts[after]
+            self._get_rest_ms(reader) for reader in self._get_readers(position)
         ]
         return own_ms + max(later_ms, default=0)
 
@@ -197,5 +213,6 @@
                 step=_STEP,
                 peer=pool,
                 detail=f'a piece ended {one.outcome}',
+                retry_after_ms=one.wait_ms or None,
             )
     return None
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -138,13 +138,23 @@
 # A piece that is this late may still end in time: stage times are
 # approximate to about a tenth of a call of 300 to 400 ms.
 PIECE_LATE_GRACE_MS = 30
+# Lateness at which a request that has cost nothing yet is given up; about one
+# call, so that a wrong estimate of one call does not refuse a request.
+PIECE_GIVE_UP_MS = 300
+# Expected lateness at which a request is refused on arrival.
+ADMISSION_GRACE_MS = 100
+# How long an instance without space for results is left alone; results are
+# freed every few hundred milliseconds.
+ROOM_RETRY_MS = 100
+# Sizes of results are approximate.
+ROOM_MARGIN = 1.15
 
 # Gateway: stop, retries and the store.
 # What the platform grants between TERM and KILL.
 GATEWAY_GRACE_S = 8.0
 # Time before KILL at which what still runs is cut by ourselves, so that the
 # cut is logged.
-GATEWAY_STOP_MARGIN_MS = 400
+GATEWAY_STOP_MARGIN_MS = 1_000
 # The balancer asks once a second and moves away after two misses; one more
 # second covers the new connections that cross.
 GATEWAY_BALANCER_LAG_MS = 3_300
--- a/packages/ragworthollow/src/ragworthollow/pieces/gate.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/gate.py
@@ -71,7 +71,7 @@
         for waiting in self._queue:
             if not waiting.is_wanted:
                 continue
-            if waiting.piece.expires_ms <= now_ms:
+            if _is_hopeless(waiting, now_ms):
                 waiting.settle(PieceResult(outcome=PieceOutcome.not_run))
                 continue
             staying.append(waiting)
@@ -81,10 +81,11 @@
         self,
         profile: PieceProfile,
         instances: int,
+        due_ms: float,
         now_ms: float,
     ) -> float:
         """
-        Estimate how long a piece that came now would wait for its call.
+        Estimate how long a piece would wait for the start of its call.
 
         Parameters
         ----------
@@ -92,20 +93,25 @@
             Of the pool.
         instances : int
             Instances that may get work.
+        due_ms : float
+            Latest useful start of the piece; only pieces that are due
+            earlier, and not late, go before it.
         now_ms : float
             Time on the monotonic clock.
         """
         if not instances:
             return float('inf')
+        rank = (False, due_ms)
+        ahead = sum(_rank(one, now_ms) <= rank for one in self._queue)
         full_ms = profile.estimate_ms(profile.batch_limit)
-        ahead = len(self._queue) // profile.batch_limit
         busy_ms = sum(
             max(0, call.started_ms + call.expected_ms - now_ms)
             for call in self._calls
         )
-        if len(self._calls) < instances * profile.concurrency and not ahead:
-            return 0
-        return (busy_ms + ahead * full_ms) / instances
+        if len(self._calls) < instances * profile.concurrency:
+            busy_ms = 0
+        calls_ahead = ahead / profile.batch_limit
+        return (busy_ms / 2 + calls_ahead * full_ms) / instances
 
     def plan(
         self,
@@ -160,6 +166,7 @@
             one
             for one in instances
             if busy.count(one.instance) < profile.concurrency
+            and not self.room.is_full(one.instance, now_ms)
         ]
         trusted = [
             one
@@ -180,7 +187,8 @@
         used: dict[str, int],
         now_ms: float,
     ) -> PieceCall | None:
-        free_bytes = profile.room_bytes - used.get(instance.instance, 0)
+        room_bytes = profile.room_bytes / global_settings.ROOM_MARGIN
+        free_bytes = room_bytes - used.get(instance.instance, 0)
         taken: list[WaitingPiece] = []
         for waiting in self._queue:
             if len(taken) == profile.batch_limit:
@@ -205,6 +213,23 @@
         return call
 
 
+def _is_hopeless(waiting: WaitingPiece, now_ms: float) -> bool:
+    """
+    Tell whether a queued piece is given up.
+
+    A request on which nothing was spent is given up soon after its objective
+    is out of reach: it would take time from requests that can still meet
+    theirs, and its caller can come back.  One on which work was spent stays
+    until nobody waits for it.
+    """
+    piece = waiting.piece
+    if piece.expires_ms <= now_ms:
+        return True
+    if piece.inputs or waiting.attempts:
+        return False
+    return piece.due_ms + global_settings.PIECE_GIVE_UP_MS < now_ms
+
+
 def _rank(waiting: WaitingPiece, now_ms: float) -> tuple[bool, float]:
     due_ms = waiting.piece.due_ms
     return (due_ms + global_settings.PIECE_LATE_GRACE_MS < now_ms, due_ms)
--- a/packages/ragworthollow/src/ragworthollow/pieces/piece.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/piece.py
@@ -52,6 +52,7 @@
     no_room = 'no_room'
     failed = 'failed'
     not_run = 'not_run'
+    refused = 'refused'
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -65,7 +66,10 @@
         What became of the piece.
     handle : str
         Names the result towards upstreams; empty when there is none.
+    wait_ms : float
+        How long a refused piece would have waited.
     """
 
     outcome: PieceOutcome
     handle: str = ''
+    wait_ms: float = 0
--- a/packages/ragworthollow/src/ragworthollow/pieces/result_room.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/result_room.py
@@ -20,6 +20,15 @@
     """
 
     _kept_by_handle: dict[str, _Kept] = field(default_factory=dict)
+    _full_until_ms: dict[str, float] = field(default_factory=dict)
+
+    def note_full(self, instance: str, until_ms: float) -> None:
+        """Note that an instance had no space, whatever the account says."""
+        self._full_until_ms[instance] = until_ms
+
+    def is_full(self, instance: str, now_ms: float) -> bool:
+        """Tell whether an instance has had no space of late."""
+        return self._full_until_ms.get(instance, 0) > now_ms
 
     def keep(
         self,
--- a/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
@@ -40,6 +40,7 @@
 
     outcome: PieceOutcome
     handle: str = ''
+    wait_ms: float = 0
 
 
 class PiecesOrder(Message):
@@ -111,7 +112,11 @@
     """Make the answer to a gateway."""
     return PiecesAnswer(
         results=tuple(
-            PieceResultMessage(outcome=one.outcome, handle=one.handle)
+            PieceResultMessage(
+                outcome=one.outcome,
+                handle=one.handle,
+                wait_ms=one.wait_ms,
+            )
             for one in results
         ),
     )
@@ -128,6 +133,10 @@
     """
     answer = msgspec.json.decode(text, type=PiecesAnswer)
     return tuple(
-        PieceResult(outcome=one.outcome, handle=one.handle)
+        PieceResult(
+            outcome=one.outcome,
+            handle=one.handle,
+            wait_ms=one.wait_ms,
+        )
         for one in answer.results
     )
