Make pieces near the engine that will read them, while that costs little

Change: a piece waits for a near instance only while that one's expected wait is under a fifth of the piece's slack.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
@@ -59,6 +59,12 @@
     def __init__(self, *, context: GatewayContext) -> None:
         self._context = context
 
+    def expect_failure_domain(self, job: RequestJob) -> str:
+        """Return where a request would run now; empty without instances."""
+        series = _Series(context=self._context, job=job, inputs=())
+        instance = series.choose()
+        return '' if instance is None else instance.failure_domain
+
     async def forward(
         self,
         job: RequestJob,
@@ -188,16 +194,10 @@
         self._last: UpstreamFailure | None = None
         self._error_answer: UpstreamAnswer | None = None
 
-    def plan_next(
-        self,
-        last_event_id: str = '',
-    ) -> Result[AttemptPlan, UpstreamFailure]:
-        """Choose the next attempt, or say why there is none."""
-        stop = self._find_stop()
-        if stop is not None:
-            return Err(stop)
+    def choose(self) -> UpstreamInstance | None:
+        """Choose the instance for the next attempt."""
         context = self._context
-        instance = choose_upstream(
+        return choose_upstream(
             context.directory.get_pool(self.job.pool),
             context.book,
             UpstreamWish(
@@ -208,6 +208,17 @@
             get_monotonic_ms(),
             context.rng,
         )
+
+    def plan_next(
+        self,
+        last_event_id: str = '',
+    ) -> Result[AttemptPlan, UpstreamFailure]:
+        """Choose the next attempt, or say why there is none."""
+        stop = self._find_stop()
+        if stop is not None:
+            return Err(stop)
+        context = self._context
+        instance = self.choose()
         if instance is None:
             return Err(self._last or self._make_failure(Reason.no_instance))
         if self._sent and not context.get_budget(self.job.pool).spend():
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
@@ -130,7 +130,12 @@
             raise
 
     async def _serve(self, job: RequestJob, table: RouteTable) -> Answered:
-        stages = StageWork(client=self._pieces, job=job, table=table)
+        stages = StageWork(
+            client=self._pieces,
+            job=job,
+            table=table,
+            failure_domain=self._forwarder.expect_failure_domain(job),
+        )
         try:
             async with asyncio.timeout(job.get_remaining_ms() / 1000):
                 made = await stages.run()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
@@ -54,6 +54,8 @@
         The request.
     table : RouteTable
         Configuration by which the request is served.
+    failure_domain : str
+        Where the request itself is expected to run.
     """
 
     def __init__(
@@ -62,7 +64,9 @@
         client: PieceClient,
         job: RequestJob,
         table: RouteTable,
+        failure_domain: str,
     ) -> None:
+        self._failure_domain = failure_domain
         self._client = client
         self._job = job
         self._table = table
@@ -137,8 +141,8 @@
                 return failure
         inputs = tuple(
             handle
-            for before in read
-            for handle in self._results[before].handles
+            for earlier in read
+            for handle in self._results[earlier].handles
         )
         pieces = self._make_pieces(position, inputs)
         run = await self._client.run(stage.pool, pieces)
@@ -176,6 +180,7 @@
                 due_ms=due_ms,
                 expires_ms=self._job.deadline_ms,
                 result_bytes=stage.result_bytes,
+                failure_domain=self._failure_domain,
             )
             for number in range(counts[position])
         )
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -196,3 +196,5 @@
 # that those refused together do not return together.
 GATEWAY_RETRY_AFTER_MS = 400
 RETRY_AFTER_SPREAD = 0.5
+# Part of a piece's slack that it may wait for an instance near its reader.
+NEAR_WAIT_SHARE = 0.2
--- a/packages/ragworthollow/src/ragworthollow/pieces/gate.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/gate.py
@@ -144,12 +144,18 @@
             return []
         idle = self._find_idle(profile, instances, book, now_ms)
         used = self.room.get_used(now_ms)
+        waits_ms = self._estimate_domain_waits(profile, instances, now_ms)
         self._queue.sort(key=lambda one: _rank(one, now_ms))
         calls = []
         while idle and self._queue:
             instance = _prefer_domain(idle, self._queue[0])
             idle.remove(instance)
-            call = self._fill(profile, instance, used, now_ms)
+            wanted = [
+                one
+                for one in self._queue
+                if not _is_held(one, instance, waits_ms, now_ms)
+            ]
+            call = self._fill(profile, instance, wanted, used, now_ms)
             if call is not None:
                 calls.append(call)
         return calls
@@ -180,17 +186,47 @@
         )
         return idle if all_suspect else trusted
 
+    def _estimate_domain_waits(
+        self,
+        profile: PieceProfile,
+        instances: Sequence[UpstreamInstance],
+        now_ms: float,
+    ) -> dict[str, float]:
+        """Estimate when a domain could begin with what is queued for it."""
+        busy_ms = {
+            call.instance.instance: call.started_ms + call.expected_ms - now_ms
+            for call in self._calls
+        }
+        queued: dict[str, int] = {}
+        for waiting in self._queue:
+            domain = waiting.piece.failure_domain
+            queued[domain] = queued.get(domain, 0) + 1
+        free_ms: dict[str, list[float]] = {}
+        for one in instances:
+            free_ms.setdefault(one.failure_domain, []).append(
+                max(0, busy_ms.get(one.instance, 0)),
+            )
+        full_ms = profile.estimate_ms(profile.batch_limit)
+        return {
+            domain: min(free)
+            + full_ms
+            * (queued.get(domain, 0) // profile.batch_limit)
+            / len(free)
+            for domain, free in free_ms.items()
+        }
+
     def _fill(
         self,
         profile: PieceProfile,
         instance: UpstreamInstance,
+        wanted: Sequence[WaitingPiece],
         used: dict[str, int],
         now_ms: float,
     ) -> PieceCall | None:
         room_bytes = profile.room_bytes / global_settings.ROOM_MARGIN
         free_bytes = room_bytes - used.get(instance.instance, 0)
         taken: list[WaitingPiece] = []
-        for waiting in self._queue:
+        for waiting in wanted:
             if len(taken) == profile.batch_limit:
                 break
             needed_bytes = waiting.piece.result_bytes
@@ -235,6 +271,27 @@
     return (due_ms + global_settings.PIECE_LATE_GRACE_MS < now_ms, due_ms)
 
 
+def _is_held(
+    waiting: WaitingPiece,
+    instance: UpstreamInstance,
+    waits_ms: dict[str, float],
+    now_ms: float,
+) -> bool:
+    """
+    Tell whether a piece rather waits for an instance near its reader.
+
+    A result that is read in another failure domain costs traffic between
+    them.  A piece waits for a near instance that is expected soon, measured
+    by its own slack.
+    """
+    piece = waiting.piece
+    wait_ms = waits_ms.get(piece.failure_domain)
+    if wait_ms is None or piece.failure_domain == instance.failure_domain:
+        return False
+    slack_ms = piece.due_ms - now_ms
+    return wait_ms < slack_ms * global_settings.NEAR_WAIT_SHARE
+
+
 def _prefer_domain(
     idle: Sequence[UpstreamInstance],
     first: WaitingPiece,
