Leave slow stage calls running and use or free what they make

Ruled out: the declared sizes (calm seconds fit), lost frees (none failed). Change: slow calls run on while their pieces are tried elsewhere; the first result is used, later ones freed; a leaving caller frees all it had.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
@@ -137,11 +137,7 @@
             failure_domain=self._forwarder.expect_failure_domain(job),
         )
         try:
-            async with asyncio.timeout(job.get_remaining_ms() / 1000):
-                made = await stages.run()
-        except TimeoutError:
-            made = Err(_make_failure(Reason.deadline_exceeded, job.pool))
-        try:
+            made = await self._run_stages(stages, job)
             if isinstance(made, Err):
                 return made
             return await self._forwarder.forward(
@@ -152,6 +148,17 @@
         finally:
             stages.free()
 
+    async def _run_stages(
+        self,
+        stages: StageWork,
+        job: RequestJob,
+    ) -> Result[tuple[str, ...], UpstreamFailure]:
+        try:
+            async with asyncio.timeout(job.get_remaining_ms() / 1000):
+                return await stages.run()
+        except TimeoutError:
+            return Err(_make_failure(Reason.deadline_exceeded, job.pool))
+
     def _finish(
         self,
         request: web.BaseRequest,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
@@ -82,7 +82,7 @@
             waiting = WaitingPiece(
                 piece=piece,
                 arrived_ms=get_monotonic_ms(),
-                settle=_make_settler(future),
+                on_result=_make_settler(future),
             )
             futures.append(future)
             submitted.append(waiting)
@@ -171,23 +171,25 @@
             self._context.spawn(self._free_at(maker, tuple(given_up)))
 
     async def _send(self, pool: str, gate: PieceGate, call: PieceCall) -> None:
+        """
+        Make one call and see it to its end.
+
+        A call that is slow is not cut: its instance would go on working on
+        it, and its results would take space there under names that nobody
+        knows.  Its pieces go to other instances meanwhile; what it makes
+        after all is used if it comes first, and freed if not.
+        """
         sending = asyncio.ensure_future(self._call(call))
+        patience_ms = call.expected_ms * global_settings.PIECE_CALL_PATIENCE
         try:
-            while not sending.done():
-                await asyncio.wait(
-                    {sending},
-                    timeout=global_settings.GATE_TICK_MS / 1000,
-                )
-                if not any(one.is_wanted for one in call.waiting):
-                    # Everybody has left; the close drops a call that waits.
-                    break
+            await asyncio.wait({sending}, timeout=patience_ms / 1000)
+            if not sending.done():
+                self._note_failure(pool, gate, call, _make_slow(call))
+                self.advance(pool)
+            answered = await sending
         finally:
             sending.cancel()
             gate.finish(call)
-        if sending.cancelled() or not sending.done():
-            self.advance(pool)
-            return
-        answered = sending.result()
         if isinstance(answered, Err):
             self._note_failure(pool, gate, call, answered.err_value)
         else:
@@ -200,7 +202,6 @@
     ) -> Result[Found, UpstreamFailure]:
         now_ms = get_monotonic_ms()
         pieces = tuple(waiting.piece for waiting in call.waiting)
-        timeout_ms = call.expected_ms * global_settings.PIECE_CALL_PATIENCE
         try:
             async with self._context.upstream_session.post(
                 f'http://{call.instance.address}{RUN_PATH}',
@@ -210,7 +211,7 @@
                     EXPECT_INSTANCE: call.instance.instance,
                 },
                 timeout=make_timeout(
-                    timeout_ms,
+                    global_settings.PIECE_CALL_TIMEOUT_MS,
                     global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
                 ),
             ) as response:
@@ -302,13 +303,15 @@
         waiting: WaitingPiece,
         piece_result: PieceResult,
     ) -> None:
+        if not waiting.is_wanted:
+            if piece_result.handle:
+                self.free(pool, (piece_result.handle,))
+            return
         if piece_result.outcome in _RETRIED and self._may_retry(pool, waiting):
             waiting.attempts += 1
             waiting.avoid.add(call.instance.instance)
             gate.submit(waiting)
             return
-        if not waiting.is_wanted and piece_result.handle:
-            self.free(pool, (piece_result.handle,))
         waiting.settle(piece_result)
 
     def _note_failure(
@@ -336,15 +339,16 @@
         )
         is_free = failure.reason is Reason.connect_failed
         for waiting in call.waiting:
+            if not waiting.is_wanted:
+                continue
             if is_free or self._may_retry(pool, waiting):
                 waiting.attempts += 1
+                waiting.avoid.add(call.instance.instance)
                 gate.submit(waiting)
             else:
                 waiting.settle(PieceResult(outcome=PieceOutcome.failed))
 
     def _may_retry(self, pool: str, waiting: WaitingPiece) -> bool:
-        if not waiting.is_wanted:
-            return False
         if waiting.attempts + 1 >= global_settings.PIECE_ATTEMPTS:
             return False
         may_spend = self._context.get_budget(pool).spend()
@@ -390,6 +394,9 @@
             queued=gate.get_depth(),
             expected_ms=round(call.expected_ms),
             took_ms=round(get_monotonic_ms() - call.started_ms),
+            room_bytes=gate.room.get_used(get_monotonic_ms()).get(
+                call.instance.instance,
+            ),
             **fields,
         )
 
@@ -402,6 +409,16 @@
     return settle
 
 
+def _make_slow(call: PieceCall) -> UpstreamFailure:
+    return UpstreamFailure(
+        outcome=Outcome.unknown,
+        reason=Reason.attempt_timeout,
+        step=_STEP,
+        peer=call.instance.instance,
+        detail='slower than expected; left running',
+    )
+
+
 def _get_handles(futures: Sequence[asyncio.Future[PieceResult]]) -> list[str]:
     return [
         future.result().handle
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -188,8 +188,11 @@
 # Share of the time left that a repeatable attempt may take while another one
 # could still follow.
 ATTEMPT_TIME_SHARE = 0.5
-# A stage call that takes this many times its expected time is given up.
-PIECE_CALL_PATIENCE = 3.0
+# A stage call that takes this many times its expected time is slow: its
+# pieces are tried elsewhere as well.
+PIECE_CALL_PATIENCE = 2.5
+# A stage call that takes this long will not be answered any more.
+PIECE_CALL_TIMEOUT_MS = 6_000
 PIECE_ATTEMPTS = 3
 GATE_TICK_MS = 50
 # When a refused caller may come back at the earliest; spread by a half so
--- a/packages/ragworthollow/src/ragworthollow/pieces/waiting_piece.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/waiting_piece.py
@@ -17,19 +17,24 @@
         What is to be done.
     arrived_ms : float
         When it came.
-    settle : callable
+    on_result : callable
         Called once with the result.
     attempts : int
         Calls that it has been part of.
     avoid : set of str
         Instances that have failed it.
     is_wanted : bool
-        False when whoever asked has left.
+        False when whoever asked has the result or has left.
     """
 
     piece: Piece
     arrived_ms: float
-    settle: Callable[[PieceResult], None]
+    on_result: Callable[[PieceResult], None]
     attempts: int = 0
     avoid: set[str] = field(default_factory=set)
     is_wanted: bool = True
+
+    def settle(self, piece_result: PieceResult) -> None:
+        """Hand the result over; nothing more is wanted afterwards."""
+        self.is_wanted = False
+        self.on_result(piece_result)
