Rank pieces by priority, give up stage work at twice the objective, refuse on the whole way

Cause: stage work of requests that had missed their objective went on to the callers' limit, the most urgent kind (three stages) was served less than the next one, and a queue behind the first stage was seen only when reached. Change: each step of priority counts as 250 ms of urgency, expiry at twice the objective, pings carry the waits of hosted gates and the front refuses what would miss its objective on the whole way; a piece avoids failed instances only while others are left.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 from result import Err, Ok, Result
 
+from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.platform.request_wire import read_terms
@@ -136,6 +137,9 @@
             table=table,
             failure_domain=self._forwarder.expect_failure_domain(job),
         )
+        refusal = self._refuse_late(job, stages)
+        if refusal is not None:
+            return Err(refusal)
         try:
             made = await self._run_stages(stages, job)
             if isinstance(made, Err):
@@ -148,6 +152,26 @@
         finally:
             stages.free()
 
+    def _refuse_late(
+        self,
+        job: RequestJob,
+        stages: StageWork,
+    ) -> UpstreamFailure | None:
+        """Refuse at once what would miss its objective on the whole way."""
+        pools = {stage.pool for stage in job.route.stages}
+        waits_ms = self._pieces.get_waits_ms(pools)
+        late_ms = stages.find_lateness_ms(waits_ms)
+        if late_ms <= global_settings.ADMISSION_GRACE_MS:
+            return None
+        return UpstreamFailure(
+            outcome=Outcome.not_run,
+            reason=Reason.overloaded,
+            step=_STEP,
+            peer=max(waits_ms, key=waits_ms.get),
+            detail=f'expected {late_ms:.0f} ms late; waits {waits_ms}',
+            retry_after_ms=late_ms,
+        )
+
     async def _run_stages(
         self,
         stages: StageWork,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
@@ -12,6 +12,7 @@
 from ragworthollow.membership.gateway_members import GatewayMembers
 from ragworthollow.platform.stored import Stored
 from ragworthollow.platform.transaction import Put
+from ragworthollow.transport.piece_messages import HostState
 from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
 
 _PREFIX = 'gateways/'
@@ -148,16 +149,24 @@
                     global_settings.PEER_CONNECT_TIMEOUT_MS,
                 ),
             ) as response:
-                answered = await response.text()
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+                state = msgspec.json.decode(
+                    await response.read(),
+                    type=HostState,
+                )
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            msgspec.DecodeError,
+        ) as error:
             self._note_silent(host, repr(error))
             return
-        if answered != host.instance:
+        if state.instance != host.instance:
             self._note_silent(host, 'another process answered')
             return
         if self._members.is_silent(host.instance):
             log_event('peer_regained', step=_STEP, peer=host.instance)
-        self._members.note_answer(host.instance)
+        self._members.note_answer(host.instance, state.waits_ms)
 
     def _note_silent(self, host: GatewayMember, detail: str) -> None:
         if not self._members.is_silent(host.instance):
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -5,6 +5,7 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.transport.piece_messages import (
+    HostState,
     PiecesOrder,
     ResultsRelease,
     decode_pieces,
@@ -53,7 +54,12 @@
 
     async def answer_ping(self, _request: web.Request) -> web.Response:
         """Say who is alive here."""
-        return web.Response(text=self._context.settings.instance)
+        return respond(
+            HostState(
+                instance=self._context.settings.instance,
+                waits_ms=self._service.get_waits_ms(),
+            ),
+        )
 
     async def run_pieces(self, request: web.Request) -> web.Response:
         """Have pieces done; an asker who leaves takes them back."""
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
@@ -1,7 +1,7 @@
 """Have pieces done by the gate of their pool, wherever it is hosted."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 import aiohttp
@@ -88,6 +88,19 @@
             if found is not None:
                 return PieceRun(host=host, found=found)
 
+    def get_waits_ms(self, pools: Iterable[str]) -> dict[str, float]:
+        """Return the expected waits of pools, as their hosts said last."""
+        own = self._service.get_waits_ms()
+        waits = {}
+        for pool in pools:
+            host = self._members.find_host(pool)
+            waits[pool] = (
+                own.get(pool, 0)
+                if host is None
+                else self._members.get_wait_ms(pool, host.instance)
+            )
+        return waits
+
     def free(
         self,
         pool: str,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
@@ -130,6 +130,25 @@
         refusal = PieceResult(outcome=PieceOutcome.refused, wait_ms=wait_ms)
         return (refusal,) * len(pieces)
 
+    def get_waits_ms(self) -> dict[str, float]:
+        """Return the expected wait of a new piece, by pool hosted here."""
+        table = self._context.table
+        if table is None:
+            return {}
+        now_ms = get_monotonic_ms()
+        waits = {}
+        for pool, gate in self._gates.items():
+            described = table.pools.get(pool)
+            if described is None or described.pieces is None:
+                continue
+            waits[pool] = gate.estimate_wait_ms(
+                described.pieces,
+                len(self._context.directory.get_pool(pool)),
+                float('inf'),
+                now_ms,
+            )
+        return waits
+
     async def tick(self) -> None:
         """Advance every gate now and then, until cancelled."""
         while True:
@@ -308,9 +327,7 @@
                 self.free(pool, (piece_result.handle,))
             return
         if piece_result.outcome in _RETRIED and self._may_retry(pool, waiting):
-            waiting.attempts += 1
-            waiting.avoid.add(call.instance.instance)
-            gate.submit(waiting)
+            self._resubmit(pool, gate, call, waiting)
             return
         waiting.settle(piece_result)
 
@@ -342,12 +359,23 @@
             if not waiting.is_wanted:
                 continue
             if is_free or self._may_retry(pool, waiting):
-                waiting.attempts += 1
-                waiting.avoid.add(call.instance.instance)
-                gate.submit(waiting)
+                self._resubmit(pool, gate, call, waiting)
             else:
                 waiting.settle(PieceResult(outcome=PieceOutcome.failed))
 
+    def _resubmit(
+        self,
+        pool: str,
+        gate: PieceGate,
+        call: PieceCall,
+        waiting: WaitingPiece,
+    ) -> None:
+        gate.resubmit(
+            waiting,
+            call.instance.instance,
+            self._context.directory.get_pool(pool),
+        )
+
     def _may_retry(self, pool: str, waiting: WaitingPiece) -> bool:
         if waiting.attempts + 1 >= global_settings.PIECE_ATTEMPTS:
             return False
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
@@ -1,14 +1,17 @@
 """Do the work that a request needs before it can run."""
 
 import asyncio
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
+from ragworthollow.conf import global_settings
 from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.pieces import Piece, PieceOutcome, PieceResult
 from ragworthollow.routes import RouteTable
+from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.piece_client import PieceClient
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
@@ -178,19 +181,57 @@
                 key='' if inputs else self._job.terms.piece_key,
                 inputs=inputs,
                 due_ms=due_ms,
-                expires_ms=self._job.deadline_ms,
+                expires_ms=self._get_expiry_ms(),
                 result_bytes=stage.result_bytes,
                 failure_domain=self._failure_domain,
+                priority=self._job.get_priority(),
             )
             for number in range(counts[position])
         )
 
+    def _get_expiry_ms(self) -> float:
+        """Return when waiting for stage work is given up."""
+        patience_ms = (
+            self._job.route.objective_ms * global_settings.STAGE_PATIENCE
+        )
+        return min(
+            self._job.deadline_ms,
+            self._job.received_ms + patience_ms,
+        )
+
+    def find_lateness_ms(self, waits_ms: Mapping[str, float]) -> float:
+        """
+        Estimate by how much a request that begins now misses its objective.
+
+        Parameters
+        ----------
+        waits_ms : mapping of str to float
+            Expected waits by pool.
+
+        Returns
+        -------
+        float
+            Milliseconds; 0 when it should be in time, or when no pool has a
+            queue: an estimate of the work alone refuses nobody.
+        """
+        heads = [self._get_rest_ms(one, waits_ms) for one in self._active]
+        bare = [self._get_rest_ms(one, {}) for one in self._active]
+        way_ms = max(heads, default=0)
+        if way_ms <= max(bare, default=0):
+            return 0
+        goal_ms = self._job.received_ms + self._job.route.objective_ms
+        return max(0, get_monotonic_ms() + way_ms - goal_ms)
+
     def _get_due_ms(self, position: int) -> float:
         """Return the latest start that still meets the objective."""
         goal_ms = self._job.received_ms + self._job.route.objective_ms
-        return goal_ms - self._get_rest_ms(position)
+        return goal_ms - self._get_rest_ms(position, {})
 
-    def _get_rest_ms(self, position: int) -> float:
+    def _get_rest_ms(
+        self,
+        position: int,
+        waits_ms: Mapping[str, float],
+    ) -> float:
         """Estimate the way from the start of a stage to the first event."""
         counts = self._job.terms.piece_counts
         stages = self._job.route.stages
@@ -201,9 +242,11 @@
                 min(counts[position], pool.pieces.batch_limit),
             )
         later_ms = [
-            self._get_rest_ms(reader) for reader in self._get_readers(position)
+            self._get_rest_ms(reader, waits_ms)
+            for reader in self._get_readers(position)
         ]
-        return own_ms + max(later_ms, default=0)
+        wait_ms = waits_ms.get(stages[position].pool, 0)
+        return wait_ms + own_ms + max(later_ms, default=0)
 
 
 def _find_failure(
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -141,6 +141,12 @@
 # Lateness at which a request that has cost nothing yet is given up; about one
 # call, so that a wrong estimate of one call does not refuse a request.
 PIECE_GIVE_UP_MS = 300
+# Times of a request's objective after which its stage work is given up: a
+# late answer still has some worth, but its caller is held all the while.
+STAGE_PATIENCE = 2.0
+# Rank of a more urgent request among pieces: as if it were due this much
+# earlier for each step of priority; about one call.
+PRIORITY_STEP_MS = 250
 # Expected lateness at which a request is refused on arrival.
 ADMISSION_GRACE_MS = 100
 # How long an instance without space for results is left alone; results are
--- a/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
+++ b/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
@@ -24,6 +24,7 @@
         self._instance = instance
         self._members: dict[str, GatewayMember] = {}
         self._silent: set[str] = set()
+        self._waits_ms: dict[str, Mapping[str, float]] = {}
 
     def replace(self, members: Iterable[GatewayMember]) -> None:
         """Take a whole list of members."""
@@ -34,9 +35,18 @@
         """Pass over a member until it answers again."""
         self._silent.add(instance)
 
-    def note_answer(self, instance: str) -> None:
-        """Choose a member again."""
+    def note_answer(
+        self,
+        instance: str,
+        waits_ms: Mapping[str, float],
+    ) -> None:
+        """Choose a member, and take the waits of the gates it hosts."""
         self._silent.discard(instance)
+        self._waits_ms[instance] = waits_ms
+
+    def get_wait_ms(self, pool: str, host: str) -> float:
+        """Return the expected wait at a host's gate, as it said last."""
+        return self._waits_ms.get(host, {}).get(pool, 0)
 
     def is_silent(self, instance: str) -> bool:
         """Tell whether a member is passed over."""
--- a/packages/ragworthollow/src/ragworthollow/pieces/gate.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/gate.py
@@ -53,6 +53,30 @@
         """Queue a piece."""
         self._queue.append(waiting)
 
+    def resubmit(
+        self,
+        waiting: WaitingPiece,
+        failed: str,
+        instances: Sequence[UpstreamInstance],
+    ) -> None:
+        """
+        Queue a piece again, for another instance if there is one.
+
+        Parameters
+        ----------
+        waiting : WaitingPiece
+            The piece.
+        failed : str
+            Instance that did not make it.
+        instances : sequence of UpstreamInstance
+            Instances that may get work.
+        """
+        waiting.attempts += 1
+        waiting.avoid.add(failed)
+        if waiting.avoid.issuperset(one.instance for one in instances):
+            waiting.avoid.clear()
+        self._queue.append(waiting)
+
     def get_depth(self) -> int:
         """Return the number of pieces that wait."""
         return len(self._queue)
@@ -101,8 +125,10 @@
         """
         if not instances:
             return float('inf')
-        rank = (False, due_ms)
-        ahead = sum(_rank(one, now_ms) <= rank for one in self._queue)
+        ahead = sum(
+            not _is_late(one, now_ms) and one.piece.due_ms <= due_ms
+            for one in self._queue
+        )
         full_ms = profile.estimate_ms(profile.batch_limit)
         busy_ms = sum(
             max(0, call.started_ms + call.expected_ms - now_ms)
@@ -267,8 +293,14 @@
 
 
 def _rank(waiting: WaitingPiece, now_ms: float) -> tuple[bool, float]:
-    due_ms = waiting.piece.due_ms
-    return (due_ms + global_settings.PIECE_LATE_GRACE_MS < now_ms, due_ms)
+    piece = waiting.piece
+    urgency_ms = piece.priority * global_settings.PRIORITY_STEP_MS
+    return (_is_late(waiting, now_ms), piece.due_ms + urgency_ms)
+
+
+def _is_late(waiting: WaitingPiece, now_ms: float) -> bool:
+    grace_ms = global_settings.PIECE_LATE_GRACE_MS
+    return waiting.piece.due_ms + grace_ms < now_ms
 
 
 def _is_held(
--- a/packages/ragworthollow/src/ragworthollow/pieces/piece.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/piece.py
@@ -30,6 +30,8 @@
         Approximate size of the result.
     failure_domain : str
         Where the result will be read; empty when that is not known.
+    priority : int
+        Rank of the request, 0 first.
     """
 
     request_id: str
@@ -41,6 +43,7 @@
     expires_ms: float
     result_bytes: int = 0
     failure_domain: str = ''
+    priority: int = 0
 
 
 class PieceOutcome(enum.StrEnum):
--- a/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
@@ -22,6 +22,8 @@
         Approximate size of the result.
     failure_domain : str
         Where the result will be read.
+    priority : int
+        Rank of the request, 0 first.
     """
 
     request_id: str
@@ -33,6 +35,7 @@
     inputs: tuple[str, ...] = ()
     result_bytes: int = 0
     failure_domain: str = ''
+    priority: int = 0
 
 
 class PieceResultMessage(Message):
@@ -56,6 +59,22 @@
     results: tuple[PieceResultMessage, ...]
 
 
+class HostState(Message):
+    """
+    Say who is alive, and how busy its gates are.
+
+    Attributes
+    ----------
+    instance : str
+        Name of the gateway.
+    waits_ms : dict
+        Expected wait of a new piece, by pool.
+    """
+
+    instance: str
+    waits_ms: dict[str, float] = {}
+
+
 class ResultsRelease(Message):
     """Give results of a pool up."""
 
@@ -83,6 +102,7 @@
                     inputs=piece.inputs,
                     result_bytes=piece.result_bytes,
                     failure_domain=piece.failure_domain,
+                    priority=piece.priority,
                 )
                 for piece in pieces
             ),
@@ -103,6 +123,7 @@
             expires_ms=now_ms + one.expires_in_ms,
             result_bytes=one.result_bytes,
             failure_domain=one.failure_domain,
+            priority=one.priority,
         )
         for one in order.orders
     )
