Set the margin on room for results to 1.04

Cause: calls came back with pieces without room, or ran half empty. Change: 1.04: an account that fills the room to the last byte is over it, one that leaves a tenth empty holds back full calls.

--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -153,7 +153,7 @@
 # freed every few hundred milliseconds.
 ROOM_RETRY_MS = 100
 # Sizes of results are approximate.
-ROOM_MARGIN = 1.15
+ROOM_MARGIN = 1.04
 
 # Gateway: stop, retries and the store.
 # What the platform grants between TERM and KILL.
