Free inputs once the reading call has begun, finish begun stages first

Cause: gates ran calls half empty with pieces waiting (gin-sync: 35 to 80 queued, 5 of 8 a call): space for results, held for a whole call of the next stage, and halves of stages that held space while the rest waited. Change: results are freed 60 ms after the last reading piece has begun; stages that have begun are finished first and not given up.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
@@ -127,16 +127,12 @@
         table = self._context.table
         if table is None:
             return []
-        hosts: dict[str, GatewayMember] = {}
-        for pool in table.pools.values():
-            if pool.pieces is None:
-                continue
-            for host in (
-                self._members.find_host(pool.name),
-                self._members.find_first(pool.name),
-            ):
-                if host is not None:
-                    hosts[host.instance] = host
+        pools = [one.name for one in table.pools.values() if one.pieces]
+        self._members.set_pools(pools)
+        hosts = {one.instance: one for one in self._members.get_hosts()}
+        for first in map(self._members.find_first, pools):
+            if first is not None:
+                hosts[first.instance] = first
         hosts.pop(self._context.settings.instance, None)
         return list(hosts.values())
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -79,5 +79,5 @@
             release = msgspec.json.decode(body, type=ResultsRelease)
         except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=_BAD_REQUEST)
-        self._service.free(release.pool, release.handles)
+        self._service.free(release.handles)
         return web.Response()
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_call.py
@@ -0,0 +1,163 @@
+"""Send one call for pieces and read its answer."""
+
+import aiohttp
+import msgspec
+from result import Err, Ok, Result
+
+from ragworthollow.conf import global_settings
+from ragworthollow.logs.events import log_event
+from ragworthollow.outcomes import Outcome, Reason
+from ragworthollow.pieces import PieceCall, PieceResult
+from ragworthollow.platform.answer_wire import read_marks
+from ragworthollow.platform.stage_wire import (
+    EXPECT_INSTANCE,
+    FREE_PATH,
+    RUN_PATH,
+    decode_run,
+    encode_free,
+    encode_run,
+)
+from ragworthollow.utils import get_monotonic_ms
+from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
+from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
+
+_STEP = 'pieces'
+_OK = 200
+_JSON = 'application/json'
+
+Found = tuple[PieceResult, ...]
+
+
+async def send_call(
+    context: GatewayContext,
+    call: PieceCall,
+) -> Result[Found, UpstreamFailure]:
+    """
+    Send one call and read its answer.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Of this process.
+    call : PieceCall
+        The pieces, and who is to make them.
+
+    Returns
+    -------
+    Result
+        Results in the order of the pieces, or why there are none.
+    """
+    now_ms = get_monotonic_ms()
+    pieces = tuple(waiting.piece for waiting in call.waiting)
+    try:
+        async with context.upstream_session.post(
+            f'http://{call.instance.address}{RUN_PATH}',
+            data=encode_run(pieces, now_ms),
+            headers={
+                'Content-Type': _JSON,
+                EXPECT_INSTANCE: call.instance.instance,
+            },
+            timeout=make_timeout(
+                global_settings.PIECE_CALL_TIMEOUT_MS,
+                global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
+            ),
+        ) as response:
+            text = await response.read()
+            return _read(context, call, response, text)
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ) as error:
+        return _fail(call, Reason.connect_failed, repr(error))
+    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        return _fail(call, Reason.connection_lost, repr(error), Outcome.unknown)
+
+
+async def free_results(
+    context: GatewayContext,
+    maker: str,
+    handles: tuple[str, ...],
+) -> None:
+    """
+    Give results up at the instance that made them.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Of this process.
+    maker : str
+        The instance.
+    handles : tuple of str
+        Names of the results.
+    """
+    instance = context.directory.get(maker)
+    if instance is None:
+        return
+    try:
+        async with context.upstream_session.post(
+            f'http://{instance.address}{FREE_PATH}',
+            data=encode_free(handles),
+            headers={'Content-Type': _JSON, EXPECT_INSTANCE: maker},
+            timeout=make_timeout(
+                global_settings.STORE_TIMEOUT_MS,
+                global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
+            ),
+        ) as response:
+            await response.read()
+    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        # The maker frees results by itself after a while.
+        context.metrics.count_event('free_failed')
+        log_event('free_failed', step=_STEP, peer=maker, error=repr(error))
+
+
+def _read(
+    context: GatewayContext,
+    call: PieceCall,
+    response: aiohttp.ClientResponse,
+    text: bytes,
+) -> Result[Found, UpstreamFailure]:
+    marks = read_marks(response.status, response.headers)
+    if marks.load is not None:
+        context.book.note_load(
+            call.instance.instance,
+            marks.load,
+            get_monotonic_ms(),
+        )
+    if marks.is_not_run:
+        return _fail(call, Reason.upstream_full, f'status {response.status}')
+    if response.status != _OK:
+        return _fail(
+            call,
+            Reason.upstream_error,
+            f'status {response.status}',
+            Outcome.unknown,
+        )
+    try:
+        found = decode_run(text)
+    except msgspec.DecodeError as error:
+        return _fail(call, Reason.truncated, str(error), Outcome.unknown)
+    if len(found) != len(call.waiting):
+        return _fail(
+            call,
+            Reason.mismatched_answer,
+            f'{len(found)} results for {len(call.waiting)} pieces',
+            Outcome.unknown,
+        )
+    return Ok(found)
+
+
+def _fail(
+    call: PieceCall,
+    reason: Reason,
+    detail: str,
+    outcome: Outcome = Outcome.not_run,
+) -> Err[UpstreamFailure]:
+    return Err(
+        UpstreamFailure(
+            outcome=outcome,
+            reason=reason,
+            step=_STEP,
+            peer=call.instance.instance,
+            detail=detail,
+        ),
+    )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
@@ -101,21 +101,22 @@
             )
         return waits
 
-    def free(
-        self,
-        pool: str,
-        host: GatewayMember | None,
-        handles: Sequence[str],
-    ) -> None:
+    def free(self, host: GatewayMember | None, handles: Sequence[str]) -> None:
         """Give results up, through the host that had them made."""
         if not handles:
             return
         if host is None:
-            self._service.free(pool, handles)
+            self._service.free(handles)
             return
-        release = ResultsRelease(pool=pool, handles=tuple(handles))
+        release = ResultsRelease(handles=tuple(handles))
         self._context.spawn(self._free_at(host, release))
 
+    def free_everywhere(self, handles: Sequence[str]) -> None:
+        """Give results up whose gate is not known, at all hosts of gates."""
+        self._service.free(handles)
+        for host in self._members.get_hosts():
+            self.free(host, handles)
+
     async def _run_at(
         self,
         host: GatewayMember,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
@@ -1,11 +1,9 @@
 """Host the gates of pools and send their calls."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
-import aiohttp
-import msgspec
-from result import Err, Ok, Result
+from result import Err
 
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
@@ -16,19 +14,12 @@
     PieceGate,
     PieceOutcome,
     PieceResult,
+    StageRun,
     WaitingPiece,
 )
-from ragworthollow.platform.answer_wire import read_marks
-from ragworthollow.platform.stage_wire import (
-    EXPECT_INSTANCE,
-    FREE_PATH,
-    RUN_PATH,
-    decode_run,
-    encode_free,
-    encode_run,
-)
 from ragworthollow.utils import get_monotonic_ms
-from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
+from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.piece_call import free_results, send_call
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
 _STEP = 'pieces'
@@ -47,10 +38,18 @@
     ----------
     context : GatewayContext
         Of this process.
+    free_inputs : callable
+        Gives up results of whichever gates had them made.
     """
 
-    def __init__(self, *, context: GatewayContext) -> None:
+    def __init__(
+        self,
+        *,
+        context: GatewayContext,
+        free_inputs: Callable[[Sequence[str]], None],
+    ) -> None:
         self._context = context
+        self._free_inputs = free_inputs
         self._gates: dict[str, PieceGate] = {}
 
     async def run(self, pool: str, pieces: Sequence[Piece]) -> Found:
@@ -75,6 +74,10 @@
         self._context.get_budget(pool).earn()
         loop = asyncio.get_running_loop()
         gate = self._gates.setdefault(pool, PieceGate())
+        stage_run = StageRun(
+            inputs=pieces[0].inputs if pieces[0].is_only_reader else (),
+            unread=len(pieces),
+        )
         futures = []
         submitted = []
         for piece in pieces:
@@ -83,6 +86,7 @@
                 piece=piece,
                 arrived_ms=get_monotonic_ms(),
                 on_result=_make_settler(future),
+                stage_run=stage_run,
             )
             futures.append(future)
             submitted.append(waiting)
@@ -94,7 +98,7 @@
         except asyncio.CancelledError:
             # Whoever asked has left: results made so far would take their
             # makers' space until they expire.
-            self.free(pool, _get_handles(futures))
+            self.free(_get_handles(futures))
             raise
         finally:
             for waiting in submitted:
@@ -176,18 +180,24 @@
         for call in calls:
             self._context.spawn(self._send(pool, gate, call))
 
-    def free(self, pool: str, handles: Sequence[str]) -> None:
-        """Give results up, at their makers."""
-        gate = self._gates.get(pool)
-        if gate is None:
-            return
+    def free(self, handles: Sequence[str]) -> None:
+        """Give results up that gates hosted here had made."""
         by_maker: dict[str, list[str]] = {}
         for handle in handles:
-            maker = gate.room.free(handle)
+            maker = self._find_maker(handle)
             if maker:
                 by_maker.setdefault(maker, []).append(handle)
         for maker, given_up in by_maker.items():
-            self._context.spawn(self._free_at(maker, tuple(given_up)))
+            self._context.spawn(
+                free_results(self._context, maker, tuple(given_up)),
+            )
+
+    def _find_maker(self, handle: str) -> str:
+        for gate in self._gates.values():
+            maker = gate.room.free(handle)
+            if maker:
+                return maker
+        return ''
 
     async def _send(self, pool: str, gate: PieceGate, call: PieceCall) -> None:
         """
@@ -198,13 +208,9 @@
         knows.  Its pieces go to other instances meanwhile; what it makes
         after all is used if it comes first, and freed if not.
         """
-        sending = asyncio.ensure_future(self._call(call))
-        patience_ms = call.expected_ms * global_settings.PIECE_CALL_PATIENCE
+        sending = asyncio.ensure_future(send_call(self._context, call))
         try:
-            await asyncio.wait({sending}, timeout=patience_ms / 1000)
-            if not sending.done():
-                self._note_failure(pool, gate, call, _make_slow(call))
-                self.advance(pool)
+            await self._watch(pool, gate, call, sending)
             answered = await sending
         finally:
             sending.cancel()
@@ -215,73 +221,32 @@
             self._note_results(pool, gate, call, answered.ok_value)
         self.advance(pool)
 
-    async def _call(
+    async def _watch(
         self,
+        pool: str,
+        gate: PieceGate,
         call: PieceCall,
-    ) -> Result[Found, UpstreamFailure]:
-        now_ms = get_monotonic_ms()
-        pieces = tuple(waiting.piece for waiting in call.waiting)
-        try:
-            async with self._context.upstream_session.post(
-                f'http://{call.instance.address}{RUN_PATH}',
-                data=encode_run(pieces, now_ms),
-                headers={
-                    'Content-Type': _JSON,
-                    EXPECT_INSTANCE: call.instance.instance,
-                },
-                timeout=make_timeout(
-                    global_settings.PIECE_CALL_TIMEOUT_MS,
-                    global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
-                ),
-            ) as response:
-                text = await response.read()
-                return self._read(call, response, text)
-        except (
-            aiohttp.ClientConnectorError,
-            aiohttp.ConnectionTimeoutError,
-        ) as error:
-            return _fail(call, Reason.connect_failed, repr(error))
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            return _fail(
-                call, Reason.connection_lost, repr(error), Outcome.unknown
-            )
+        sending: asyncio.Future,
+    ) -> None:
+        """Follow a call up to its end, or until it is slow."""
+        await asyncio.wait(
+            {sending},
+            timeout=global_settings.INPUTS_READ_MS / 1000,
+        )
+        if not sending.done():
+            self._note_read(call)
+        patience_ms = call.expected_ms * global_settings.PIECE_CALL_PATIENCE
+        await asyncio.wait({sending}, timeout=patience_ms / 1000)
+        if not sending.done():
+            self._note_failure(pool, gate, call, _make_slow(call))
+            self.advance(pool)
 
-    def _read(
-        self,
-        call: PieceCall,
-        response: aiohttp.ClientResponse,
-        text: bytes,
-    ) -> Result[Found, UpstreamFailure]:
-        marks = read_marks(response.status, response.headers)
-        if marks.load is not None:
-            self._context.book.note_load(
-                call.instance.instance,
-                marks.load,
-                get_monotonic_ms(),
-            )
-        if marks.is_not_run:
-            return _fail(
-                call, Reason.upstream_full, f'status {response.status}'
-            )
-        if response.status != _OK:
-            return _fail(
-                call,
-                Reason.upstream_error,
-                f'status {response.status}',
-                Outcome.unknown,
-            )
-        try:
-            found = decode_run(text)
-        except msgspec.DecodeError as error:
-            return _fail(call, Reason.truncated, str(error), Outcome.unknown)
-        if len(found) != len(call.waiting):
-            return _fail(
-                call,
-                Reason.mismatched_answer,
-                f'{len(found)} results for {len(call.waiting)} pieces',
-                Outcome.unknown,
-            )
-        return Ok(found)
+    def _note_read(self, call: PieceCall) -> None:
+        """Free inputs that every piece which needs them has read."""
+        for waiting in call.waiting:
+            if not waiting.has_read:
+                waiting.has_read = True
+                self._free_inputs(waiting.stage_run.note_read())
 
     def _note_results(
         self,
@@ -324,7 +289,7 @@
     ) -> None:
         if not waiting.is_wanted:
             if piece_result.handle:
-                self.free(pool, (piece_result.handle,))
+                self.free((piece_result.handle,))
             return
         if piece_result.outcome in _RETRIED and self._may_retry(pool, waiting):
             self._resubmit(pool, gate, call, waiting)
@@ -384,26 +349,6 @@
         self._context.metrics.count_retry(pool, reason)
         return may_spend
 
-    async def _free_at(self, maker: str, handles: tuple[str, ...]) -> None:
-        instance = self._context.directory.get(maker)
-        if instance is None:
-            return
-        try:
-            async with self._context.upstream_session.post(
-                f'http://{instance.address}{FREE_PATH}',
-                data=encode_free(handles),
-                headers={'Content-Type': _JSON, EXPECT_INSTANCE: maker},
-                timeout=make_timeout(
-                    global_settings.STORE_TIMEOUT_MS,
-                    global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
-                ),
-            ) as response:
-                await response.read()
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            # The maker frees results by itself after a while.
-            self._context.metrics.count_event('free_failed')
-            log_event('free_failed', step=_STEP, peer=maker, error=repr(error))
-
     def _log(
         self,
         pool: str,
@@ -460,20 +405,3 @@
     for one in found:
         counts[one.outcome] = counts.get(one.outcome, 0) + 1
     return counts
-
-
-def _fail(
-    call: PieceCall,
-    reason: Reason,
-    detail: str,
-    outcome: Outcome = Outcome.not_run,
-) -> Err[UpstreamFailure]:
-    return Err(
-        UpstreamFailure(
-            outcome=outcome,
-            reason=reason,
-            step=_STEP,
-            peer=call.instance.instance,
-            detail=detail,
-        ),
-    )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -41,7 +41,15 @@
             context=self.context,
             members=self._members,
         )
-        self._service = PieceService(context=self.context)
+        self._service = PieceService(
+            context=self.context,
+            free_inputs=lambda handles: self._pieces.free_everywhere(handles),
+        )
+        self._pieces = PieceClient(
+            context=self.context,
+            members=self._members,
+            service=self._service,
+        )
         self._configuration = ConfigurationFollower(context=self.context)
         self._instances = InstancesFollower(
             context=self.context,
@@ -54,11 +62,7 @@
         readiness = Readiness(context=self.context)
         front = Front(
             context=self.context,
-            pieces=PieceClient(
-                context=self.context,
-                members=self._members,
-                service=self._service,
-            ),
+            pieces=self._pieces,
         )
         peers = PeerRoutes(context=self.context, service=self._service)
         await self._listen(self._settings.ready_address, readiness.handle)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
@@ -32,15 +32,12 @@
 
     Attributes
     ----------
-    pool : str
-        Pool that made them.
     host : GatewayMember or None
         Gateway whose gate had them made; None for this one.
     handles : tuple of str
         Their names, in the order of the pieces.
     """
 
-    pool: str
     host: GatewayMember | None
     handles: tuple[str, ...]
 
@@ -110,7 +107,7 @@
     def _free_stage(self, position: int) -> None:
         made = self._results.pop(position, None)
         if made is not None:
-            self._client.free(made.pool, made.host, made.handles)
+            self._client.free(made.host, made.handles)
 
     def _collect(self) -> tuple[str, ...]:
         """Return what no other active stage reads."""
@@ -150,7 +147,6 @@
         pieces = self._make_pieces(position, inputs)
         run = await self._client.run(stage.pool, pieces)
         self._results[position] = StageResults(
-            pool=stage.pool,
             host=run.host,
             handles=tuple(one.handle for one in run.found if one.handle),
         )
@@ -172,6 +168,9 @@
     ) -> tuple[Piece, ...]:
         stage = self._job.route.stages[position]
         counts = self._job.terms.piece_counts
+        is_only_reader = all(
+            len(self._get_readers(before)) == 1 for before in stage.after
+        )
         due_ms = self._get_due_ms(position)
         return tuple(
             Piece(
@@ -185,6 +184,7 @@
                 result_bytes=stage.result_bytes,
                 failure_domain=self._failure_domain,
                 priority=self._job.get_priority(),
+                is_only_reader=is_only_reader,
             )
             for number in range(counts[position])
         )
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -152,6 +152,9 @@
 # How long an instance without space for results is left alone; results are
 # freed every few hundred milliseconds.
 ROOM_RETRY_MS = 100
+# An instance reads the inputs of a call when its turn comes, at once when it
+# is idle; they cross a link of gigabits in a few milliseconds.
+INPUTS_READ_MS = 60
 # Sizes of results are approximate.
 ROOM_MARGIN = 1.04
 
--- a/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
+++ b/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
@@ -24,6 +24,7 @@
         self._instance = instance
         self._members: dict[str, GatewayMember] = {}
         self._silent: set[str] = set()
+        self._pools: tuple[str, ...] = ()
         self._waits_ms: dict[str, Mapping[str, float]] = {}
 
     def replace(self, members: Iterable[GatewayMember]) -> None:
@@ -52,6 +53,19 @@
         """Tell whether a member is passed over."""
         return instance in self._silent
 
+    def set_pools(self, pools: Iterable[str]) -> None:
+        """Take the pools that have gates."""
+        self._pools = tuple(pools)
+
+    def get_hosts(self) -> list[GatewayMember]:
+        """Return the other members that host gates."""
+        hosts = {
+            host.instance: host
+            for host in map(self.find_host, self._pools)
+            if host is not None
+        }
+        return list(hosts.values())
+
     def count(self) -> int:
         """Return the number of gateways, this one included."""
         return len(self._members.keys() | {self._instance})
--- a/packages/ragworthollow/src/ragworthollow/pieces/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/__init__.py
@@ -7,6 +7,7 @@
     PieceResult,
 )
 from ragworthollow.pieces.result_room import ResultRoom
+from ragworthollow.pieces.stage_run import StageRun
 from ragworthollow.pieces.waiting_piece import WaitingPiece
 
 __all__ = (
@@ -16,5 +17,6 @@
     'PieceOutcome',
     'PieceResult',
     'ResultRoom',
+    'StageRun',
     'WaitingPiece',
 )
--- a/packages/ragworthollow/src/ragworthollow/pieces/gate.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/gate.py
@@ -263,6 +263,8 @@
             taken.append(waiting)
         if not taken:
             return None
+        for begun in taken:
+            begun.stage_run.is_begun = True
         chosen = {id(one) for one in taken}
         self._queue = [one for one in self._queue if id(one) not in chosen]
         call = PieceCall(
@@ -287,15 +289,26 @@
     piece = waiting.piece
     if piece.expires_ms <= now_ms:
         return True
-    if piece.inputs or waiting.attempts:
+    if piece.inputs or waiting.stage_run.is_begun:
         return False
     return piece.due_ms + global_settings.PIECE_GIVE_UP_MS < now_ms
 
 
-def _rank(waiting: WaitingPiece, now_ms: float) -> tuple[bool, float]:
+def _rank(waiting: WaitingPiece, now_ms: float) -> tuple[bool, bool, float]:
+    """
+    Return the order in which a piece is taken, smallest first.
+
+    The rest of a stage that has begun comes first: its finished pieces take
+    space at their makers until the last one is done, and space that is held
+    by halves of stages stops the pool while its instances are idle.
+    """
     piece = waiting.piece
     urgency_ms = piece.priority * global_settings.PRIORITY_STEP_MS
-    return (_is_late(waiting, now_ms), piece.due_ms + urgency_ms)
+    return (
+        not waiting.stage_run.is_begun,
+        _is_late(waiting, now_ms),
+        piece.due_ms + urgency_ms,
+    )
 
 
 def _is_late(waiting: WaitingPiece, now_ms: float) -> bool:
--- a/packages/ragworthollow/src/ragworthollow/pieces/waiting_piece.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/waiting_piece.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from ragworthollow.pieces.piece import Piece, PieceResult
+from ragworthollow.pieces.stage_run import StageRun
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -23,6 +24,10 @@
         Calls that it has been part of.
     avoid : set of str
         Instances that have failed it.
+    stage_run : StageRun
+        The stage that it belongs to.
+    has_read : bool
+        Whether an instance has read its inputs.
     is_wanted : bool
         False when whoever asked has the result or has left.
     """
@@ -30,7 +35,9 @@
     piece: Piece
     arrived_ms: float
     on_result: Callable[[PieceResult], None]
+    stage_run: StageRun
     attempts: int = 0
+    has_read: bool = False
     avoid: set[str] = field(default_factory=set)
     is_wanted: bool = True
 
