Pass over hosts that are leaving, see peers' pieces to their end

Change: pings say who is leaving; pieces of others count in the drain; heads of streams close their connection while draining; the process ends itself 0.3 s before KILL instead of tearing down for a second.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
@@ -118,7 +118,10 @@
         series: '_Series',
         on_inputs_read: Callable[[], None],
     ) -> Forwarded:
-        relay = StreamRelay(job=series.job)
+        relay = StreamRelay(
+            job=series.job,
+            is_draining=lambda: self._context.drain.is_draining,
+        )
         while True:
             planned = series.plan_next(relay.get_last_event_id())
             if isinstance(planned, Err):
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
@@ -162,7 +162,7 @@
             return
         if self._members.is_silent(host.instance):
             log_event('peer_regained', step=_STEP, peer=host.instance)
-        self._members.note_answer(host.instance, state.waits_ms)
+        self._members.note_answer(state)
 
     def _note_silent(self, host: GatewayMember, detail: str) -> None:
         if not self._members.is_silent(host.instance):
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -57,6 +57,7 @@
         return respond(
             HostState(
                 instance=self._context.settings.instance,
+                is_leaving=self._context.drain.is_draining,
                 waits_ms=self._service.get_waits_ms(),
             ),
         )
@@ -69,7 +70,9 @@
         except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=_BAD_REQUEST)
         pieces = decode_pieces(order, get_monotonic_ms())
-        found = await self._service.run(order.pool, pieces)
+        # A host that stops sees the pieces of others to their end.
+        with self._context.drain.serving():
+            found = await self._service.run(order.pool, pieces)
         return respond(encode_results(found))
 
     async def free_results(self, request: web.Request) -> web.Response:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/service.py
@@ -50,6 +50,9 @@
         """Serve until a signal asks for a stop and the stop is complete."""
         await self._stopping.wait()
         await self._role.stop()
+        # Nothing is kept, so that there is nothing to tear down; the time up
+        # to KILL belongs to what was still served.
+        os._exit(0)
 
     def _take_stop(self) -> None:
         drain = self._role.context.drain
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
@@ -45,10 +45,18 @@
     ----------
     job : RequestJob
         The request.
+    is_draining : callable
+        Tells whether the process stops.
     """
 
-    def __init__(self, *, job: RequestJob) -> None:
+    def __init__(
+        self,
+        *,
+        job: RequestJob,
+        is_draining: Callable[[], bool],
+    ) -> None:
         self._job = job
+        self._is_draining = is_draining
         self._response: web.StreamResponse | None = None
         self._splitter = EventSplitter()
         self.first_event_ms: float | None = None
@@ -71,6 +79,9 @@
             headers=make_caller_headers(upstream.headers),
         )
         response.enable_chunked_encoding()
+        if self._is_draining():
+            # The next request of this connection goes to another process.
+            response.force_close()
         self._response = response
         await response.prepare(self._job.request)
 
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -166,9 +166,9 @@
 # Gateway: stop, retries and the store.
 # What the platform grants between TERM and KILL.
 GATEWAY_GRACE_S = 8.0
-# Time before KILL at which what still runs is cut by ourselves, so that the
-# cut is logged.
-GATEWAY_STOP_MARGIN_MS = 1_000
+# Time before KILL at which the process ends by itself, so that what it cuts
+# is logged; a core may be taken away for a tenth of a second at a time.
+GATEWAY_STOP_MARGIN_MS = 300
 # The balancer asks once a second and moves away after two misses; one more
 # second covers the new connections that cross.
 GATEWAY_BALANCER_LAG_MS = 3_300
--- a/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
+++ b/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 
 from ragworthollow.membership.gateway_member import GatewayMember
+from ragworthollow.transport.piece_messages import HostState
 from ragworthollow.utils.hashing import get_rank
 
 
@@ -24,6 +25,7 @@
         self._instance = instance
         self._members: dict[str, GatewayMember] = {}
         self._silent: set[str] = set()
+        self._leaving: set[str] = set()
         self._pools: tuple[str, ...] = ()
         self._waits_ms: dict[str, Mapping[str, float]] = {}
 
@@ -31,19 +33,25 @@
         """Take a whole list of members."""
         self._members = {one.instance: one for one in members}
         self._silent &= self._members.keys()
+        self._leaving &= self._members.keys()
 
     def note_silent(self, instance: str) -> None:
         """Pass over a member until it answers again."""
         self._silent.add(instance)
 
-    def note_answer(
-        self,
-        instance: str,
-        waits_ms: Mapping[str, float],
-    ) -> None:
-        """Choose a member, and take the waits of the gates it hosts."""
-        self._silent.discard(instance)
-        self._waits_ms[instance] = waits_ms
+    def note_answer(self, state: HostState) -> None:
+        """
+        Choose a member that is not leaving, and take its gates' waits.
+
+        A member that leaves is passed over for new pieces, but what it has
+        stays there: its entry in the store may outlive it by seconds.
+        """
+        self._silent.discard(state.instance)
+        self._waits_ms[state.instance] = state.waits_ms
+        if state.is_leaving:
+            self._leaving.add(state.instance)
+        else:
+            self._leaving.discard(state.instance)
 
     def get_wait_ms(self, pool: str, host: str) -> float:
         """Return the expected wait at a host's gate, as it said last."""
@@ -87,7 +95,7 @@
         for name in ranked:
             if name == self._instance:
                 return None
-            if name not in self._silent:
+            if name not in self._silent and name not in self._leaving:
                 return self._members[name]
         return None
 
--- a/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
@@ -70,11 +70,14 @@
     ----------
     instance : str
         Name of the gateway.
+    is_leaving : bool
+        Whether it is stopping: it finishes what it has, and takes no more.
     waits_ms : dict
         Expected wait of a new piece, by pool.
     """
 
     instance: str
+    is_leaving: bool = False
     waits_ms: dict[str, float] = {}
 
 
