Announce members, free inputs early only where no other gate is at work

Ruled out: expiry (inputs were 70 ms old), crashes (no instance left). Change: a gateway tells all others when it joins or leaves; inputs are freed early only when the members have been the same for 4 s and the instance reports no calls of others.

--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/gate_book.py
@@ -0,0 +1,108 @@
+"""Keep the gates that are hosted by this process."""
+
+from collections.abc import Sequence
+
+from ragworthollow.conf import global_settings
+from ragworthollow.logs.events import log_event
+from ragworthollow.pieces import Piece, PieceGate, PieceOutcome, PieceResult
+from ragworthollow.routes import PieceProfile
+from ragworthollow.utils import get_monotonic_ms
+from ragworthollow_daemon.gateway.context import GatewayContext
+
+_STEP = 'pieces'
+
+
+class GateBook:
+    """
+    Hold one gate for each pool whose pieces came here.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Of this process.
+    """
+
+    def __init__(self, *, context: GatewayContext) -> None:
+        self._context = context
+        self._gates: dict[str, PieceGate] = {}
+
+    def get(self, pool: str) -> PieceGate:
+        """Return the gate of a pool, a new one if need be."""
+        return self._gates.setdefault(pool, PieceGate())
+
+    def get_pools(self) -> tuple[str, ...]:
+        """Return the pools that have a gate here."""
+        return tuple(self._gates)
+
+    def find_profile(self, pool: str) -> PieceProfile | None:
+        """Return how a pool works; None when it serves no stages."""
+        table = self._context.table
+        described = None if table is None else table.pools.get(pool)
+        return None if described is None else described.pieces
+
+    def free(self, handle: str) -> str:
+        """Forget a result; return its maker, empty for an unknown one."""
+        for gate in self._gates.values():
+            maker = gate.room.free(handle)
+            if maker:
+                return maker
+        return ''
+
+    def get_waits_ms(self) -> dict[str, float]:
+        """Return the expected wait of a new piece, by pool."""
+        return {
+            pool: self._estimate_ms(pool, float('inf'), get_monotonic_ms())
+            for pool in self._gates
+        }
+
+    def refuse(
+        self,
+        pool: str,
+        pieces: Sequence[Piece],
+    ) -> tuple[PieceResult, ...] | None:
+        """
+        Refuse at once what cannot start in time.
+
+        Parameters
+        ----------
+        pool : str
+            Pool that would do them.
+        pieces : sequence of Piece
+            Of one stage; one with inputs is let in, since work was spent.
+
+        Returns
+        -------
+        tuple of PieceResult or None
+            None lets them in.
+        """
+        first = pieces[0]
+        if first.inputs:
+            return None
+        now_ms = get_monotonic_ms()
+        wait_ms = self._estimate_ms(pool, first.due_ms, now_ms)
+        late_ms = now_ms + wait_ms - first.due_ms
+        if late_ms <= global_settings.ADMISSION_GRACE_MS:
+            return None
+        self._context.metrics.count_event('pieces_refused')
+        log_event(
+            'pieces_refused',
+            step=_STEP,
+            pool=pool,
+            request_id=first.request_id,
+            pieces=len(pieces),
+            wait_ms=round(wait_ms),
+            late_ms=round(late_ms),
+        )
+        refusal = PieceResult(outcome=PieceOutcome.refused, wait_ms=wait_ms)
+        return (refusal,) * len(pieces)
+
+    def _estimate_ms(self, pool: str, due_ms: float, now_ms: float) -> float:
+        profile = self.find_profile(pool)
+        if profile is None:
+            return 0
+        return self.get(pool).estimate_wait_ms(
+            profile,
+            len(self._context.directory.get_pool(pool)),
+            due_ms,
+            now_ms,
+        )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
@@ -12,12 +12,13 @@
 from ragworthollow.membership.gateway_members import GatewayMembers
 from ragworthollow.platform.stored import Stored
 from ragworthollow.platform.transaction import Put
-from ragworthollow.transport.piece_messages import HostState
+from ragworthollow.transport.piece_messages import HostState, MemberChange
 from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
 
 _PREFIX = 'gateways/'
 _STEP = 'membership'
 PING_PATH = '/v1/ping'
+CHANGE_PATH = '/v1/members/change'
 
 
 class Membership:
@@ -50,9 +51,12 @@
     async def run(self) -> None:
         """Register and follow until cancelled."""
         while True:
+            earlier_lease = self._lease
             if not self._is_leaving:
                 await self._keep_entry()
             await self._read_others()
+            if self._lease != earlier_lease:
+                await self._announce()
             await asyncio.sleep(global_settings.MEMBER_POLL_MS / 1000)
 
     async def watch_hosts(self) -> None:
@@ -62,8 +66,9 @@
             await asyncio.gather(*map(self._ping, self._get_hosts()))
 
     async def leave(self) -> None:
-        """End the lease, so that others choose other hosts at once."""
+        """Tell the others, and end the lease."""
         self._is_leaving = True
+        await self._announce()
         if self._lease:
             await self._context.store.revoke_lease(self._lease)
 
@@ -82,18 +87,12 @@
         if isinstance(granted, Err):
             return
         lease = granted.ok_value
-        settings = self._context.settings
-        entry = GatewayMember(
-            instance=settings.instance,
-            incarnation=self._context.incarnation,
-            peer_address=settings.peer_address,
-            failure_domain=settings.failure_domain,
-        )
+        entry = self._make_member()
         written = await self._context.store.commit(
             compares=(),
             puts=[
                 Put(
-                    key=f'{_PREFIX}{settings.instance}',
+                    key=f'{_PREFIX}{entry.instance}',
                     text=msgspec.json.encode(entry).decode(),
                     lease=lease,
                 ),
@@ -105,6 +104,47 @@
         self._lease = lease
         log_event('registered', step=_STEP, lease=lease)
 
+    def _make_member(self) -> GatewayMember:
+        settings = self._context.settings
+        return GatewayMember(
+            instance=settings.instance,
+            incarnation=self._context.incarnation,
+            peer_address=settings.peer_address,
+            failure_domain=settings.failure_domain,
+        )
+
+    async def _announce(self) -> None:
+        """Tell every other member at once that this one joins or leaves."""
+        member = self._make_member()
+        change = MemberChange(member=member, is_leaving=self._is_leaving)
+        others = [
+            one
+            for one in self._members.get_members().values()
+            if one.instance != member.instance
+        ]
+        body = msgspec.json.encode(change)
+        await asyncio.gather(*(self._tell(one, body) for one in others))
+
+    async def _tell(self, other: GatewayMember, body: bytes) -> None:
+        try:
+            async with self._context.session.post(
+                f'http://{other.peer_address}{CHANGE_PATH}',
+                data=body,
+                timeout=make_timeout(
+                    global_settings.HOST_PING_TIMEOUT_MS,
+                    global_settings.PEER_CONNECT_TIMEOUT_MS,
+                ),
+            ) as response:
+                await response.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            # It learns of the change from the store.
+            log_event(
+                'announcement_failed',
+                step=_STEP,
+                peer=other.instance,
+                error=repr(error),
+            )
+
     async def _read_others(self) -> None:
         found = await self._context.store.read_prefix(_PREFIX)
         if isinstance(found, Err):
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -4,8 +4,11 @@
 from aiohttp import web
 
 from ragworthollow.conf import global_settings
+from ragworthollow.logs.events import log_event
+from ragworthollow.membership.gateway_members import GatewayMembers
 from ragworthollow.transport.piece_messages import (
     HostState,
+    MemberChange,
     PiecesOrder,
     ResultsRelease,
     decode_pieces,
@@ -13,7 +16,7 @@
 )
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
-from ragworthollow_daemon.gateway.membership import PING_PATH
+from ragworthollow_daemon.gateway.membership import CHANGE_PATH, PING_PATH
 from ragworthollow_daemon.gateway.piece_client import FREE_PATH, RUN_PATH
 from ragworthollow_daemon.gateway.piece_service import PieceService
 from ragworthollow_daemon.web.responses import Problem, respond
@@ -29,6 +32,8 @@
     ----------
     context : GatewayContext
         Of this process.
+    members : GatewayMembers
+        The other gateways.
     service : PieceService
         The gates.
     """
@@ -37,9 +42,11 @@
         self,
         *,
         context: GatewayContext,
+        members: GatewayMembers,
         service: PieceService,
     ) -> None:
         self._context = context
+        self._members = members
         self._service = service
 
     def make_application(self) -> web.Application:
@@ -48,6 +55,7 @@
             client_max_size=global_settings.MAX_BODY_BYTES,
         )
         application.router.add_get(PING_PATH, self.answer_ping)
+        application.router.add_post(CHANGE_PATH, self.learn_change)
         application.router.add_post(RUN_PATH, self.run_pieces)
         application.router.add_post(FREE_PATH, self.free_results)
         return application
@@ -62,6 +70,23 @@
             ),
         )
 
+    async def learn_change(self, request: web.Request) -> web.Response:
+        """Take what another gateway says of itself."""
+        body = await request.read()
+        try:
+            change = msgspec.json.decode(body, type=MemberChange)
+        except msgspec.DecodeError as error:
+            return respond(Problem(error=str(error)), status=_BAD_REQUEST)
+        self._members.learn(change)
+        self._context.set_members(self._members.count())
+        log_event(
+            'member_announced',
+            step='membership',
+            peer=change.member.instance,
+            is_leaving=change.is_leaving,
+        )
+        return web.Response()
+
     async def run_pieces(self, request: web.Request) -> web.Response:
         """Have pieces done; an asker who leaves takes them back."""
         body = await request.read()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
@@ -19,6 +19,7 @@
 )
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.gate_book import GateBook
 from ragworthollow_daemon.gateway.piece_call import free_results, send_call
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
@@ -50,7 +51,7 @@
     ) -> None:
         self._context = context
         self._free_inputs = free_inputs
-        self._gates: dict[str, PieceGate] = {}
+        self._gates = GateBook(context=context)
 
     async def run(self, pool: str, pieces: Sequence[Piece]) -> Found:
         """
@@ -68,12 +69,12 @@
         tuple of PieceResult
             In the order of the pieces.
         """
-        refused = self._refuse(pool, pieces)
+        refused = self._gates.refuse(pool, pieces)
         if refused is not None:
             return refused
         self._context.get_budget(pool).earn()
         loop = asyncio.get_running_loop()
-        gate = self._gates.setdefault(pool, PieceGate())
+        gate = self._gates.get(pool)
         stage_run = StageRun(
             inputs=pieces[0].inputs if pieces[0].is_only_reader else (),
             unread=len(pieces),
@@ -104,54 +105,9 @@
             for waiting in submitted:
                 waiting.is_wanted = False
 
-    def _refuse(self, pool: str, pieces: Sequence[Piece]) -> Found | None:
-        """Refuse at once what cannot start in time; None lets it in."""
-        table = self._context.table
-        described = None if table is None else table.pools.get(pool)
-        first = pieces[0]
-        if described is None or described.pieces is None or first.inputs:
-            return None
-        now_ms = get_monotonic_ms()
-        wait_ms = self._gates.setdefault(pool, PieceGate()).estimate_wait_ms(
-            described.pieces,
-            len(self._context.directory.get_pool(pool)),
-            first.due_ms,
-            now_ms,
-        )
-        late_ms = now_ms + wait_ms - first.due_ms
-        if late_ms <= global_settings.ADMISSION_GRACE_MS:
-            return None
-        self._context.metrics.count_event('pieces_refused')
-        log_event(
-            'pieces_refused',
-            step=_STEP,
-            pool=pool,
-            request_id=first.request_id,
-            pieces=len(pieces),
-            wait_ms=round(wait_ms),
-            late_ms=round(late_ms),
-        )
-        refusal = PieceResult(outcome=PieceOutcome.refused, wait_ms=wait_ms)
-        return (refusal,) * len(pieces)
-
     def get_waits_ms(self) -> dict[str, float]:
         """Return the expected wait of a new piece, by pool hosted here."""
-        table = self._context.table
-        if table is None:
-            return {}
-        now_ms = get_monotonic_ms()
-        waits = {}
-        for pool, gate in self._gates.items():
-            described = table.pools.get(pool)
-            if described is None or described.pieces is None:
-                continue
-            waits[pool] = gate.estimate_wait_ms(
-                described.pieces,
-                len(self._context.directory.get_pool(pool)),
-                float('inf'),
-                now_ms,
-            )
-        return waits
+        return self._gates.get_waits_ms()
 
     async def tick(self) -> None:
         """Advance every gate now and then, until cancelled."""
@@ -161,18 +117,17 @@
 
     def advance_all(self) -> None:
         """Advance every gate."""
-        for pool in self._gates:
+        for pool in self._gates.get_pools():
             self.advance(pool)
 
     def advance(self, pool: str) -> None:
         """Send the calls that a gate wants sent now."""
-        table = self._context.table
-        gate = self._gates.get(pool)
-        described = None if table is None else table.pools.get(pool)
-        if gate is None or described is None or described.pieces is None:
+        profile = self._gates.find_profile(pool)
+        if profile is None:
             return
+        gate = self._gates.get(pool)
         calls = gate.plan(
-            described.pieces,
+            profile,
             self._context.directory.get_pool(pool),
             self._context.book,
             get_monotonic_ms(),
@@ -184,7 +139,7 @@
         """Give results up that gates hosted here had made."""
         by_maker: dict[str, list[str]] = {}
         for handle in handles:
-            maker = self._find_maker(handle)
+            maker = self._gates.free(handle)
             if maker:
                 by_maker.setdefault(maker, []).append(handle)
         for maker, given_up in by_maker.items():
@@ -192,13 +147,6 @@
                 free_results(self._context, maker, tuple(given_up)),
             )
 
-    def _find_maker(self, handle: str) -> str:
-        for gate in self._gates.values():
-            maker = gate.room.free(handle)
-            if maker:
-                return maker
-        return ''
-
     async def _send(self, pool: str, gate: PieceGate, call: PieceCall) -> None:
         """
         Make one call and see it to its end.
@@ -208,12 +156,14 @@
         knows.  Its pieces go to other instances meanwhile; what it makes
         after all is used if it comes first, and freed if not.
         """
+        record = self._context.book.get(call.instance.instance)
+        record.in_flight += 1
         sending = asyncio.ensure_future(send_call(self._context, call))
         try:
             await self._watch(pool, gate, call, sending)
             answered = await sending
         finally:
-            sending.cancel()
+            record.in_flight -= 1
             gate.finish(call)
         if isinstance(answered, Err):
             self._note_failure(pool, gate, call, answered.err_value)
@@ -241,10 +191,26 @@
             self._note_failure(pool, gate, call, _make_slow(call))
             self.advance(pool)
 
+    def _has_rivals(self, call: PieceCall) -> bool:
+        """
+        Tell whether another gate may use the instance of a call.
+
+        A call that waits behind another's has not read its inputs yet, and
+        would find them freed.  Two gates are possible while the members
+        change; otherwise the instance's last report shows others' calls.
+        """
+        now_ms = get_monotonic_ms()
+        unsettled_ms = now_ms - self._context.members_changed_ms
+        record = self._context.book.get(call.instance.instance)
+        return (
+            unsettled_ms < global_settings.MEMBER_LEASE_MS
+            or record.get_others(now_ms) > 0
+        )
+
     def _note_read(self, call: PieceCall) -> None:
         """Free inputs that every piece which needs them has read."""
         for waiting in call.waiting:
-            if not waiting.has_read:
+            if not waiting.has_read and not self._has_rivals(call):
                 waiting.has_read = True
                 self._free_inputs(waiting.stage_run.note_read())
 
@@ -356,7 +322,7 @@
         event: str,
         **fields: object,
     ) -> None:
-        gate = self._gates[pool]
+        gate = self._gates.get(pool)
         log_event(
             event,
             step=_STEP,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -65,7 +65,11 @@
             context=self.context,
             pieces=self._pieces,
         )
-        peers = PeerRoutes(context=self.context, service=self._service)
+        peers = PeerRoutes(
+            context=self.context,
+            members=self.members,
+            service=self._service,
+        )
         await self._listen(self._settings.ready_address, readiness.handle)
         await self._listen(self._settings.front_address, front.handle)
         await self._serve_application(
--- a/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
+++ b/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 
 from ragworthollow.membership.gateway_member import GatewayMember
-from ragworthollow.transport.piece_messages import HostState
+from ragworthollow.transport.piece_messages import HostState, MemberChange
 from ragworthollow.utils.hashing import get_rank
 
 
@@ -35,6 +35,22 @@
         self._silent &= self._members.keys()
         self._leaving &= self._members.keys()
 
+    def learn(self, change: MemberChange) -> None:
+        """
+        Take what a member says of itself.
+
+        It comes before the next read of the list, so that all change hosts
+        at the same time: two hosts fill the same instances without knowing
+        of each other.
+        """
+        member = change.member
+        self._members[member.instance] = member
+        self._silent.discard(member.instance)
+        if change.is_leaving:
+            self._leaving.add(member.instance)
+        else:
+            self._leaving.discard(member.instance)
+
     def note_silent(self, instance: str) -> None:
         """Pass over a member until it answers again."""
         self._silent.add(instance)
--- a/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.pieces import Piece, PieceOutcome, PieceResult
 from ragworthollow.utils.message import Message
 
@@ -81,6 +82,22 @@
     waits_ms: dict[str, float] = {}
 
 
+class MemberChange(Message):
+    """
+    Tell the other gateways that one joins or leaves.
+
+    Attributes
+    ----------
+    member : GatewayMember
+        Who.
+    is_leaving : bool
+        Whether it stops.
+    """
+
+    member: GatewayMember
+    is_leaving: bool = False
+
+
 class ResultsRelease(Message):
     """Give results up, whichever gates had them made."""
 
