Keep the inputs of pieces until their stage is done

Ruled out: crashes of makers (the instances were listed throughout), expiry. Change: results are freed when the stages that read them are done; the early freeing, its tracking and its test (of the removed mechanism) are gone. Proof: 'A piece that fails is made again from the same inputs' fails on (503 inputs_gone) and passes now.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -15,7 +15,7 @@
 from ragworthollow.transport.checked_connector import make_upstream_session
 from ragworthollow.transport.session import make_plain_session
 from ragworthollow.upstreams import Directory, LoadBook
-from ragworthollow.utils import get_monotonic_ms, make_identifier
+from ragworthollow.utils import make_identifier
 from ragworthollow_daemon.drain import DrainState
 
 
@@ -48,7 +48,6 @@
         self.directory = Directory()
         self.book = LoadBook()
         self.members = 1
-        self.members_changed_ms = get_monotonic_ms()
         self._budgets: dict[str, RetryBudget] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -69,7 +68,6 @@
         if members == self.members:
             return
         self.members = members
-        self.members_changed_ms = get_monotonic_ms()
         for budget in self._budgets.values():
             budget.set_burst(self._get_burst())
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
@@ -111,12 +111,6 @@
         release = ResultsRelease(handles=tuple(handles))
         self._context.spawn(self._free_at(host, release))
 
-    def free_everywhere(self, handles: Sequence[str]) -> None:
-        """Give results up whose gate is not known, at all hosts of gates."""
-        self._service.free(handles)
-        for host in self._members.get_hosts():
-            self.free(host, handles)
-
     async def _run_at(
         self,
         host: GatewayMember,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
@@ -1,7 +1,7 @@
 """Host the gates of pools and send their calls."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from result import Err
 
@@ -39,18 +39,10 @@
     ----------
     context : GatewayContext
         Of this process.
-    free_inputs : callable
-        Gives up results of whichever gates had them made.
     """
 
-    def __init__(
-        self,
-        *,
-        context: GatewayContext,
-        free_inputs: Callable[[Sequence[str]], None],
-    ) -> None:
+    def __init__(self, *, context: GatewayContext) -> None:
         self._context = context
-        self._free_inputs = free_inputs
         self._gates = GateBook(context=context)
 
     async def run(self, pool: str, pieces: Sequence[Piece]) -> Found:
@@ -75,10 +67,7 @@
         self._context.get_budget(pool).earn()
         loop = asyncio.get_running_loop()
         gate = self._gates.get(pool)
-        stage_run = StageRun(
-            inputs=pieces[0].inputs if pieces[0].is_only_reader else (),
-            unread=len(pieces),
-        )
+        stage_run = StageRun()
         futures = []
         submitted = []
         for piece in pieces:
@@ -179,41 +168,12 @@
         sending: asyncio.Future,
     ) -> None:
         """Follow a call up to its end, or until it is slow."""
-        await asyncio.wait(
-            {sending},
-            timeout=global_settings.INPUTS_READ_MS / 1000,
-        )
-        if not sending.done():
-            self._note_read(call)
         patience_ms = call.expected_ms * global_settings.PIECE_CALL_PATIENCE
         await asyncio.wait({sending}, timeout=patience_ms / 1000)
         if not sending.done():
             self._note_failure(pool, gate, call, _make_slow(call))
             self.advance(pool)
 
-    def _has_rivals(self, call: PieceCall) -> bool:
-        """
-        Tell whether another gate may use the instance of a call.
-
-        A call that waits behind another's has not read its inputs yet, and
-        would find them freed.  Two gates are possible while the members
-        change; otherwise the instance's last report shows others' calls.
-        """
-        now_ms = get_monotonic_ms()
-        unsettled_ms = now_ms - self._context.members_changed_ms
-        record = self._context.book.get(call.instance.instance)
-        return (
-            unsettled_ms < global_settings.MEMBER_LEASE_MS
-            or record.get_others(now_ms) > 0
-        )
-
-    def _note_read(self, call: PieceCall) -> None:
-        """Free inputs that every piece which needs them has read."""
-        for waiting in call.waiting:
-            if not waiting.has_read and not self._has_rivals(call):
-                waiting.has_read = True
-                self._free_inputs(waiting.stage_run.note_read())
-
     def _note_results(
         self,
         pool: str,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -42,10 +42,7 @@
             context=self.context,
             members=self.members,
         )
-        self._service = PieceService(
-            context=self.context,
-            free_inputs=lambda handles: self._pieces.free_everywhere(handles),
-        )
+        self._service = PieceService(context=self.context)
         self._pieces = PieceClient(
             context=self.context,
             members=self.members,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
@@ -168,9 +168,6 @@
     ) -> tuple[Piece, ...]:
         stage = self._job.route.stages[position]
         counts = self._job.terms.piece_counts
-        is_only_reader = all(
-            len(self._get_readers(before)) == 1 for before in stage.after
-        )
         due_ms = self._get_due_ms(position)
         return tuple(
             Piece(
@@ -184,7 +181,6 @@
                 result_bytes=stage.result_bytes,
                 failure_domain=self._failure_domain,
                 priority=self._job.get_priority(),
-                is_only_reader=is_only_reader,
             )
             for number in range(counts[position])
         )
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -154,9 +154,6 @@
 # How long an instance without space for results is left alone; results are
 # freed every few hundred milliseconds.
 ROOM_RETRY_MS = 100
-# An instance reads the inputs of a call when its turn comes, at once when it
-# is idle; they cross a link of gigabits in a few milliseconds.
-INPUTS_READ_MS = 60
 # An engine reads the inputs of a request before its prompt; the prompt takes
 # hundreds of milliseconds, the inputs a few.
 ENGINE_INPUTS_READ_MS = 100
--- a/packages/ragworthollow/src/ragworthollow/pieces/piece.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/piece.py
@@ -32,8 +32,6 @@
         Where the result will be read; empty when that is not known.
     priority : int
         Rank of the request, 0 first.
-    is_only_reader : bool
-        Whether no other stage reads its inputs.
     """
 
     request_id: str
@@ -46,7 +44,6 @@
     result_bytes: int = 0
     failure_domain: str = ''
     priority: int = 0
-    is_only_reader: bool = False
 
 
 class PieceOutcome(enum.StrEnum):
--- a/packages/ragworthollow/src/ragworthollow/pieces/waiting_piece.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/waiting_piece.py
@@ -26,8 +26,6 @@
         Instances that have failed it.
     stage_run : StageRun
         The stage that it belongs to.
-    has_read : bool
-        Whether an instance has read its inputs.
     is_wanted : bool
         False when whoever asked has the result or has left.
     """
@@ -37,7 +35,6 @@
     on_result: Callable[[PieceResult], None]
     stage_run: StageRun
     attempts: int = 0
-    has_read: bool = False
     avoid: set[str] = field(default_factory=set)
     is_wanted: bool = True
 
--- a/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
@@ -25,8 +25,6 @@
         Where the result will be read.
     priority : int
         Rank of the request, 0 first.
-    is_only_reader : bool
-        Whether no other stage reads its inputs.
     """
 
     request_id: str
@@ -39,7 +37,6 @@
     result_bytes: int = 0
     failure_domain: str = ''
     priority: int = 0
-    is_only_reader: bool = False
 
 
 class PieceResultMessage(Message):
@@ -125,7 +122,6 @@
                     result_bytes=piece.result_bytes,
                     failure_domain=piece.failure_domain,
                     priority=piece.priority,
-                    is_only_reader=piece.is_only_reader,
                 )
                 for piece in pieces
             ),
@@ -147,7 +143,6 @@
             result_bytes=one.result_bytes,
             failure_domain=one.failure_domain,
             priority=one.priority,
-            is_only_reader=one.is_only_reader,
         )
         for one in order.orders
     )
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -143,6 +143,16 @@
     And there were fewer calls for pieces than pieces
     And all results are given up
 
+  Scenario: A piece that fails is made again from the same inputs
+    # One of many pieces of a late stage fails.  If the results of the stage
+    # before were given up when its call began, the second try would find
+    # them gone, and with them the work of the whole request.
+    Given two more gateways and an instance for stage work
+    And calls for pieces take 100 ms
+    And the next 3 pieces of a second stage fail
+    When 6 callers post to /staged/answer through all gateways
+    Then each of them got its own whole answer
+
   Scenario: The host of a gate dies while it has pieces of others
     # The gateway that fills the calls of a pool is killed; those that asked
     # it hear nothing and must have the pieces made through another.
--- a/tests/features/pieces.feature
+++ b/tests/features/pieces.feature
@@ -64,10 +64,6 @@
     When pieces that have missed their objective by a second wait
     Then the one without work is given up and the one with inputs is not
 
-  Scenario: Results are freed when the last piece that reads them has begun
-    When 3 pieces of a stage begin one after the other
-    Then their inputs are given up with the last one
-
   Scenario: Any sequence of pieces, calls, frees and failures keeps the account
     # Model check: no piece is in two calls at once, none is lost, no call is
     # larger than allowed, and no instance gets more results than it has
--- a/tests/features/steps/gateway_fleet.py
+++ b/tests/features/steps/gateway_fleet.py
@@ -50,6 +50,11 @@
     context.gateway_stage.upstreams['s1'].piece_ms = piece_ms
 
 
+@given('the next {count:d} pieces of a second stage fail')
+def fail_pieces(context, count):
+    context.gateway_stage.upstreams['s1'].failing_pieces = count
+
+
 async def _send_staged(stage, count: int, path: str, names=_NAMES):
     return await asyncio.gather(
         *(
--- a/tests/features/steps/pieces.py
+++ b/tests/features/steps/pieces.py
@@ -62,7 +62,7 @@
         ),
         arrived_ms=0,
         on_result=found.append,
-        stage_run=stage_run or StageRun(inputs=(), unread=1),
+        stage_run=stage_run or StageRun(),
     )
     return waiting
 
@@ -146,7 +146,7 @@
     'a request of 3 pieces due in 900 ms has begun and others due earlier come'
 )
 def begin(context):
-    stage_run = StageRun(inputs=(), unread=3)
+    stage_run = StageRun()
     gate = context.pool.gate
     for number in range(3):
         gate.submit(make_waiting(900, number=number, stage_run=stage_run))
@@ -262,17 +262,6 @@
     assert context.pool.gate.get_depth() == 1
 
 
-@when('3 pieces of a stage begin one after the other')
-def begin_all(context):
-    stage_run = StageRun(inputs=('a', 'b'), unread=3)
-    context.freed = [stage_run.note_read() for _ in range(3)]
-
-
-@then('their inputs are given up with the last one')
-def check_inputs(context):
-    assert context.freed == [(), (), ('a', 'b')]
-
-
 _STEPS = st.lists(
     st.one_of(
         st.tuples(st.just('come'), st.integers(1, 6), st.integers(0, 900)),
@@ -317,7 +306,7 @@
         self.kept: dict[str, tuple[str, int]] = {}
 
     def come(self, count: int, due_ms: int) -> None:
-        stage_run = StageRun(inputs=(), unread=count)
+        stage_run = StageRun()
         for number in range(count):
             waiting = make_waiting(due_ms, number=number, stage_run=stage_run)
             self.submitted.append(waiting)
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -31,7 +31,7 @@
         self.freed: list[str] = []
         self.connections = 0
         self.piece_ms = 1
-        self.room = 1000
+        self.failing_pieces = 0
         self._server: asyncio.Server | None = None
         self.address = ''
 
@@ -86,16 +86,18 @@
         items = msgspec.json.decode(request.body)['items']
         self.calls.append(items)
         await asyncio.sleep(self.piece_ms / 1000)
-        made = [
-            {'handle': f'{self.address}/{item["id"]}-{item["piece"]}'}
-            if number < self.room
-            else {'reason': 'room'}
-            for number, item in enumerate(items)
-        ]
-        body = msgspec.json.encode({'items': made})
+        body = msgspec.json.encode({'items': [*map(self._make, items)]})
         _write(writer, '200 OK', {}, body)
         return True
 
+    def _make(self, item: dict) -> dict[str, str]:
+        if any(handle in self.freed for handle in item.get('inputs', ())):
+            return {'reason': 'gone'}
+        if item['stage'] and self.failing_pieces:
+            self.failing_pieces -= 1
+            return {'reason': 'error'}
+        return {'handle': f'{self.address}/{item["id"]}-{item["piece"]}'}
+
 
 async def _read_request(reader) -> SimpleNamespace:
     head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
