Start a gateway in 0.36 s of processor time instead of 0.58 s

Found: the command line and the other roles' modules (0.08 s), certificates of authorities that the HTTP library loads at import (0.11 s), collections of garbage during imports (0.03 s); best of eight runs each. Change: the platform's launcher imports only the gateway, points the certificates nowhere and enables collections after the imports.

--- a/deploy/run_daemon.py
+++ b/deploy/run_daemon.py
@@ -1,5 +1,12 @@
-"""Start `ragworthd` from a checkout, without installing its packages."""
+"""
+Start a gateway from a checkout, without installing its packages.
 
+A start is part of every recovery, so it is kept short: 0.36 s of processor
+time for the imports, against 0.58 s through the command line (best of eight
+runs each).
+"""
+
+import gc
 import os
 import sys
 from pathlib import Path
@@ -8,16 +15,23 @@
 _PACKAGES = ('ragworthollow', 'ragworthollow-daemon')
 # The platform names the settings file in this variable.
 _SETTINGS_VARIABLE = 'RAGWORTHOLLOW_NODE_FILE'
-
-for package in _PACKAGES:
-    sys.path.insert(0, str(_ROOT / 'packages' / package / 'src'))
+# The HTTP library loads the certificates of all authorities when it is
+# imported, 0.11 s; nothing here speaks TLS.
+_CERTIFICATE_VARIABLES = ('SSL_CERT_FILE', 'SSL_CERT_DIR')
 
 
 def main() -> None:
-    """Run the daemon with the platform's settings file."""
-    from ragworthollow_daemon.main import app
-
-    app(['--settings', os.environ[_SETTINGS_VARIABLE]])
+    """Run the gateway with the platform's settings file."""
+    for variable in _CERTIFICATE_VARIABLES:
+        os.environ[variable] = os.devnull
+    for package in _PACKAGES:
+        sys.path.insert(0, str(_ROOT / 'packages' / package / 'src'))
+    # Nothing that an import makes is garbage.
+    gc.disable()
+    from ragworthollow_daemon.gateway.launch import run_from_file
+
+    gc.enable()
+    run_from_file(Path(os.environ[_SETTINGS_VARIABLE]))
 
 
 if __name__ == '__main__':
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/operator_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/operator_routes.py
@@ -17,10 +17,10 @@
 from ragworthollow.logs.events import log_event
 from ragworthollow.membership.fleet_line import FleetLine
 from ragworthollow.outcomes import Reason
+from ragworthollow.transport.responses import Problem, respond
 from ragworthollow.utils import get_wall_ms, hash_secret
 from ragworthollow_daemon.process_context import ProcessContext, get_timeout
 from ragworthollow_daemon.web.configuration_routes import Announcement
-from ragworthollow_daemon.web.responses import Problem, respond
 
 OPERATOR_HEADER = 'X-Ragworthollow-Operator-Key'
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/request_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/request_routes.py
@@ -9,6 +9,7 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.outcomes import Outcome, Reason, Refusal
+from ragworthollow.transport.responses import respond
 from ragworthollow.utils import make_identifier
 from ragworthollow_daemon.entry.admitted_request import AdmittedRequest
 from ragworthollow_daemon.entry.door import Door
@@ -16,7 +17,6 @@
 from ragworthollow_daemon.entry.messages import PipelineAnswer
 from ragworthollow_daemon.entry.pipeline_runner import PipelineRunner
 from ragworthollow_daemon.process_context import ProcessContext
-from ragworthollow_daemon.web.responses import respond
 
 _MILLISECONDS = 1000
 _OVERLOADED = 503
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -14,12 +14,12 @@
     decode_pieces,
     encode_results,
 )
+from ragworthollow.transport.responses import Problem, respond
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.membership import CHANGE_PATH, PING_PATH
 from ragworthollow_daemon.gateway.piece_client import FREE_PATH, RUN_PATH
 from ragworthollow_daemon.gateway.piece_service import PieceService
-from ragworthollow_daemon.web.responses import Problem, respond
 
 _BAD_REQUEST = 400
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/refusals.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/refusals.py
@@ -7,9 +7,9 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.outcomes import Outcome, Reason
+from ragworthollow.transport.responses import respond
 from ragworthollow.utils.message import Message
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
-from ragworthollow_daemon.web.responses import respond
 
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/status_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/status_routes.py
@@ -2,11 +2,11 @@
 
 from aiohttp import web
 
+from ragworthollow.transport.responses import respond
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow.utils.message import Message
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.piece_client import PieceClient
-from ragworthollow_daemon.web.responses import respond
 
 
 class GatewayStatus(Message, omit_defaults=False):
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/main.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/main.py
@@ -12,14 +12,13 @@
 
 from ragworthollow import __version__
 from ragworthollow.checks import render_messages
-from ragworthollow.conf import GatewaySettings
-from ragworthollow.conf.loading import AnySettings, load_settings
+from ragworthollow.conf import GatewaySettings, global_settings
+from ragworthollow.conf.loading import load_settings
 from ragworthollow.logs import set_up_logging
 from ragworthollow_daemon.daemon_service import DaemonService
-from ragworthollow_daemon.gateway.service import GatewayService
+from ragworthollow_daemon.gateway.launch import run_gateway
 
 _USAGE_ERROR = 2
-_COLLECTION_THRESHOLD = 20_000
 
 app = App(
     name='ragworthd',
@@ -50,10 +49,13 @@
     if check:
         sys.stdout.write('settings are valid\n')
         return
+    if isinstance(loaded.ok_value, GatewaySettings):
+        run_gateway(loaded.ok_value)
+        return
     set_up_logging(instance=loaded.ok_value.instance)
     # Most objects live for one request and die by reference count.
-    gc.set_threshold(_COLLECTION_THRESHOLD)
-    service = _make_service(loaded.ok_value)
+    gc.set_threshold(global_settings.COLLECTION_THRESHOLD)
+    service = DaemonService(settings=loaded.ok_value)
     with entrypoint(
         service,
         loop_factory=uvloop.new_event_loop,
@@ -64,12 +66,6 @@
         loop.run_until_complete(service.serve())
 
 
-def _make_service(settings: AnySettings) -> DaemonService | GatewayService:
-    if isinstance(settings, GatewaySettings):
-        return GatewayService(settings=settings)
-    return DaemonService(settings=settings)
-
-
 def main() -> None:
     """Run the command line."""
     app()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_routes.py
@@ -11,10 +11,10 @@
 )
 from ragworthollow.once.promises import reply_to
 from ragworthollow.transport import OnceKey
+from ragworthollow.transport.responses import Problem, respond
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.sidecar.once_agent import OnceAgent
 from ragworthollow_daemon.sidecar.once_gate import OnceGate
-from ragworthollow_daemon.web.responses import Problem, respond
 
 _LONGEST_WAIT_MS = 10_000.0
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/stage_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/stage_routes.py
@@ -7,10 +7,10 @@
 
 from ragworthollow.configuration.stage import StageKind
 from ragworthollow.transport import OnceKey, StageAnswer, StageCall, StreamLine
+from ragworthollow.transport.responses import Problem, respond
 from ragworthollow_daemon.process_context import ProcessContext
 from ragworthollow_daemon.sidecar.once_gate import OnceGate
 from ragworthollow_daemon.sidecar.stage_gate import StageGate
-from ragworthollow_daemon.web.responses import Problem, respond
 
 _LINE_END = b'\n'
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/application.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/application.py
@@ -6,10 +6,10 @@
 
 from ragworthollow.conf import ListenSettings, global_settings
 from ragworthollow.transport.authentication import is_authentic
+from ragworthollow.transport.responses import Problem, respond
 from ragworthollow_daemon.process_context import ProcessContext
 from ragworthollow_daemon.web.configuration_routes import ConfigurationRoutes
 from ragworthollow_daemon.web.health_routes import HealthRoutes
-from ragworthollow_daemon.web.responses import Problem, respond
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/configuration_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/configuration_routes.py
@@ -6,9 +6,9 @@
 from aiohttp import web
 
 from ragworthollow.conf import global_settings
+from ragworthollow.transport.responses import Problem, respond
 from ragworthollow.utils.message import Message
 from ragworthollow_daemon.process_context import ProcessContext
-from ragworthollow_daemon.web.responses import Problem, respond
 
 _MILLISECONDS = 1000
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/health_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/health_routes.py
@@ -4,9 +4,9 @@
 
 from aiohttp import web
 
+from ragworthollow.transport.responses import Problem, respond
 from ragworthollow.utils.message import Message
 from ragworthollow_daemon.process_context import ProcessContext
-from ragworthollow_daemon.web.responses import Problem, respond
 
 _UNAVAILABLE = 503
 
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -219,3 +219,7 @@
 # lines each; what is over this rate is counted instead of written.
 LOG_LINES_PER_S = 400.0
 LOG_BUFFER_BYTES = 262_144
+
+# Allocations between two collections of the youngest objects; most objects
+# die by reference count (measured before: fewer, longer pauses cost nothing).
+COLLECTION_THRESHOLD = 20_000
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -86,7 +86,7 @@
         items = msgspec.json.decode(request.body)['items']
         self.calls.append(items)
         await asyncio.sleep(self.piece_ms / 1000)
-        body = msgspec.json.encode({'items': [*map(self._make, items)]})
+        body = msgspec.json.encode({'items': list(map(self._make, items))})
         _write(writer, '200 OK', {}, body)
         return True
 
