--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
@@ -176,7 +176,7 @@
     ) -> UpstreamFailure | None:
         """Refuse at once what would miss its objective on the whole way."""
         pools = {stage.pool for stage in job.route.stages}
-        waits_ms = self._pieces.get_waits_ms(pools)
+        waits_ms = self._pieces.get_waits_ms(pools, job.get_priority())
         late_ms = stages.find_lateness_ms(waits_ms)
         if late_ms <= global_settings.ADMISSION_GRACE_MS:
             return None
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/gate_book.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/gate_book.py
@@ -48,12 +48,18 @@
                 return maker
         return ''
 
-    def get_waits_ms(self) -> dict[str, float]:
-        """Return the expected wait of a new piece, by pool."""
-        return {
-            pool: self._estimate_ms(pool, float('inf'), get_monotonic_ms())
-            for pool in self._gates
-        }
+    def get_waits_ms(self) -> dict[str, list[float]]:
+        """Return the expected waits of a new piece, by pool and priority."""
+        waits_ms = {}
+        for pool, gate in self._gates.items():
+            profile = self.find_profile(pool)
+            if profile is not None:
+                waits_ms[pool] = gate.estimate_waits_ms(
+                    profile,
+                    len(self._context.directory.get_pool(pool)),
+                    get_monotonic_ms(),
+                )
+        return waits_ms
 
     def refuse(
         self,
@@ -76,10 +82,16 @@
             None lets them in.
         """
         first = pieces[0]
-        if first.inputs:
+        profile = self.find_profile(pool)
+        if first.inputs or profile is None:
             return None
         now_ms = get_monotonic_ms()
-        wait_ms = self._estimate_ms(pool, first.due_ms, now_ms)
+        wait_ms = self.get(pool).estimate_wait_ms(
+            profile,
+            len(self._context.directory.get_pool(pool)),
+            first,
+            now_ms,
+        )
         late_ms = now_ms + wait_ms - first.due_ms
         if late_ms <= global_settings.ADMISSION_GRACE_MS:
             return None
@@ -95,14 +107,3 @@
         )
         refusal = PieceResult(outcome=PieceOutcome.refused, wait_ms=wait_ms)
         return (refusal,) * len(pieces)
-
-    def _estimate_ms(self, pool: str, due_ms: float, now_ms: float) -> float:
-        profile = self.find_profile(pool)
-        if profile is None:
-            return 0
-        return self.get(pool).estimate_wait_ms(
-            profile,
-            len(self._context.directory.get_pool(pool)),
-            due_ms,
-            now_ms,
-        )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
@@ -88,17 +88,32 @@
             if found is not None:
                 return PieceRun(host=host, found=found)
 
-    def get_waits_ms(self, pools: Iterable[str]) -> dict[str, float]:
-        """Return the expected waits of pools, as their hosts said last."""
+    def get_waits_ms(
+        self,
+        pools: Iterable[str],
+        priority: int,
+    ) -> dict[str, float]:
+        """
+        Return the expected waits of pools, as their hosts said last.
+
+        Parameters
+        ----------
+        pools : iterable of str
+            Pools of interest.
+        priority : int
+            Rank of the request that would wait.
+        """
         own = self._service.get_waits_ms()
         waits = {}
         for pool in pools:
             host = self._members.find_host(pool)
-            waits[pool] = (
-                own.get(pool, 0)
+            by_priority = (
+                own.get(pool, [])
                 if host is None
-                else self._members.get_wait_ms(pool, host.instance)
+                else self._members.get_waits_ms(pool, host.instance)
             )
+            position = min(priority, len(by_priority) - 1)
+            waits[pool] = by_priority[position] if by_priority else 0
         return waits
 
     def free(self, host: GatewayMember | None, handles: Sequence[str]) -> None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
@@ -94,8 +94,8 @@
             for waiting in submitted:
                 waiting.is_wanted = False
 
-    def get_waits_ms(self) -> dict[str, float]:
-        """Return the expected wait of a new piece, by pool hosted here."""
+    def get_waits_ms(self) -> dict[str, list[float]]:
+        """Return the expected waits by pool hosted here and priority."""
         return self._gates.get_waits_ms()
 
     async def tick(self) -> None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/status_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/status_routes.py
@@ -30,7 +30,7 @@
     instances : dict
         Instances that may get work, by pool.
     waits_ms : dict
-        Expected waits of pools with gates.
+        Expected waits of pools with gates, for the most urgent requests.
     store_calls : int
         Calls to the store since the start.
     violations : int
@@ -107,7 +107,7 @@
                 draining=context.drain.is_draining,
                 in_flight=context.drain.in_flight,
                 instances={pool: self._list_instances(pool) for pool in pools},
-                waits_ms=self._pieces.get_waits_ms(gated),
+                waits_ms=self._pieces.get_waits_ms(gated, 0),
                 store_calls=context.store.calls,
                 violations=context.monitor.violations,
             ),
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -149,6 +149,8 @@
 # Rank of a more urgent request among pieces: as if it were due this much
 # earlier for each step of priority; about one call.
 PRIORITY_STEP_MS = 250
+# Priorities that are told apart, 0 first.
+PRIORITIES = 10
 # Expected lateness at which a request is refused on arrival.
 ADMISSION_GRACE_MS = 100
 # How long an instance without space for results is left alone; results are
--- a/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
+++ b/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
@@ -6,6 +6,8 @@
 from ragworthollow.transport.piece_messages import HostState, MemberChange
 from ragworthollow.utils.hashing import get_rank
 
+WaitsByPool = Mapping[str, list[float]]
+
 
 class GatewayMembers:
     """
@@ -27,7 +29,7 @@
         self._silent: set[str] = set()
         self._leaving: set[str] = set()
         self._pools: tuple[str, ...] = ()
-        self._waits_ms: dict[str, Mapping[str, float]] = {}
+        self._waits_ms: dict[str, WaitsByPool] = {}
 
     def replace(self, members: Iterable[GatewayMember]) -> None:
         """Take a whole list of members."""
@@ -69,9 +71,9 @@
         else:
             self._leaving.discard(state.instance)
 
-    def get_wait_ms(self, pool: str, host: str) -> float:
-        """Return the expected wait at a host's gate, as it said last."""
-        return self._waits_ms.get(host, {}).get(pool, 0)
+    def get_waits_ms(self, pool: str, host: str) -> list[float]:
+        """Return a host's waits by priority, as it said last."""
+        return self._waits_ms.get(host, {}).get(pool, [])
 
     def is_silent(self, instance: str) -> bool:
         """Tell whether a member is passed over."""
--- a/packages/ragworthollow/src/ragworthollow/pieces/gate.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/gate.py
@@ -1,10 +1,11 @@
 """Decide which pieces go to which instance, and when."""
 
+import itertools
 from collections.abc import Sequence
 from dataclasses import dataclass
 
 from ragworthollow.conf import global_settings
-from ragworthollow.pieces.piece import PieceOutcome, PieceResult
+from ragworthollow.pieces.piece import Piece, PieceOutcome, PieceResult
 from ragworthollow.pieces.result_room import ResultRoom
 from ragworthollow.pieces.waiting_piece import WaitingPiece
 from ragworthollow.routes.upstream_pool import PieceProfile
@@ -105,11 +106,11 @@
         self,
         profile: PieceProfile,
         instances: int,
-        due_ms: float,
+        piece: Piece,
         now_ms: float,
     ) -> float:
         """
-        Estimate how long a piece would wait for the start of its call.
+        Estimate how long a piece that comes now waits for its call.
 
         Parameters
         ----------
@@ -117,18 +118,51 @@
             Of the pool.
         instances : int
             Instances that may get work.
-        due_ms : float
-            Latest useful start of the piece; only pieces that are due
-            earlier, and not late, go before it.
+        piece : Piece
+            Only pieces that go before it count.
         now_ms : float
             Time on the monotonic clock.
         """
-        if not instances:
-            return float('inf')
+        rank_ms = _get_rank_ms(piece)
         ahead = sum(
-            not _is_late(one, now_ms) and one.piece.due_ms <= due_ms
+            not _is_late(one, now_ms) and _get_rank_ms(one.piece) <= rank_ms
             for one in self._queue
         )
+        return self._estimate_ms(profile, instances, ahead, now_ms)
+
+    def estimate_waits_ms(
+        self,
+        profile: PieceProfile,
+        instances: int,
+        now_ms: float,
+    ) -> list[float]:
+        """
+        Estimate the waits of requests that are due later than all queued.
+
+        Returns
+        -------
+        list of float
+            By priority, 0 first; only pieces that are at least as urgent
+            count, so that the less urgent are refused first.
+        """
+        counts = [0 for _ in range(global_settings.PRIORITIES)]
+        for one in self._queue:
+            if not _is_late(one, now_ms):
+                counts[min(one.piece.priority, len(counts) - 1)] += 1
+        return [
+            self._estimate_ms(profile, instances, ahead, now_ms)
+            for ahead in itertools.accumulate(counts)
+        ]
+
+    def _estimate_ms(
+        self,
+        profile: PieceProfile,
+        instances: int,
+        ahead: int,
+        now_ms: float,
+    ) -> float:
+        if not instances:
+            return float('inf')
         full_ms = profile.estimate_ms(profile.batch_limit)
         busy_ms = sum(
             max(0, call.started_ms + call.expected_ms - now_ms)
@@ -302,15 +336,18 @@
     space at their makers until the last one is done, and space that is held
     by halves of stages stops the pool while its instances are idle.
     """
-    piece = waiting.piece
-    urgency_ms = piece.priority * global_settings.PRIORITY_STEP_MS
     return (
         not waiting.stage_run.is_begun,
         _is_late(waiting, now_ms),
-        piece.due_ms + urgency_ms,
+        _get_rank_ms(waiting.piece),
     )
 
 
+def _get_rank_ms(piece: Piece) -> float:
+    """Return the latest start, later for what is less urgent."""
+    return piece.due_ms + piece.priority * global_settings.PRIORITY_STEP_MS
+
+
 def _is_late(waiting: WaitingPiece, now_ms: float) -> bool:
     grace_ms = global_settings.PIECE_LATE_GRACE_MS
     return waiting.piece.due_ms + grace_ms < now_ms
--- a/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
@@ -71,12 +71,12 @@
     is_leaving : bool
         Whether it is stopping: it finishes what it has, and takes no more.
     waits_ms : dict
-        Expected wait of a new piece, by pool.
+        Expected waits of a new piece, by pool and priority.
     """
 
     instance: str
     is_leaving: bool = False
-    waits_ms: dict[str, float] = {}
+    waits_ms: dict[str, list[float]] = {}
 
 
 class MemberChange(Message):
--- a/tests/features/pieces.feature
+++ b/tests/features/pieces.feature
@@ -70,3 +70,10 @@
     # space for.
     When any pieces come, calls end or fail and results are freed
     Then no piece is lost, doubled or beyond a limit
+
+  Scenario: Under overload the less urgent are refused first
+    # Both kinds cost a pool the same; the most urgent one is worth more and
+    # would be served less often, since its way is the longest.
+    Given a pool of 1 instance with calls of 1 piece
+    When 3 pieces of priority 0 and 5 of priority 2 wait
+    Then a new one of priority 0 expects 3 calls before it and one of 2 all 8
--- a/tests/features/steps/pieces.py
+++ b/tests/features/steps/pieces.py
@@ -219,9 +219,10 @@
     pool = context.pool
     context.lateness = []
     for _ in range(6):
-        wait_ms = pool.gate.estimate_wait_ms(pool.profile, 1, 700, 0)
+        waiting = make_waiting(700)
+        wait_ms = pool.gate.estimate_wait_ms(pool.profile, 1, waiting.piece, 0)
         context.lateness.append(wait_ms - 700)
-        pool.gate.submit(make_waiting(700))
+        pool.gate.submit(waiting)
         pool.plan()
 
 
@@ -375,3 +376,22 @@
             while self.pool.gate.get_calls():
                 self.end(0, 0)
         assert len(self.done) == len(self.submitted)
+
+
+@when('{urgent:d} pieces of priority 0 and {other:d} of priority 2 wait')
+def wait_kinds(context, urgent, other):
+    for number in range(urgent + other):
+        priority = 0 if number < urgent else 2
+        context.pool.gate.submit(make_waiting(5000, priority=priority))
+
+
+@then(
+    'a new one of priority 0 expects {urgent:d} calls before it '
+    'and one of 2 all {everything:d}',
+)
+def check_kinds(context, urgent, everything):
+    pool = context.pool
+    waits_ms = pool.gate.estimate_waits_ms(pool.profile, 1, 0)
+    call_ms = pool.profile.estimate_ms(1)
+    assert waits_ms[0] == urgent * call_ms, waits_ms
+    assert waits_ms[2] == everything * call_ms, waits_ms
