Answer everything before a stop ends, refuse late what it cannot finish

Change: a stopping gateway refuses streams after 2.5 s, and other requests that cannot end in time, as not run; 0.3 s before its end it answers everything that has no answer yet, as not run before the upstream and as unknown behind it.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -17,6 +17,7 @@
 from ragworthollow.upstreams import Directory, LoadBook
 from ragworthollow.utils import make_identifier
 from ragworthollow_daemon.drain import DrainState
+from ragworthollow_daemon.gateway.stop_state import StopState
 
 
 class GatewayContext:
@@ -37,6 +38,7 @@
         self.metrics = Metrics()
         self.monitor = InvariantMonitor(metrics=self.metrics)
         self.drain = DrainState()
+        self.stop = StopState()
         self.rng = random.Random(self.incarnation)  # noqa: S311
         self.session = make_plain_session()
         self.upstream_session = make_upstream_session()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
@@ -26,7 +26,10 @@
 )
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.request_job import RequestJob
-from ragworthollow_daemon.gateway.stream_relay import StreamRelay
+from ragworthollow_daemon.gateway.stream_relay import (
+    AnswerProgress,
+    StreamRelay,
+)
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
 _STEP = 'forward'
@@ -72,6 +75,7 @@
         job: RequestJob,
         inputs: tuple[str, ...],
         on_inputs_read: Callable[[], None],
+        progress: AnswerProgress,
     ) -> Forwarded:
         """
         Answer one request.
@@ -84,6 +88,8 @@
             Handles of its stage results.
         on_inputs_read : callable
             Called once the upstream has read them.
+        progress : AnswerProgress
+            Told when the answer has begun.
 
         Returns
         -------
@@ -93,7 +99,7 @@
         self._context.get_budget(job.pool).earn()
         series = _Series(context=self._context, job=job, inputs=inputs)
         if job.route.is_stream():
-            return await self._relay(series, on_inputs_read)
+            return await self._relay(series, on_inputs_read, progress)
         return await self._fetch(series)
 
     async def _fetch(self, series: '_Series') -> Forwarded:
@@ -117,9 +123,11 @@
         self,
         series: '_Series',
         on_inputs_read: Callable[[], None],
+        progress: AnswerProgress,
     ) -> Forwarded:
         relay = StreamRelay(
             job=series.job,
+            progress=progress,
             is_draining=lambda: self._context.drain.is_draining,
         )
         while True:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
@@ -1,6 +1,7 @@
 """Take callers' requests and answer each of them once."""
 
 import asyncio
+from collections.abc import Callable
 
 from aiohttp import web
 from result import Err, Ok, Result
@@ -17,7 +18,10 @@
 from ragworthollow_daemon.gateway.refusals import refuse
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.stage_work import StageWork
-from ragworthollow_daemon.gateway.stream_relay import StreamBroken
+from ragworthollow_daemon.gateway.stream_relay import (
+    AnswerProgress,
+    StreamBroken,
+)
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
 _STEP = 'front'
@@ -85,6 +89,8 @@
         limit_ms = route.timeout_ms
         if terms.time_limit_ms is not None:
             limit_ms = min(limit_ms, terms.time_limit_ms)
+        if not self._context.stop.accepts(route, limit_ms, received_ms):
+            return Err(_make_stopping(route.name, Outcome.not_run))
         job = RequestJob(
             request=request,
             body=body,
@@ -158,17 +164,33 @@
         if refusal is not None:
             return Err(refusal)
         try:
-            made = await self._run_stages(stages, job)
-            if isinstance(made, Err):
-                return made
-            return await self._forwarder.forward(
-                job,
-                made.ok_value,
-                stages.free,
-            )
+            return await self._run(job, stages)
         finally:
             stages.free()
 
+    async def _run(self, job: RequestJob, stages: StageWork) -> Answered:
+        made = await self._context.stop.run(self._run_stages(stages, job))
+        if made is None:
+            return Err(_make_stopping(job.pool, Outcome.not_run))
+        if isinstance(made, Err):
+            return made
+        return await self._forward(job, made.ok_value, stages.free)
+
+    async def _forward(
+        self,
+        job: RequestJob,
+        inputs: tuple[str, ...],
+        on_inputs_read: Callable[[], None],
+    ) -> Answered:
+        progress = AnswerProgress()
+        answered = await self._context.stop.run(
+            self._forwarder.forward(job, inputs, on_inputs_read, progress),
+            may_end=lambda: not progress.is_started,
+        )
+        if answered is None:
+            return Err(_make_stopping(job.pool, Outcome.unknown))
+        return answered
+
     def _refuse_late(
         self,
         job: RequestJob,
@@ -265,6 +287,16 @@
     return b''.join(chunks)
 
 
+def _make_stopping(peer: str, outcome: Outcome) -> UpstreamFailure:
+    return UpstreamFailure(
+        outcome=outcome,
+        reason=Reason.draining,
+        step=_STEP,
+        peer=peer,
+        retry_after_ms=global_settings.GATEWAY_STOPPING_RETRY_MS,
+    )
+
+
 def _refuse(reason: Reason, peer: str | None) -> Err[UpstreamFailure]:
     return Err(_make_failure(reason, peer or ''))
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -85,6 +85,14 @@
         self.context.spawn(self.membership.run())
         self.context.spawn(self.membership.watch_hosts())
 
+    def begin_stop(self) -> None:
+        """Turn readiness off, and refuse what cannot be finished here."""
+        self.context.drain.is_draining = True
+        self.context.stop.begin(
+            get_monotonic_ms(),
+            self._settings.grace_s * 1000,
+        )
+
     async def stop(self) -> None:
         """
         Serve on until the balancer has moved away and nothing is served.
@@ -94,14 +102,14 @@
         any other, and each answer closes its connection.
         """
         started_ms = get_monotonic_ms()
-        limit_ms = (
-            self._settings.grace_s * 1000
-            - global_settings.GATEWAY_STOP_MARGIN_MS
-        )
         await self.membership.leave()
         await asyncio.sleep(global_settings.GATEWAY_BALANCER_LAG_MS / 1000)
-        spent_ms = get_monotonic_ms() - started_ms
-        await self.context.drain.wait_quiet(limit_ms - spent_ms)
+        left_ms = self.context.stop.get_left_ms(get_monotonic_ms())
+        if not await self.context.drain.wait_quiet(left_ms):
+            self.context.stop.give_up()
+            await self.context.drain.wait_quiet(
+                global_settings.GATEWAY_LAST_ANSWERS_MS,
+            )
         log_event(
             'drained',
             step='lifecycle',
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/service.py
@@ -64,7 +64,7 @@
                 cut=drain.in_flight,
             )
             os._exit(_CUT_EXIT_CODE)
-        drain.is_draining = True
+        self._role.begin_stop()
         log_event(
             'draining',
             step='lifecycle',
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
@@ -1,11 +1,11 @@
 """Pass a stream through to the caller, from one upstream or several."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from aiohttp import ClientResponse, web
 
 from ragworthollow.platform.answer_wire import make_caller_headers
-from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.event_splitter import EventSplitter
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
@@ -34,6 +34,20 @@
         self.failure = failure
 
 
+@dataclass(kw_only=True, slots=True)
+class AnswerProgress:
+    """
+    Tell how far the answer to a request is.
+
+    Attributes
+    ----------
+    is_started : bool
+        Whether its head is sent, so that no other answer is possible.
+    """
+
+    is_started: bool = False
+
+
 class StreamRelay:
     """
     Write the events of a stream as they arrive.
@@ -47,6 +61,8 @@
         The request.
     is_draining : callable
         Tells whether the process stops.
+    progress : AnswerProgress
+        Told when the head of the answer is sent.
     """
 
     def __init__(
@@ -54,13 +70,13 @@
         *,
         job: RequestJob,
         is_draining: Callable[[], bool],
+        progress: AnswerProgress,
     ) -> None:
         self._job = job
+        self._progress = progress
         self._is_draining = is_draining
         self._response: web.StreamResponse | None = None
         self._splitter = EventSplitter()
-        self.first_event_ms: float | None = None
-        self.events_bytes = 0
 
     def is_started(self) -> bool:
         """Tell whether the caller has the head of the answer."""
@@ -83,6 +99,7 @@
             # The next request of this connection goes to another process.
             response.force_close()
         self._response = response
+        self._progress.is_started = True
         await response.prepare(self._job.request)
 
     async def pump(
@@ -139,7 +156,4 @@
         return StreamBroken(response=self._response, failure=failure)
 
     async def _write(self, events: bytes) -> None:
-        if self.first_event_ms is None:
-            self.first_event_ms = get_monotonic_ms()
-        self.events_bytes += len(events)
         await self._response.write(events)
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -168,6 +168,14 @@
 # Time before KILL at which the process ends by itself, so that what it cuts
 # is logged; a core may be taken away for a tenth of a second at a time.
 GATEWAY_STOP_MARGIN_MS = 300
+# Time before that in which everything without an answer gets one.
+GATEWAY_LAST_ANSWERS_MS = 300
+# How long after TERM new streams are taken: the balancer moves away within
+# this time, and a stream lasts for seconds.
+GATEWAY_LATE_STREAM_MS = 2_500
+# When a caller that meets a stopping gateway may come back: at once, since
+# its next connection goes to another one.
+GATEWAY_STOPPING_RETRY_MS = 30
 # The balancer asks once a second and moves away after two misses; one more
 # second covers the new connections that cross.
 GATEWAY_BALANCER_LAG_MS = 3_300
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -180,3 +180,12 @@
     Given two more gateways and an instance for stage work
     When 240 callers post to /safe/fail through all gateways
     Then the pool got no more than 240 requests, a fifth of them and 100 again
+
+  Scenario: A stop that reaches its limit answers what it cannot finish
+    # A caller whose request is cut learns nothing.  One that comes late in
+    # the stop is sent elsewhere at once; one that waits for an upstream is
+    # told, before the process ends, that its request may have run.
+    Given a gateway with 5 s between TERM and its end
+    When it is asked to stop while a caller waits for /unsafe/wait
+    And a stream is asked for late in the stop
+    Then the stream was refused as not run and the waiting caller got status 502
--- a/tests/features/steps/gateway.py
+++ b/tests/features/steps/gateway.py
@@ -320,7 +320,7 @@
 
 async def _stop(stage) -> SimpleNamespace:
     role = stage.gateways['g1']
-    role.context.drain.is_draining = True
+    role.begin_stop()
     stopping = asyncio.ensure_future(role.stop())
     url = f'http://{role.context.settings.ready_address}/api/ready'
     async with stage.session.get(url) as response:
--- a/tests/features/steps/gateway_fleet.py
+++ b/tests/features/steps/gateway_fleet.py
@@ -4,6 +4,8 @@
 
 from behave import given, then, when
 
+from ragworthollow.utils import get_monotonic_ms
+
 _NAMES = ('g1', 'g2', 'g3')
 _PLAIN = ('u1', 'u2')
 
@@ -213,3 +215,57 @@
     assert arrivals <= count * 1.2 + slack, arrivals
     # The budget is there to be used: a failing instance is not the end.
     assert arrivals > count, arrivals
+
+
+@given('a gateway with {grace_s:d} s between TERM and its end')
+def add_brief(context, grace_s):
+    stage = context.gateway_stage
+    stage.run(stage.add_gateway('g2', grace_s=grace_s))
+    stage.run(stage.wait_configured('g2'))
+    stage.run(_wait_plain(stage, 'g2'))
+
+
+@when('it is asked to stop while a caller waits for {path:S}')
+def stop_brief(context, path):
+    context.waiting, context.stopping = context.gateway_stage.run(
+        _stop_brief(context.gateway_stage, path),
+    )
+
+
+async def _stop_brief(stage, path):
+    waiting = asyncio.ensure_future(stage.send(path, gateway='g2'))
+    await stage.wait_for(
+        lambda: any(stage.upstreams[name].runs for name in _PLAIN),
+    )
+    role = stage.gateways['g2']
+    role.begin_stop()
+    return waiting, asyncio.ensure_future(role.stop())
+
+
+@when('a stream is asked for late in the stop')
+def ask_late(context):
+    context.late = context.gateway_stage.run(
+        _ask_late(context.gateway_stage),
+    )
+
+
+async def _ask_late(stage):
+    stop = stage.get_context('g2').stop
+    route = stage.get_context('g2').table.match('service.example', '/stream/')
+    await stage.wait_for(
+        lambda: not stop.accepts(route, 1000, get_monotonic_ms()),
+    )
+    return await stage.send('/stream/stream', gateway='g2')
+
+
+@then(
+    'the stream was refused as not run '
+    'and the waiting caller got status {status:d}',
+)
+def check_brief(context, status):
+    stage = context.gateway_stage
+    assert context.late.status == 503, context.late
+    assert float(context.late.headers['Retry-After']) > 0
+    stage.run(asyncio.wait_for(context.stopping, 20))
+    found = stage.run(asyncio.wait_for(context.waiting, 20))
+    assert found.status == status, found
