--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/launch.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/launch.py
@@ -1,18 +1,16 @@
 """Run a gateway from its settings, with as few imports as it needs."""
 
-import gc
 import sys
 from pathlib import Path
 
-import uvloop
-from aiomisc import entrypoint
 from result import Err
 
 from ragworthollow.checks import render_messages
-from ragworthollow.conf import GatewaySettings, global_settings
+from ragworthollow.conf import GatewaySettings
 from ragworthollow.conf.loading import load_settings
 from ragworthollow.logs import set_up_logging
 from ragworthollow_daemon.gateway.service import GatewayService
+from ragworthollow_daemon.run_service import run_service
 
 _USAGE_ERROR = 2
 
@@ -27,17 +25,7 @@
         Checked settings.
     """
     set_up_logging(instance=settings.instance)
-    # Most objects live for one request and die by reference count.
-    gc.set_threshold(global_settings.COLLECTION_THRESHOLD)
-    service = GatewayService(settings=settings)
-    with entrypoint(
-        service,
-        loop_factory=uvloop.new_event_loop,
-        pool_size=1,
-        log_config=False,
-        catch_signals=(),
-    ) as loop:
-        loop.run_until_complete(service.serve())
+    run_service(GatewayService(settings=settings))
 
 
 def run_from_file(path: Path) -> None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/main.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/main.py
@@ -1,22 +1,20 @@
 """Run `ragworthd`."""
 
-import gc
 import sys
 from pathlib import Path
 from typing import Annotated
 
-import uvloop
-from aiomisc import entrypoint
 from cyclopts import App, Parameter
 from result import Err
 
 from ragworthollow import __version__
 from ragworthollow.checks import render_messages
-from ragworthollow.conf import GatewaySettings, global_settings
+from ragworthollow.conf import GatewaySettings
 from ragworthollow.conf.loading import load_settings
 from ragworthollow.logs import set_up_logging
 from ragworthollow_daemon.daemon_service import DaemonService
 from ragworthollow_daemon.gateway.launch import run_gateway
+from ragworthollow_daemon.run_service import run_service
 
 _USAGE_ERROR = 2
 
@@ -53,17 +51,7 @@
         run_gateway(loaded.ok_value)
         return
     set_up_logging(instance=loaded.ok_value.instance)
-    # Most objects live for one request and die by reference count.
-    gc.set_threshold(global_settings.COLLECTION_THRESHOLD)
-    service = DaemonService(settings=loaded.ok_value)
-    with entrypoint(
-        service,
-        loop_factory=uvloop.new_event_loop,
-        pool_size=1,
-        log_config=False,
-        catch_signals=(),
-    ) as loop:
-        loop.run_until_complete(service.serve())
+    run_service(DaemonService(settings=loaded.ok_value))
 
 
 def main() -> None:
--- a/packages/ragworthollow/src/ragworthollow/pieces/gate.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/gate.py
@@ -5,6 +5,14 @@
 from dataclasses import dataclass
 
 from ragworthollow.conf import global_settings
+from ragworthollow.pieces.order import (
+    get_rank_ms,
+    is_held,
+    is_hopeless,
+    is_late,
+    prefer_domain,
+    rank,
+)
 from ragworthollow.pieces.piece import Piece, PieceOutcome, PieceResult
 from ragworthollow.pieces.result_room import ResultRoom
 from ragworthollow.pieces.waiting_piece import WaitingPiece
@@ -96,7 +104,7 @@
         for waiting in self._queue:
             if not waiting.is_wanted:
                 continue
-            if _is_hopeless(waiting, now_ms):
+            if is_hopeless(waiting, now_ms):
                 waiting.settle(PieceResult(outcome=PieceOutcome.not_run))
                 continue
             staying.append(waiting)
@@ -123,9 +131,9 @@
         now_ms : float
             Time on the monotonic clock.
         """
-        rank_ms = _get_rank_ms(piece)
+        rank_ms = get_rank_ms(piece)
         ahead = sum(
-            not _is_late(one, now_ms) and _get_rank_ms(one.piece) <= rank_ms
+            not is_late(one, now_ms) and get_rank_ms(one.piece) <= rank_ms
             for one in self._queue
         )
         return self._estimate_ms(profile, instances, ahead, now_ms)
@@ -147,7 +155,7 @@
         """
         counts = [0 for _ in range(global_settings.PRIORITIES)]
         for one in self._queue:
-            if not _is_late(one, now_ms):
+            if not is_late(one, now_ms):
                 counts[min(one.piece.priority, len(counts) - 1)] += 1
         return [
             self._estimate_ms(profile, instances, ahead, now_ms)
@@ -205,15 +213,15 @@
         idle = self._find_idle(profile, instances, book, now_ms)
         used = self.room.get_used(now_ms)
         waits_ms = self._estimate_domain_waits(profile, instances, now_ms)
-        self._queue.sort(key=lambda one: _rank(one, now_ms))
+        self._queue.sort(key=lambda one: rank(one, now_ms))
         calls = []
         while idle and self._queue:
-            instance = _prefer_domain(idle, self._queue[0])
+            instance = prefer_domain(idle, self._queue[0])
             idle.remove(instance)
             wanted = [
                 one
                 for one in self._queue
-                if not _is_held(one, instance, waits_ms, now_ms)
+                if not is_held(one, instance, waits_ms, now_ms)
             ]
             call = self._fill(profile, instance, wanted, used, now_ms)
             if call is not None:
@@ -309,81 +317,3 @@
         )
         self._calls.append(call)
         return call
-
-
-def _is_hopeless(waiting: WaitingPiece, now_ms: float) -> bool:
-    """
-    Tell whether a queued piece is given up.
-
-    A request on which nothing was spent is given up soon after its objective
-    is out of reach: it would take time from requests that can still meet
-    theirs, and its caller can come back.  One on which work was spent stays
-    until nobody waits for it.
-    """
-    piece = waiting.piece
-    if piece.expires_ms <= now_ms:
-        return True
-    if piece.inputs or waiting.stage_run.is_begun:
-        return False
-    return piece.due_ms + global_settings.PIECE_GIVE_UP_MS < now_ms
-
-
-def _rank(waiting: WaitingPiece, now_ms: float) -> tuple[bool, bool, float]:
-    """
-    Return the order in which a piece is taken, smallest first.
-
-    The rest of a stage that has begun comes first: its finished pieces take
-    space at their makers until the last one is done, and space that is held
-    by halves of stages stops the pool while its instances are idle.
-    """
-    return (
-        not waiting.stage_run.is_begun,
-        _is_late(waiting, now_ms),
-        _get_rank_ms(waiting.piece),
-    )
-
-
-def _get_rank_ms(piece: Piece) -> float:
-    """Return the latest start, later for what is less urgent."""
-    return piece.due_ms + piece.priority * global_settings.PRIORITY_STEP_MS
-
-
-def _is_late(waiting: WaitingPiece, now_ms: float) -> bool:
-    grace_ms = global_settings.PIECE_LATE_GRACE_MS
-    return waiting.piece.due_ms + grace_ms < now_ms
-
-
-def _is_held(
-    waiting: WaitingPiece,
-    instance: UpstreamInstance,
-    waits_ms: dict[str, float],
-    now_ms: float,
-) -> bool:
-    """
-    Tell whether a piece rather waits for an instance near its reader.
-
-    A result that is read in another failure domain costs traffic between
-    them.  A piece waits for a near instance that is expected soon, measured
-    by its own slack.
-    """
-    piece = waiting.piece
-    wait_ms = waits_ms.get(piece.failure_domain)
-    if wait_ms is None or piece.failure_domain == instance.failure_domain:
-        return False
-    slack_ms = piece.due_ms - now_ms
-    return wait_ms < slack_ms * global_settings.NEAR_WAIT_SHARE
-
-
-def _prefer_domain(
-    idle: Sequence[UpstreamInstance],
-    first: WaitingPiece,
-) -> UpstreamInstance:
-    """Return an idle instance, near the reader of the result if possible."""
-    for one in idle:
-        is_near = one.failure_domain == first.piece.failure_domain
-        if is_near and one.instance not in first.avoid:
-            return one
-    for one in idle:
-        if one.instance not in first.avoid:
-            return one
-    return idle[0]
