--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
@@ -191,7 +191,7 @@
         """
         if self._error_answer is None:
             return Err(failure)
-        return Ok(to_response(self._error_answer))
+        return Ok(render_answer(self._error_answer))
 
     def _find_stop(self) -> UpstreamFailure | None:
         job = self.job
@@ -257,7 +257,7 @@
         )
 
 
-def to_response(answer: UpstreamAnswer) -> web.Response:
+def render_answer(answer: UpstreamAnswer) -> web.Response:
     """Make the answer to a caller out of an upstream's."""
     return web.Response(
         status=answer.status,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
@@ -19,7 +19,7 @@
 from ragworthollow_daemon.gateway.attempt_series import (
     AttemptSeries,
     Forwarded,
-    to_response,
+    render_answer,
 )
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.request_job import RequestJob
@@ -98,7 +98,7 @@
                 series.note_failure(plan, answered.err_value)
             elif series.is_final(answered.ok_value.status):
                 series.note_answer(plan, answered.ok_value.status)
-                return Ok(to_response(answered.ok_value))
+                return Ok(render_answer(answered.ok_value))
             else:
                 series.note_error_answer(plan, answered.ok_value)
 
@@ -195,7 +195,7 @@
             series.note_error_answer(plan, answer)
             return None
         series.note_answer(plan, answer.status)
-        return to_response(answer)
+        return render_answer(answer)
 
 
 def _explain_break(plan: AttemptPlan, error: Exception) -> UpstreamFailure:
