--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -231,5 +231,5 @@
 LOG_BUFFER_BYTES = 262_144
 
 # Allocations between two collections of the youngest objects; most objects
-# die by reference count (measured before: fewer, longer pauses cost nothing).
+# die by reference count.  The figure was chosen, not measured.
 COLLECTION_THRESHOLD = 20_000
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/platform/settings_file.py
@@ -0,0 +1,19 @@
+"""Find the settings file that the platform gives to a process."""
+
+import os
+from pathlib import Path
+
+# The platform's word for an instance is `node`.
+_VARIABLE = 'RAGWORTHOLLOW_NODE_FILE'
+
+
+def get_settings_path() -> Path:
+    """
+    Return the path of the settings file.
+
+    Raises
+    ------
+    KeyError
+        The process was not started by the platform.
+    """
+    return Path(os.environ[_VARIABLE])
