--- a/packages/ragworthollow/src/ragworthollow/platform/settings_file.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/settings_file.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 # The platform's word for an instance is `node`.
-_VARIABLE = 'RAGWORTHOLLOW_NODE_FILE'
+_PATH_VARIABLE = 'RAGWORTHOLLOW_NODE_FILE'
 
 
 def get_settings_path() -> Path:
@@ -16,4 +16,4 @@
     KeyError
         The process was not started by the platform.
     """
-    return Path(os.environ[_VARIABLE])
+    return Path(os.environ[_PATH_VARIABLE])
