Enforce the configuration's limits of time; prove the bounds of the store

Cause: header_timeout_ms and idle_timeout_ms of the configuration were read and not used; a caller that stopped in the middle of a head or a body held its connection for ever.

Change: connections take their limits from the table in force, also when it changes while they are open; a body has its request's time. The admission of a request stands in its own module. Bounds are proved in virtual time over any moment of change, lost call and outage.

--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
@@ -0,0 +1,161 @@
+"""Decide which requests of callers are taken."""
+
+import asyncio
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from ragworthollow.conf import global_settings
+from ragworthollow.outcomes import Outcome, Reason
+from ragworthollow.platform.request_wire import read_terms
+from ragworthollow.routes import KeyHolder, Route, RouteTable
+from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.request_job import RequestJob
+from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
+
+_STEP = 'front'
+
+
+class Admission:
+    """
+    Judge requests by the configuration in force.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Of this process.
+    """
+
+    def __init__(self, *, context: GatewayContext) -> None:
+        self._context = context
+
+    async def admit(
+        self,
+        request: web.BaseRequest,
+        received_ms: float,
+    ) -> Result[RequestJob, UpstreamFailure]:
+        """
+        Take a request, once its body is here, or say why not.
+
+        Parameters
+        ----------
+        request : BaseRequest
+            Its body not yet read.
+        received_ms : float
+            When its head was here, on the monotonic clock.
+        """
+        table = self._context.table
+        if table is None:
+            return _refuse(Reason.not_configured, request.remote)
+        path = request.raw_path.partition('?')[0]
+        route = table.match(request.headers.get('Host', ''), path)
+        if route is None:
+            return _refuse(Reason.unknown_route, path)
+        terms = read_terms(request.headers)
+        identified = _identify(table, route, terms.key)
+        if isinstance(identified, Err):
+            return identified
+        limit_ms = route.timeout_ms
+        if terms.time_limit_ms is not None:
+            limit_ms = min(limit_ms, terms.time_limit_ms)
+        received = await _read_body(
+            request, table.limits.body_bytes, limit_ms, route.name
+        )
+        if isinstance(received, Err):
+            return received
+        if not self._context.stop.accepts(route, limit_ms, received_ms):
+            return Err(make_stopping(route.name, Outcome.not_run))
+        return Ok(
+            RequestJob(
+                request=request,
+                body=received.ok_value,
+                terms=terms,
+                route=route,
+                holder=identified.ok_value,
+                pool=self._choose_pool(route),
+                table=table,
+                received_ms=received_ms,
+                deadline_ms=received_ms + limit_ms,
+            ),
+        )
+
+    def _choose_pool(self, route: Route) -> str:
+        weights = [share.weight for share in route.shares]
+        if not any(weights):
+            return route.shares[0].pool
+        chosen = self._context.rng.choices(route.shares, weights)
+        return chosen[0].pool
+
+
+def make_stopping(peer: str, outcome: Outcome) -> UpstreamFailure:
+    """Make the failure of a request that this process will not finish."""
+    return UpstreamFailure(
+        outcome=outcome,
+        reason=Reason.draining,
+        step=_STEP,
+        peer=peer,
+        retry_after_ms=global_settings.GATEWAY_STOPPING_RETRY_MS,
+    )
+
+
+def make_refusal(reason: Reason, peer: str | None) -> UpstreamFailure:
+    """Make the failure of a request for which nothing was sent."""
+    return UpstreamFailure(
+        outcome=Outcome.not_run,
+        reason=reason,
+        step=_STEP,
+        peer=peer or '',
+    )
+
+
+def _refuse(reason: Reason, peer: str | None) -> Err[UpstreamFailure]:
+    return Err(make_refusal(reason, peer))
+
+
+def _identify(
+    table: RouteTable,
+    route: Route,
+    key: str,
+) -> Result[KeyHolder | None, UpstreamFailure]:
+    holder = table.identify(key) if key else None
+    if holder is None and table.requires_key and not route.is_public:
+        return _refuse(Reason.unauthorized, route.name)
+    return Ok(holder)
+
+
+async def _read_body(
+    request: web.BaseRequest,
+    limit_bytes: int,
+    limit_ms: float,
+    route_name: str,
+) -> Result[bytes, UpstreamFailure]:
+    """
+    Read a whole body.
+
+    A caller that stops in the middle of one would be held for ever.
+    """
+    try:
+        async with asyncio.timeout(limit_ms / 1000):
+            body = await _collect(request, limit_bytes)
+    except TimeoutError:
+        return _refuse(Reason.body_too_slow, route_name)
+    if body is None:
+        return _refuse(Reason.body_too_large, route_name)
+    return Ok(body)
+
+
+async def _collect(
+    request: web.BaseRequest,
+    limit_bytes: int,
+) -> bytes | None:
+    """Read a whole body; None when it is longer than allowed."""
+    if not request.body_exists:
+        return b''
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in request.content.iter_any():
+        size += len(chunk)
+        if size > limit_bytes:
+            return None
+        chunks.append(chunk)
+    return b''.join(chunks)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -11,7 +11,7 @@
 from ragworthollow.metrics import InvariantMonitor, Metrics
 from ragworthollow.platform.store_client import StoreClient
 from ragworthollow.retries import RetryBudget
-from ragworthollow.routes import RouteTable
+from ragworthollow.routes import RequestLimits, RouteTable
 from ragworthollow.transport.checked_connector import make_upstream_session
 from ragworthollow.transport.session import make_plain_session
 from ragworthollow.upstreams import Directory, LoadBook
@@ -65,6 +65,10 @@
             self._budgets[pool] = budget
         return budget
 
+    def get_limits(self) -> RequestLimits:
+        """Return what callers may send by the configuration in force."""
+        return RequestLimits() if self.table is None else self.table.limits
+
     def set_members(self, members: int) -> None:
         """Share the retry budget among this many gateways."""
         if members == self.members:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
@@ -10,8 +10,12 @@
 from ragworthollow.logs.events import log_event
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.platform.request_wire import read_terms
-from ragworthollow.routes import KeyHolder, Route, RouteTable
 from ragworthollow.utils import get_monotonic_ms
+from ragworthollow_daemon.gateway.admission import (
+    Admission,
+    make_refusal,
+    make_stopping,
+)
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.forwarder import Forwarder
 from ragworthollow_daemon.gateway.piece_client import PieceClient
@@ -49,76 +53,29 @@
     ) -> None:
         self._context = context
         self._pieces = pieces
+        self._admission = Admission(context=context)
         self._forwarder = Forwarder(context=context)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         received_ms = get_monotonic_ms()
         with self._context.drain.serving():
-            admitted = await self._admit(request, received_ms)
+            admitted = await self._admission.admit(request, received_ms)
             if isinstance(admitted, Err):
                 answered: Answered = admitted
                 job = None
             else:
-                job, table = admitted.ok_value
-                answered = await self._serve_present(job, table)
+                job = admitted.ok_value
+                answered = await self._serve_present(job)
             response = self._finish(request, received_ms, job, answered)
         if self._context.drain.is_draining and not response.prepared:
             response.force_close()
         return response
 
-    async def _admit(
-        self,
-        request: web.BaseRequest,
-        received_ms: float,
-    ) -> Result[tuple[RequestJob, RouteTable], UpstreamFailure]:
-        table = self._context.table
-        if table is None:
-            return _refuse(Reason.not_configured, request.remote)
-        path = request.raw_path.partition('?')[0]
-        route = table.match(request.headers.get('Host', ''), path)
-        if route is None:
-            return _refuse(Reason.unknown_route, path)
-        terms = read_terms(request.headers)
-        identified = _identify(table, route, terms.key)
-        if isinstance(identified, Err):
-            return identified
-        body = await _read_body(request, table.limits.body_bytes)
-        if body is None:
-            return _refuse(Reason.body_too_large, route.name)
-        limit_ms = route.timeout_ms
-        if terms.time_limit_ms is not None:
-            limit_ms = min(limit_ms, terms.time_limit_ms)
-        if not self._context.stop.accepts(route, limit_ms, received_ms):
-            return Err(_make_stopping(route.name, Outcome.not_run))
-        job = RequestJob(
-            request=request,
-            body=body,
-            terms=terms,
-            route=route,
-            holder=identified.ok_value,
-            pool=self._choose_pool(route),
-            version=table.version,
-            received_ms=received_ms,
-            deadline_ms=received_ms + limit_ms,
-        )
-        return Ok((job, table))
-
-    def _choose_pool(self, route: Route) -> str:
-        weights = [share.weight for share in route.shares]
-        if not any(weights):
-            return route.shares[0].pool
-        chosen = self._context.rng.choices(route.shares, weights)
-        return chosen[0].pool
-
-    async def _serve_present(
-        self,
-        job: RequestJob,
-        table: RouteTable,
-    ) -> Answered:
+    async def _serve_present(self, job: RequestJob) -> Answered:
         """Serve as long as the caller is there; say so when it leaves."""
         try:
-            return await self._serve(job, table)
+            return await self._serve(job)
         except StreamBroken as broken:
             self._note_broken(job, broken.failure)
             return Ok(broken.response)
@@ -134,7 +91,7 @@
                 request_id=job.terms.request_id,
                 route=job.route.name,
                 pool=job.pool,
-                version=job.version,
+                version=job.table.version,
                 error=repr(error),
                 elapsed_ms=round(get_monotonic_ms() - job.received_ms),
             )
@@ -153,11 +110,11 @@
             detail=failure.detail,
         )
 
-    async def _serve(self, job: RequestJob, table: RouteTable) -> Answered:
+    async def _serve(self, job: RequestJob) -> Answered:
         stages = StageWork(
             client=self._pieces,
             job=job,
-            table=table,
+            table=job.table,
             failure_domain=self._forwarder.expect_failure_domain(job),
         )
         refusal = self._refuse_late(job, stages)
@@ -171,7 +128,7 @@
     async def _run(self, job: RequestJob, stages: StageWork) -> Answered:
         made = await self._context.stop.run(self._run_stages(stages, job))
         if made is None:
-            return Err(_make_stopping(job.pool, Outcome.not_run))
+            return Err(make_stopping(job.pool, Outcome.not_run))
         if isinstance(made, Err):
             return made
         return await self._forward(job, made.ok_value, stages.free)
@@ -188,7 +145,7 @@
             may_end=lambda: not progress.is_started,
         )
         if answered is None:
-            return Err(_make_stopping(job.pool, Outcome.unknown))
+            return Err(make_stopping(job.pool, Outcome.unknown))
         return answered
 
     def _refuse_late(
@@ -220,7 +177,7 @@
             async with asyncio.timeout(job.get_remaining_ms() / 1000):
                 return await stages.run()
         except TimeoutError:
-            return Err(_make_failure(Reason.deadline_exceeded, job.pool))
+            return Err(make_refusal(Reason.deadline_exceeded, job.pool))
 
     def _finish(
         self,
@@ -257,54 +214,3 @@
             elapsed_ms=round(elapsed_ms),
         )
         return response
-
-
-def _identify(
-    table: RouteTable,
-    route: Route,
-    key: str,
-) -> Result[KeyHolder | None, UpstreamFailure]:
-    holder = table.identify(key) if key else None
-    if holder is None and table.requires_key and not route.is_public:
-        return _refuse(Reason.unauthorized, route.name)
-    return Ok(holder)
-
-
-async def _read_body(
-    request: web.BaseRequest,
-    limit_bytes: int,
-) -> bytes | None:
-    """Read a whole body; None when it is longer than allowed."""
-    if not request.body_exists:
-        return b''
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in request.content.iter_any():
-        size += len(chunk)
-        if size > limit_bytes:
-            return None
-        chunks.append(chunk)
-    return b''.join(chunks)
-
-
-def _make_stopping(peer: str, outcome: Outcome) -> UpstreamFailure:
-    return UpstreamFailure(
-        outcome=outcome,
-        reason=Reason.draining,
-        step=_STEP,
-        peer=peer,
-        retry_after_ms=global_settings.GATEWAY_STOPPING_RETRY_MS,
-    )
-
-
-def _refuse(reason: Reason, peer: str | None) -> Err[UpstreamFailure]:
-    return Err(_make_failure(reason, peer or ''))
-
-
-def _make_failure(reason: Reason, peer: str) -> UpstreamFailure:
-    return UpstreamFailure(
-        outcome=Outcome.not_run,
-        reason=reason,
-        step=_STEP,
-        peer=peer,
-    )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/refusals.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/refusals.py
@@ -19,6 +19,7 @@
     Reason.bad_request: 400,
     Reason.unauthorized: 401,
     Reason.unknown_route: 404,
+    Reason.body_too_slow: 408,
     Reason.body_too_large: 413,
 }
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from ragworthollow.exchange import RequestTerms
-from ragworthollow.routes import KeyHolder, Route
+from ragworthollow.routes import KeyHolder, Route, RouteTable
 from ragworthollow.utils import get_monotonic_ms
 
 
@@ -28,7 +28,7 @@
         Who sent it; None for a public route.
     pool : str
         Pool that is to answer it.
-    version : int
+    table : RouteTable
         Configuration by which it is served.
     received_ms, deadline_ms : float
         On the monotonic clock; after the deadline nobody waits any more.
@@ -40,7 +40,7 @@
     route: Route
     holder: KeyHolder | None
     pool: str
-    version: int
+    table: RouteTable
     received_ms: float
     deadline_ms: float
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -7,6 +7,7 @@
 from ragworthollow.conf import GatewaySettings, global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.membership.gateway_members import GatewayMembers
+from ragworthollow.transport.limited_server import LimitedServer
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.configuration_follower import (
     ConfigurationFollower,
@@ -21,7 +22,8 @@
 from ragworthollow_daemon.gateway.readiness import Readiness
 from ragworthollow_daemon.gateway.status_routes import StatusRoutes
 
-_KEEPALIVE_S = 75.0
+# The drain has waited for requests already; this closes what is idle.
+_SHUTDOWN_S = 0.1
 
 
 class GatewayRole:
@@ -67,8 +69,23 @@
             members=self.members,
             service=self._service,
         )
-        await self._listen(self._settings.ready_address, readiness.handle)
-        await self._listen(self._settings.front_address, front.handle)
+        await self._run(
+            web.ServerRunner(
+                web.Server(readiness.handle, access_log=None),
+                shutdown_timeout=_SHUTDOWN_S,
+            ),
+            self._settings.ready_address,
+        )
+        await self._run(
+            web.ServerRunner(
+                LimitedServer(
+                    front.handle,
+                    get_limits=self.context.get_limits,
+                ),
+                shutdown_timeout=_SHUTDOWN_S,
+            ),
+            self._settings.front_address,
+        )
         await self._serve_application(
             self._settings.peer_address,
             peers.make_application(),
@@ -124,17 +141,6 @@
             await runner.cleanup()
         await self.context.close()
 
-    async def _listen(self, address: str, handler) -> None:
-        server = web.Server(
-            handler,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=_KEEPALIVE_S,
-            max_line_size=global_settings.GATEWAY_HEADER_BYTES,
-            max_field_size=global_settings.GATEWAY_HEADER_BYTES,
-        )
-        await self._run(web.ServerRunner(server, shutdown_timeout=0.1), address)
-
     async def _serve_application(
         self,
         address: str,
@@ -144,7 +150,7 @@
             application,
             access_log=None,
             handler_cancellation=True,
-            shutdown_timeout=0.1,
+            shutdown_timeout=_SHUTDOWN_S,
         )
         await self._run(runner, address)
 
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -118,6 +118,9 @@
 GATEWAY_BODY_BYTES = 4_194_304
 GATEWAY_HEADER_TIMEOUT_MS = 3_000
 GATEWAY_IDLE_TIMEOUT_MS = 15_000
+# How long the rest of a refused body is read and dropped: closing at once
+# would reset the connection before the caller has read why.
+GATEWAY_LINGER_MS = 1_000
 
 # Upstream instances of a gateway.
 # Entries that lapsed while the store was away return within 2 s of its
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -133,6 +133,19 @@
     When the gateway is asked to stop while requests come
     Then readiness is negative at once and every request is answered whole
 
+  Scenario: A planned stop lets a stream in flight come to its end
+    # A dossier is being written when its gateway is replaced.  Its connection
+    # must outlive the drain's quiet periods and close only behind the end.
+    When the gateway is asked to stop in the middle of /stream/pause
+    And the upstream then goes on
+    Then it gets all 5 events once, in order, and the end
+
+  Scenario: A gateway serves after its first read of the store
+    # All processes were killed at once.  Each further read that a start
+    # needed would add to the time in which nobody is served.
+    When another gateway starts and is ready
+    Then it has called the store no more than 5 times
+
   Scenario: Stage work of several callers shares calls, and each gets its own
     # Pieces of different requests are made in one call; a mix-up would give
     # one caller's dossier the custody chain of another bale.
@@ -189,3 +202,25 @@
     When it is asked to stop while a caller waits for /unsafe/wait
     And a stream is asked for late in the stop
     Then the stream was refused as not run and the waiting caller got status 502
+
+  Scenario Outline: A caller that <does> is let go
+    # Callers that stop in the middle, by fault or on purpose, would hold a
+    # connection and its memory for ever.
+    Given a configuration whose limits of time are 300 ms
+    When a caller <does>
+    Then the gateway ends its connection with status <status>
+
+    Examples:
+      | does                           | status |
+      | sends half of a head           | 408    |
+      | sends half of a body           | 408    |
+      | opens a connection and is idle | none   |
+      | is idle after an answer        | none   |
+
+  Scenario: A longer idle limit holds for connections that are open already
+    # A caller that goes by the new limit sends again on a connection that was
+    # opened under the old one.  If the gateway closed it by the old limit, the
+    # request would cross the close and be lost.
+    Given a configuration whose limits of time are 700 ms
+    When a caller has an answer and the limit then grows to 60000 ms
+    Then the caller gets an answer on the same connection after the old limit
--- a/tests/features/steps/gateway.py
+++ b/tests/features/steps/gateway.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from ragworthollow.conf import global_settings
+from ragworthollow.utils import get_monotonic_ms
 
 _FORGED = {
     'X-Ragworthollow-Tenant': 'rival',
@@ -343,3 +344,60 @@
     assert found.readiness == 503
     assert found.answers
     assert all(answer.status == 200 for answer in found.answers)
+
+
+@when('the gateway is asked to stop in the middle of {path:S}')
+def stop_in_stream(context, path):
+    context.streaming, context.stopping = context.gateway_stage.run(
+        _stop_in_stream(context.gateway_stage, path),
+    )
+
+
+async def _stop_in_stream(stage, path):
+    streaming = asyncio.ensure_future(stage.send(path))
+    await stage.wait_for(
+        lambda: any(one.runs for one in stage.upstreams.values()),
+    )
+    role = stage.gateways['g1']
+    role.begin_stop()
+    return streaming, asyncio.ensure_future(role.stop())
+
+
+@when('the upstream then goes on')
+def go_on(context):
+    stage = context.gateway_stage
+    stage.run(stage.wait_for(lambda: _is_past_balancer_lag(stage)))
+    # The process ends when its stop does.
+    assert not context.stopping.done()
+    for upstream in stage.upstreams.values():
+        upstream.may_go_on.set()
+    context.answer = stage.run(asyncio.wait_for(context.streaming, 20))
+    stage.run(asyncio.wait_for(context.stopping, 20))
+
+
+def _is_past_balancer_lag(stage) -> bool:
+    """Tell whether the stop waits for nothing but requests in flight."""
+    stop_state = stage.get_context().stop
+    grace_ms = stage.get_context().settings.grace_s * 1000
+    elapsed_ms = grace_ms - stop_state.get_left_ms(get_monotonic_ms())
+    return elapsed_ms > (
+        global_settings.GATEWAY_BALANCER_LAG_MS
+        + global_settings.GATEWAY_STOP_MARGIN_MS
+        + 4 * global_settings.GATEWAY_LAST_ANSWERS_MS
+    )
+
+
+@when('another gateway starts and is ready')
+def start_another(context):
+    stage = context.gateway_stage
+    stage.run(stage.add_gateway('g2'))
+    stage.run(stage.wait_configured('g2'))
+    directory = stage.get_context('g2').directory
+    stage.run(stage.wait_for(lambda: directory.get_pool('plain')))
+
+
+@then('it has called the store no more than {count:d} times')
+def check_calls(context, count):
+    # Configuration, instances, and a lease, an entry and a list of members.
+    calls = context.gateway_stage.get_context('g2').store.calls
+    assert calls <= count, calls
--- /dev/null
+++ b/tests/features/store_bounds.feature
@@ -0,0 +1,22 @@
+Feature: What the store accepts is in force within its bound
+
+  Scenario: One call in a row is lost
+    # The connection to the store falls silent right before the operators take
+    # a key away.  The caller that holds it would be served for as long as the
+    # gateway waits for the lost call and then for its next turn.
+    Given polls that are answered in 4 ms and one of which is lost
+    When a change is accepted at any moment
+    Then it is read within 1300 ms
+
+  Scenario: A store that was away for any time
+    # Calls that are refused are counted too, so that tries become rarer in an
+    # outage; they must not become so rare that its end is noticed late.
+    Given polls that are answered in 4 ms during an outage of any length
+    When a change is accepted at any moment
+    Then it is read within 1300 ms of the end of the outage
+
+  Scenario: The store is slow
+    # Sixty times its usual 4 ms: calls take 240 ms and are not given up.
+    Given polls that are answered in 240 ms during an outage of any length
+    When a change is accepted at any moment
+    Then it is read within 1300 ms of the end of the outage
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -32,6 +32,8 @@
         self.connections = 0
         self.piece_ms = 1
         self.failing_pieces = 0
+        # Holds back the rest of streams that pause.
+        self.may_go_on = asyncio.Event()
         self._server: asyncio.Server | None = None
         self.address = ''
 
@@ -228,6 +230,16 @@
     return True
 
 
+async def _pause_stream(standin, request, _reader, writer):
+    _start_stream(standin, request, writer)
+    for number in range(1, _EVENTS + 1):
+        if number == _EVENTS // 2:
+            await standin.may_go_on.wait()
+        _write_chunk(writer, _render_event(number))
+    _write_chunk(writer, b'')
+    return True
+
+
 async def _break_stream(standin, request, _reader, writer):
     first = int(request.headers.get(_LAST_EVENT, '0')) + 1
     _start_stream(standin, request, writer)
@@ -272,4 +284,5 @@
     'wait': _wait,
     'stream': _stream,
     'break': _break_stream,
+    'pause': _pause_stream,
 }
