Let slow calls keep the pieces that the retry budget does not cover

A slow call that was left running failed its pieces at once when the budget was spent, and its results came 0.2 s later; a call that was slow and then failed queued its pieces twice; want of space counted as an attempt.

Tried and taken back: hold such pieces until the budget has tokens again.

--- a/packages/ragworthollow/src/ragworthollow/pieces/gate.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/gate.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ragworthollow.conf import global_settings
 from ragworthollow.pieces.order import (
@@ -35,12 +35,15 @@
         When it was sent.
     expected_ms : float
         How long it should take.
+    passed_on : set of WaitingPiece
+        Pieces that were given to another call as well, since this is slow.
     """
 
     instance: UpstreamInstance
     waiting: tuple[WaitingPiece, ...]
     started_ms: float
     expected_ms: float
+    passed_on: set[WaitingPiece] = field(default_factory=set)
 
 
 class PieceGate:
