Hand gates over when their host changes; leaving gateways stay known

Cause: while gateways restart in turn, the new host of a gate knew nothing of the calls and results of the old one. A gateway that was stopping had given its entry up and did not learn of one that started; two of them hosted every gate for 0.66 s.

Change: a gate whose host has changed sends its queue back to the askers and tells the new host of its calls while they run and of the results that take space. Results are given up through the current host, by the address in their handle. An entry stays, marked as leaving, until its process ends.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
@@ -246,6 +246,7 @@
             step=_STEP,
             request_id=self.job.terms.request_id,
             peer=plan.instance.instance,
+            failure_domain=plan.instance.failure_domain,
             pool=self.job.pool,
             attempt=self._sent,
             in_flight=record.in_flight,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_outcomes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_outcomes.py
@@ -6,6 +6,7 @@
 from ragworthollow.logs.events import log_event
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.pieces import (
+    KeptResult,
     PieceCall,
     PieceGate,
     PieceOutcome,
@@ -38,7 +39,7 @@
         self,
         *,
         context: GatewayContext,
-        free: Callable[[Sequence[str]], None],
+        free: Callable[[str, Sequence[str]], None],
     ) -> None:
         self._context = context
         self._free = free
@@ -128,10 +129,12 @@
         if piece_result.outcome is PieceOutcome.done:
             described = self._context.table.pools[pool]
             gate.room.keep(
-                handle=piece_result.handle,
-                instance=call.instance.instance,
-                result_bytes=waiting.piece.result_bytes,
-                until_ms=now_ms + described.pieces.kept_ms,
+                KeptResult(
+                    handle=piece_result.handle,
+                    instance=call.instance.instance,
+                    result_bytes=waiting.piece.result_bytes,
+                    until_ms=now_ms + described.pieces.kept_ms,
+                ),
             )
 
     def _settle(
@@ -144,7 +147,7 @@
     ) -> None:
         if not waiting.is_wanted:
             if piece_result.handle:
-                self._free((piece_result.handle,))
+                self._free(pool, (piece_result.handle,))
             return
         if piece_result.outcome is PieceOutcome.done:
             waiting.settle(piece_result)
@@ -225,6 +228,11 @@
             peer=call.instance.instance,
             requests=sorted({one.piece.request_id for one in call.waiting}),
             pieces=len(call.waiting),
+            failure_domain=call.instance.failure_domain,
+            near=sum(
+                waiting.piece.failure_domain == call.instance.failure_domain
+                for waiting in call.waiting
+            ),
             queued=gate.get_depth(),
             expected_ms=round(call.expected_ms),
             took_ms=round(get_monotonic_ms() - call.started_ms),
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/gate_book.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/gate_book.py
@@ -5,6 +5,7 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.pieces import Piece, PieceGate, PieceOutcome, PieceResult
+from ragworthollow.platform.stage_wire import get_maker_address
 from ragworthollow.routes import PieceProfile
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
@@ -40,13 +41,18 @@
         described = None if table is None else table.pools.get(pool)
         return None if described is None else described.pieces
 
-    def free(self, handle: str) -> str:
-        """Forget a result; return its maker, empty for an unknown one."""
-        for gate in self._gates.values():
-            maker = gate.room.free(handle)
-            if maker:
-                return maker
-        return ''
+    def free(self, pool: str, handle: str) -> str:
+        """
+        Forget a result; return its maker, empty when that one is gone.
+
+        The maker of a result that another gate had made is found by the
+        address in its handle.
+        """
+        maker = self.get(pool).room.free(handle, get_monotonic_ms())
+        if maker:
+            return maker
+        found = self._context.directory.find_at(pool, get_maker_address(handle))
+        return '' if found is None else found.instance
 
     def get_waits_ms(self) -> dict[str, list[float]]:
         """Return the expected waits of a new piece, by pool and priority."""
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/gate_handover.py
@@ -0,0 +1,181 @@
+"""Hand the gates over that another gateway hosts from now on."""
+
+import aiohttp
+import msgspec
+
+from ragworthollow.conf import global_settings
+from ragworthollow.logs.events import log_event
+from ragworthollow.membership.gateway_member import GatewayMember
+from ragworthollow.membership.gateway_members import GatewayMembers
+from ragworthollow.pieces import ForeignCall, KeptResult, PieceGate
+from ragworthollow.transport.piece_messages import (
+    ForeignCallMessage,
+    GateTransfer,
+    KeptResultMessage,
+)
+from ragworthollow.utils import get_monotonic_ms
+from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
+from ragworthollow_daemon.gateway.gate_book import GateBook
+
+_STEP = 'pieces'
+TRANSFER_PATH = '/v1/gates/transfer'
+
+
+class GateHandover:
+    """
+    Tell the new host of a gate what its earlier one has in hand.
+
+    Two gates of one pool that do not know of each other fill the same
+    instances: calls wait behind calls, results find no space, and requests
+    lose the work of their stages.  While gateways restart in turn this goes
+    on for seconds.  So a gate whose host has changed sends its queue back to
+    the askers, and tells the new host of its calls and results.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Of this process.
+    members : GatewayMembers
+        Who hosts which gate.
+    gates : GateBook
+        Gates of this process.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: GatewayContext,
+        members: GatewayMembers,
+        gates: GateBook,
+    ) -> None:
+        self._context = context
+        self._members = members
+        self._gates = gates
+        self._hosted: set[str] = set()
+        self._told: set[str] = set()
+
+    def check(self) -> None:
+        """Hand over what is no longer hosted here."""
+        for pool in self._gates.get_pools():
+            host = self._members.find_host(pool)
+            if host is None:
+                self._hosted.add(pool)
+            else:
+                self._hand_over(pool, self._gates.get(pool), host)
+
+    def take(self, transfer: GateTransfer) -> None:
+        """Take what another gateway has in hand for a pool."""
+        now_ms = get_monotonic_ms()
+        gate = self._gates.get(transfer.pool)
+        gate.learn_calls(
+            transfer.source,
+            [
+                ForeignCall(
+                    instance=one.instance,
+                    result_bytes=one.result_bytes,
+                    until_ms=now_ms + global_settings.FOREIGN_CALL_MS,
+                )
+                for one in transfer.calls
+            ],
+        )
+        for kept in transfer.kept:
+            gate.room.keep(
+                KeptResult(
+                    handle=kept.handle,
+                    instance=kept.instance,
+                    result_bytes=kept.result_bytes,
+                    until_ms=now_ms + kept.left_ms,
+                ),
+            )
+
+    def _hand_over(
+        self,
+        pool: str,
+        gate: PieceGate,
+        host: GatewayMember,
+    ) -> None:
+        if pool in self._hosted:
+            self._hosted.discard(pool)
+            self._release(pool, gate, host)
+        calls = _describe_calls(gate)
+        kept = _describe_results(gate, get_monotonic_ms())
+        if calls or kept or pool in self._told:
+            transfer = GateTransfer(
+                pool=pool,
+                source=self._context.settings.instance,
+                calls=calls,
+                kept=kept,
+            )
+            self._context.spawn(self._send(host, transfer))
+        # The last one of a row tells that no call is running any more.
+        if calls:
+            self._told.add(pool)
+        else:
+            self._told.discard(pool)
+
+    def _release(
+        self,
+        pool: str,
+        gate: PieceGate,
+        host: GatewayMember,
+    ) -> None:
+        queued = gate.get_depth()
+        gate.release_queue()
+        log_event(
+            'gate_handed_over',
+            step=_STEP,
+            pool=pool,
+            peer=host.instance,
+            queued=queued,
+            calls=len(gate.get_calls()),
+        )
+
+    async def _send(self, host: GatewayMember, transfer: GateTransfer) -> None:
+        try:
+            async with self._context.session.post(
+                f'http://{host.peer_address}{TRANSFER_PATH}',
+                data=msgspec.json.encode(transfer),
+                timeout=make_timeout(
+                    global_settings.HOST_PING_TIMEOUT_MS,
+                    global_settings.PEER_CONNECT_TIMEOUT_MS,
+                ),
+            ) as response:
+                await response.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            # The new host meets instances that are fuller than it knows.
+            self._context.metrics.count_event('transfer_failed')
+            log_event(
+                'transfer_failed',
+                step=_STEP,
+                pool=transfer.pool,
+                peer=host.instance,
+                error=repr(error),
+            )
+
+
+def _describe_calls(gate: PieceGate) -> tuple[ForeignCallMessage, ...]:
+    return tuple(
+        ForeignCallMessage(
+            instance=call.instance.instance,
+            result_bytes=sum(
+                waiting.piece.result_bytes for waiting in call.waiting
+            ),
+        )
+        for call in gate.get_calls()
+    )
+
+
+def _describe_results(
+    gate: PieceGate,
+    now_ms: float,
+) -> tuple[KeptResultMessage, ...]:
+    return tuple(
+        KeptResultMessage(
+            handle=one.handle,
+            instance=one.instance,
+            result_bytes=one.result_bytes,
+            left_ms=one.until_ms - now_ms,
+        )
+        for one in gate.room.take_all()
+        if one.until_ms > now_ms
+    )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
@@ -52,8 +52,7 @@
         """Register and follow until cancelled."""
         while True:
             earlier_lease = self._lease
-            if not self._is_leaving:
-                await self._keep_entry()
+            await self._keep_entry()
             await self._read_others()
             if self._lease != earlier_lease:
                 await self._announce()
@@ -66,11 +65,30 @@
             await asyncio.gather(*map(self._ping, self._get_hosts()))
 
     async def leave(self) -> None:
-        """Tell the others, and end the lease."""
+        """
+        Tell the others that this process hosts no gate any more.
+
+        Its entry stays while it serves: a gateway that starts meanwhile
+        learns of it and tells it of itself.  Without, several processes that
+        stop one after the other know of no host and each hosts every gate.
+        """
         self._is_leaving = True
+        self._members.leave()
         await self._announce()
         if self._lease:
-            await self._context.store.revoke_lease(self._lease)
+            await self._write_entry(self._lease)
+
+    async def end(self) -> None:
+        """Give the entry up."""
+        if not self._lease:
+            return
+        try:
+            async with asyncio.timeout(
+                global_settings.MEMBER_END_TIMEOUT_MS / 1000,
+            ):
+                await self._context.store.revoke_lease(self._lease)
+        except TimeoutError:
+            log_event('entry_left', step=_STEP, lease=self._lease)
 
     async def _keep_entry(self) -> None:
         if self._lease:
@@ -87,6 +105,11 @@
         if isinstance(granted, Err):
             return
         lease = granted.ok_value
+        if await self._write_entry(lease):
+            self._lease = lease
+            log_event('registered', step=_STEP, lease=lease)
+
+    async def _write_entry(self, lease: int) -> bool:
         entry = self._make_member()
         written = await self._context.store.commit(
             compares=(),
@@ -100,9 +123,7 @@
         )
         if isinstance(written, Err):
             self._context.metrics.count_event('registration_failed')
-            return
-        self._lease = lease
-        log_event('registered', step=_STEP, lease=lease)
+        return not isinstance(written, Err)
 
     def _make_member(self) -> GatewayMember:
         settings = self._context.settings
@@ -111,12 +132,13 @@
             incarnation=self._context.incarnation,
             peer_address=settings.peer_address,
             failure_domain=settings.failure_domain,
+            is_leaving=self._is_leaving,
         )
 
     async def _announce(self) -> None:
         """Tell every other member at once that this one joins or leaves."""
         member = self._make_member()
-        change = MemberChange(member=member, is_leaving=self._is_leaving)
+        change = MemberChange(member=member)
         others = [
             one
             for one in self._members.get_members().values()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -7,6 +7,7 @@
 from ragworthollow.logs.events import log_event
 from ragworthollow.membership.gateway_members import GatewayMembers
 from ragworthollow.transport.piece_messages import (
+    GateTransfer,
     HostState,
     MemberChange,
     PiecesOrder,
@@ -17,6 +18,10 @@
 from ragworthollow.transport.responses import Problem, respond
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.gate_handover import (
+    TRANSFER_PATH,
+    GateHandover,
+)
 from ragworthollow_daemon.gateway.membership import CHANGE_PATH, PING_PATH
 from ragworthollow_daemon.gateway.piece_client import FREE_PATH, RUN_PATH
 from ragworthollow_daemon.gateway.piece_service import PieceService
@@ -36,6 +41,8 @@
         The other gateways.
     service : PieceService
         The gates.
+    handover : GateHandover
+        Takes gates over.
     """
 
     def __init__(
@@ -44,7 +51,9 @@
         context: GatewayContext,
         members: GatewayMembers,
         service: PieceService,
+        handover: GateHandover,
     ) -> None:
+        self._handover = handover
         self._context = context
         self._members = members
         self._service = service
@@ -58,6 +67,7 @@
         application.router.add_post(CHANGE_PATH, self.learn_change)
         application.router.add_post(RUN_PATH, self.run_pieces)
         application.router.add_post(FREE_PATH, self.free_results)
+        application.router.add_post(TRANSFER_PATH, self.take_gate)
         return application
 
     async def answer_ping(self, _request: web.Request) -> web.Response:
@@ -83,7 +93,7 @@
             'member_announced',
             step='membership',
             peer=change.member.instance,
-            is_leaving=change.is_leaving,
+            is_leaving=change.member.is_leaving,
         )
         return web.Response()
 
@@ -107,5 +117,15 @@
             release = msgspec.json.decode(body, type=ResultsRelease)
         except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=_BAD_REQUEST)
-        self._service.free(release.handles)
+        self._service.free(release.pool, release.handles)
+        return web.Response()
+
+    async def take_gate(self, request: web.Request) -> web.Response:
+        """Take what another gateway has in hand."""
+        body = await request.read()
+        try:
+            transfer = msgspec.json.decode(body, type=GateTransfer)
+        except msgspec.DecodeError as error:
+            return respond(Problem(error=str(error)), status=_BAD_REQUEST)
+        self._handover.take(transfer)
         return web.Response()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 
 import aiohttp
 import msgspec
@@ -11,7 +10,7 @@
 from ragworthollow.logs.events import log_event
 from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.membership.gateway_members import GatewayMembers
-from ragworthollow.pieces import Piece, PieceResult
+from ragworthollow.pieces import Piece, PieceOutcome, PieceResult
 from ragworthollow.transport.piece_messages import (
     ResultsRelease,
     decode_results,
@@ -29,23 +28,6 @@
 Found = tuple[PieceResult, ...]
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PieceRun:
-    """
-    Hold what became of pieces, and which host knows their makers.
-
-    Attributes
-    ----------
-    host : GatewayMember or None
-        None for this process.
-    found : tuple of PieceResult
-        In the order of the pieces.
-    """
-
-    host: GatewayMember | None
-    found: Found
-
-
 class PieceClient:
     """
     Reach the gate of a pool.
@@ -71,22 +53,39 @@
         self._members = members
         self._service = service
 
-    async def run(self, pool: str, pieces: Sequence[Piece]) -> PieceRun:
+    async def run(self, pool: str, pieces: Sequence[Piece]) -> Found:
         """
         Have the pieces of one stage of one request done.
 
         A host that falls silent loses its turn: the pieces go to the next
         one, in the end to this process itself.  Pieces may be done again, so
-        that nothing has to be known of what the silent host did.
+        that nothing has to be known of what the silent host did.  One that
+        is no longer the host sends back what it has not begun.
         """
+        found: dict[int, PieceResult] = {}
+        left = tuple(pieces)
+        while left:
+            part = await self._run_somewhere(pool, left)
+            found.update(
+                (piece.number, made)
+                for piece, made in zip(left, part, strict=True)
+                if made.outcome is not PieceOutcome.moved
+            )
+            left = tuple(one for one in pieces if one.number not in found)
+        return tuple(found[piece.number] for piece in pieces)
+
+    async def _run_somewhere(
+        self,
+        pool: str,
+        pieces: tuple[Piece, ...],
+    ) -> Found:
         while True:
             host = self._members.find_host(pool)
             if host is None:
-                found = await self._service.run(pool, pieces)
-                return PieceRun(host=None, found=found)
-            found = await self._run_at(host, pool, tuple(pieces))
+                return await self._service.run(pool, pieces)
+            found = await self._run_at(host, pool, pieces)
             if found is not None:
-                return PieceRun(host=host, found=found)
+                return found
 
     def get_waits_ms(
         self,
@@ -116,14 +115,15 @@
             waits[pool] = by_priority[position] if by_priority else 0
         return waits
 
-    def free(self, host: GatewayMember | None, handles: Sequence[str]) -> None:
-        """Give results up, through the host that had them made."""
+    def free(self, pool: str, handles: Sequence[str]) -> None:
+        """Give results up, through the gate that counts their space now."""
         if not handles:
             return
+        host = self._members.find_host(pool)
         if host is None:
-            self._service.free(handles)
+            self._service.free(pool, handles)
             return
-        release = ResultsRelease(handles=tuple(handles))
+        release = ResultsRelease(pool=pool, handles=tuple(handles))
         self._context.spawn(self._free_at(host, release))
 
     async def _run_at(
@@ -196,7 +196,7 @@
             ) as response:
                 await response.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            # The maker frees results by itself after a while.
+            self._service.free(release.pool, release.handles)
             self._context.metrics.count_event('free_failed')
             log_event(
                 'free_failed',
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
@@ -81,7 +81,7 @@
         except asyncio.CancelledError:
             # Whoever asked has left: results made so far would take their
             # makers' space until they expire.
-            self.free(_get_handles(futures))
+            self.free(pool, _get_handles(futures))
             raise
         finally:
             for waiting in submitted:
@@ -91,12 +91,6 @@
         """Return the expected waits by pool hosted here and priority."""
         return self._gates.get_waits_ms()
 
-    async def tick(self) -> None:
-        """Advance every gate now and then, until cancelled."""
-        while True:
-            await asyncio.sleep(global_settings.GATE_TICK_MS / 1000)
-            self.advance_all()
-
     def advance_all(self) -> None:
         """Advance every gate."""
         for pool in self._gates.get_pools():
@@ -117,11 +111,15 @@
         for call in calls:
             self._context.spawn(self._send(pool, gate, call))
 
-    def free(self, handles: Sequence[str]) -> None:
-        """Give results up that gates hosted here had made."""
+    def get_gates(self) -> GateBook:
+        """Return the gates of this process."""
+        return self._gates
+
+    def free(self, pool: str, handles: Sequence[str]) -> None:
+        """Give results of a pool up, whichever gates had them made."""
         by_maker: dict[str, list[str]] = {}
         for handle in handles:
-            maker = self._gates.free(handle)
+            maker = self._gates.free(pool, handle)
             if maker:
                 by_maker.setdefault(maker, []).append(handle)
         for maker, given_up in by_maker.items():
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -14,6 +14,7 @@
 )
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.front import Front
+from ragworthollow_daemon.gateway.gate_handover import GateHandover
 from ragworthollow_daemon.gateway.instances_follower import InstancesFollower
 from ragworthollow_daemon.gateway.membership import Membership
 from ragworthollow_daemon.gateway.peer_routes import PeerRoutes
@@ -50,6 +51,11 @@
             members=self.members,
             service=self._service,
         )
+        self._handover = GateHandover(
+            context=self.context,
+            members=self.members,
+            gates=self._service.get_gates(),
+        )
         self._configuration = ConfigurationFollower(context=self.context)
         self._instances = InstancesFollower(
             context=self.context,
@@ -68,6 +74,7 @@
             context=self.context,
             members=self.members,
             service=self._service,
+            handover=self._handover,
         )
         await self._run(
             web.ServerRunner(
@@ -98,7 +105,7 @@
             )
         self.context.spawn(self._instances.run())
         self.context.spawn(self._configuration.run())
-        self.context.spawn(self._service.tick())
+        self.context.spawn(self._tick())
         self.context.spawn(self.membership.run())
         self.context.spawn(self.membership.watch_hosts())
 
@@ -127,6 +134,7 @@
             await self.context.drain.wait_quiet(
                 global_settings.GATEWAY_LAST_ANSWERS_MS,
             )
+        await self.membership.end()
         log_event(
             'drained',
             step='lifecycle',
@@ -141,6 +149,12 @@
             await runner.cleanup()
         await self.context.close()
 
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(global_settings.GATE_TICK_MS / 1000)
+            self._handover.check()
+            self._service.advance_all()
+
     async def _serve_application(
         self,
         address: str,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
@@ -2,12 +2,10 @@
 
 import asyncio
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
 from ragworthollow.conf import global_settings
-from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.pieces import Piece, PieceOutcome, PieceResult
 from ragworthollow.routes import RouteTable
@@ -25,23 +23,6 @@
 }
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class StageResults:
-    """
-    Hold the results of one stage.
-
-    Attributes
-    ----------
-    host : GatewayMember or None
-        Gateway whose gate had them made; None for this one.
-    handles : tuple of str
-        Their names, in the order of the pieces.
-    """
-
-    host: GatewayMember | None
-    handles: tuple[str, ...]
-
-
 class StageWork:
     """
     Run the stage graph of one request.
@@ -70,7 +51,7 @@
         self._client = client
         self._job = job
         self._table = table
-        self._results: dict[int, StageResults] = {}
+        self._handles: dict[int, tuple[str, ...]] = {}
         self._active = job.get_active_stages()
 
     async def run(self) -> Result[tuple[str, ...], UpstreamFailure]:
@@ -101,13 +82,12 @@
 
     def free(self) -> None:
         """Give all results up."""
-        for position in tuple(self._results):
+        for position in tuple(self._handles):
             self._free_stage(position)
 
     def _free_stage(self, position: int) -> None:
-        made = self._results.pop(position, None)
-        if made is not None:
-            self._client.free(made.host, made.handles)
+        stage = self._job.route.stages[position]
+        self._client.free(stage.pool, self._handles.pop(position, ()))
 
     def _collect(self) -> tuple[str, ...]:
         """Return what no other active stage reads."""
@@ -115,7 +95,7 @@
             handle
             for position in self._active
             if not self._get_readers(position)
-            for handle in self._results[position].handles
+            for handle in self._handles[position]
         )
 
     def _get_readers(self, position: int) -> list[int]:
@@ -140,24 +120,21 @@
             if failure is not None:
                 return failure
         inputs = tuple(
-            handle
-            for earlier in read
-            for handle in self._results[earlier].handles
+            handle for earlier in read for handle in self._handles[earlier]
         )
         pieces = self._make_pieces(position, inputs)
-        run = await self._client.run(stage.pool, pieces)
-        self._results[position] = StageResults(
-            host=run.host,
-            handles=tuple(one.handle for one in run.found if one.handle),
+        found = await self._client.run(stage.pool, pieces)
+        self._handles[position] = tuple(
+            one.handle for one in found if one.handle
         )
         self._free_read(read)
-        return _find_failure(run.found, stage.pool)
+        return _find_failure(found, stage.pool)
 
     def _free_read(self, read: list[int]) -> None:
         """Free results that every stage which needs them has read."""
         for before in read:
             if all(
-                reader in self._results for reader in self._get_readers(before)
+                reader in self._handles for reader in self._get_readers(before)
             ):
                 self._free_stage(before)
 
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -156,6 +156,12 @@
 PRIORITIES = 10
 # Expected lateness at which a request is refused on arrival.
 ADMISSION_GRACE_MS = 100
+# How long a gate remembers results that were freed before it heard of them;
+# another gate tells of what it had made at its next turn, every 50 ms.
+FREED_MEMORY_MS = 2_000
+# How long the calls of another gate count after it last told of them; it does
+# so at each of its turns, every 50 ms, and three of these may be lost.
+FOREIGN_CALL_MS = 200
 # How long an instance without space for results is left alone; results are
 # freed every few hundred milliseconds.
 ROOM_RETRY_MS = 100
@@ -199,6 +205,9 @@
 # Membership of gateways: a lease outlives two lost renewals.
 MEMBER_LEASE_MS = 4_000
 MEMBER_POLL_MS = 1_500
+# How long a process that ends waits for the store to drop its entry; part of
+# `GATEWAY_STOP_MARGIN_MS`, and the lease ends by itself.
+MEMBER_END_TIMEOUT_MS = 100
 # A host of a gate that does not answer for this long is replaced; a core may
 # be taken away for a tenth of a second at a time.
 HOST_PING_MS = 250
--- a/packages/ragworthollow/src/ragworthollow/membership/gateway_member.py
+++ b/packages/ragworthollow/src/ragworthollow/membership/gateway_member.py
@@ -17,9 +17,12 @@
         Where other gateways reach it, `IP:PORT`.
     failure_domain : str
         Where it runs.
+    is_leaving : bool
+        Whether it is stopping: it still serves, but hosts no gate.
     """
 
     instance: str
     incarnation: str
     peer_address: str
     failure_domain: str
+    is_leaving: bool = False
--- a/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
+++ b/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
@@ -27,15 +27,22 @@
         self._instance = instance
         self._members: dict[str, GatewayMember] = {}
         self._silent: set[str] = set()
-        self._leaving: set[str] = set()
+        # By name, which process of that name is leaving.
+        self._leaving: dict[str, str] = {}
         self._pools: tuple[str, ...] = ()
         self._waits_ms: dict[str, WaitsByPool] = {}
+        self._is_leaving = False
+
+    def leave(self) -> None:
+        """Host no gate any more, as long as another member can."""
+        self._is_leaving = True
 
     def replace(self, members: Iterable[GatewayMember]) -> None:
         """Take a whole list of members."""
         self._members = {one.instance: one for one in members}
         self._silent &= self._members.keys()
-        self._leaving &= self._members.keys()
+        for one in self._members.values():
+            self._note_leaving(one)
 
     def learn(self, change: MemberChange) -> None:
         """
@@ -48,10 +55,7 @@
         member = change.member
         self._members[member.instance] = member
         self._silent.discard(member.instance)
-        if change.is_leaving:
-            self._leaving.add(member.instance)
-        else:
-            self._leaving.discard(member.instance)
+        self._note_leaving(member)
 
     def note_silent(self, instance: str) -> None:
         """Pass over a member until it answers again."""
@@ -66,10 +70,11 @@
         """
         self._silent.discard(state.instance)
         self._waits_ms[state.instance] = state.waits_ms
-        if state.is_leaving:
-            self._leaving.add(state.instance)
-        else:
-            self._leaving.discard(state.instance)
+        if not state.is_leaving:
+            self._leaving.pop(state.instance, None)
+        elif state.instance in self._members:
+            member = self._members[state.instance]
+            self._leaving[state.instance] = member.incarnation
 
     def get_waits_ms(self, pool: str, host: str) -> list[float]:
         """Return a host's waits by priority, as it said last."""
@@ -112,6 +117,8 @@
         ranked = self._rank(pool)
         for name in ranked:
             if name == self._instance:
+                if self._is_leaving:
+                    continue
                 return None
             if name not in self._silent and name not in self._leaving:
                 return self._members[name]
@@ -121,6 +128,20 @@
         """Return the member that ranks highest, silent or not."""
         return self._members.get(self._rank(pool)[0])
 
+    def _note_leaving(self, member: GatewayMember) -> None:
+        """
+        Take from an entry whether its process is leaving.
+
+        An entry that was read before that process said so is older: only
+        another process of the name takes it back.
+        """
+        if member.is_leaving:
+            self._leaving[member.instance] = member.incarnation
+            return
+        leaving = self._leaving.pop(member.instance, '')
+        if leaving == member.incarnation:
+            self._leaving[member.instance] = leaving
+
     def _rank(self, pool: str) -> list[str]:
         names = self._members.keys() | {self._instance}
         return sorted(
--- a/packages/ragworthollow/src/ragworthollow/pieces/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/__init__.py
@@ -1,16 +1,19 @@
 """Fill calls with pieces of stages, across requests."""
 
-from ragworthollow.pieces.gate import PieceCall, PieceGate
+from ragworthollow.pieces.call import ForeignCall, PieceCall
+from ragworthollow.pieces.gate import PieceGate
 from ragworthollow.pieces.piece import (
     Piece,
     PieceOutcome,
     PieceResult,
 )
-from ragworthollow.pieces.result_room import ResultRoom
+from ragworthollow.pieces.result_room import KeptResult, ResultRoom
 from ragworthollow.pieces.stage_run import StageRun
 from ragworthollow.pieces.waiting_piece import WaitingPiece
 
 __all__ = (
+    'ForeignCall',
+    'KeptResult',
     'Piece',
     'PieceCall',
     'PieceGate',
--- a/packages/ragworthollow/src/ragworthollow/pieces/gate.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/gate.py
@@ -2,9 +2,9 @@
 
 import itertools
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 
 from ragworthollow.conf import global_settings
+from ragworthollow.pieces.call import ForeignCall, PieceCall
 from ragworthollow.pieces.order import (
     get_rank_ms,
     is_held,
@@ -20,32 +20,6 @@
 from ragworthollow.upstreams import LoadBook, UpstreamInstance
 
 
-@dataclass(frozen=True, kw_only=True, slots=True, eq=False)
-class PieceCall:
-    """
-    Hold one call to one instance.
-
-    Attributes
-    ----------
-    instance : UpstreamInstance
-        Who works on it.
-    waiting : tuple of WaitingPiece
-        Its pieces, in order.
-    started_ms : float
-        When it was sent.
-    expected_ms : float
-        How long it should take.
-    passed_on : set of WaitingPiece
-        Pieces that were given to another call as well, since this is slow.
-    """
-
-    instance: UpstreamInstance
-    waiting: tuple[WaitingPiece, ...]
-    started_ms: float
-    expected_ms: float
-    passed_on: set[WaitingPiece] = field(default_factory=set)
-
-
 class PieceGate:
     """
     Queue the pieces of one pool and fill calls with them.
@@ -60,6 +34,7 @@
         self.room = ResultRoom()
         self._queue: list[WaitingPiece] = []
         self._calls: list[PieceCall] = []
+        self._foreign: dict[str, tuple[ForeignCall, ...]] = {}
 
     def submit(self, waiting: WaitingPiece) -> None:
         """Queue a piece."""
@@ -101,6 +76,25 @@
         """Note that a call has ended."""
         self._calls.remove(call)
 
+    def release_queue(self) -> None:
+        """Send the pieces that wait back to their askers, for another gate."""
+        for waiting in self._queue:
+            waiting.settle(PieceResult(outcome=PieceOutcome.moved))
+        self._queue = []
+
+    def learn_calls(self, source: str, calls: Sequence[ForeignCall]) -> None:
+        """
+        Take the calls that another gate of the pool has running now.
+
+        Parameters
+        ----------
+        source : str
+            Who hosts that gate; what it told before is forgotten.
+        calls : sequence of ForeignCall
+            All of them.
+        """
+        self._foreign[source] = tuple(calls)
+
     def drop_unwanted(self, now_ms: float) -> None:
         """Take out pieces that nobody waits for any more."""
         staying = []
@@ -215,6 +209,9 @@
             return []
         idle = self._find_idle(profile, instances, book, now_ms)
         used = self.room.get_used(now_ms)
+        for foreign in self._get_foreign(now_ms):
+            taken_bytes = used.get(foreign.instance, 0) + foreign.result_bytes
+            used[foreign.instance] = taken_bytes
         waits_ms = self._estimate_domain_waits(profile, instances, now_ms)
         self._queue.sort(key=lambda one: rank(one, now_ms))
         calls = []
@@ -239,6 +236,7 @@
         now_ms: float,
     ) -> list[UpstreamInstance]:
         busy = [call.instance.instance for call in self._calls]
+        busy += [one.instance for one in self._get_foreign(now_ms)]
         idle = [
             one
             for one in instances
@@ -257,6 +255,14 @@
         )
         return idle if all_suspect else trusted
 
+    def _get_foreign(self, now_ms: float) -> list[ForeignCall]:
+        return [
+            call
+            for calls in self._foreign.values()
+            for call in calls
+            if call.until_ms > now_ms
+        ]
+
     def _estimate_domain_waits(
         self,
         profile: PieceProfile,
--- a/packages/ragworthollow/src/ragworthollow/pieces/piece.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/piece.py
@@ -56,6 +56,7 @@
     failed = 'failed'
     not_run = 'not_run'
     refused = 'refused'
+    moved = 'moved'
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/ragworthollow/src/ragworthollow/pieces/result_room.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/result_room.py
@@ -2,9 +2,27 @@
 
 from dataclasses import dataclass, field
 
+from ragworthollow.conf import global_settings
 
-@dataclass(kw_only=True, slots=True)
-class _Kept:
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeptResult:
+    """
+    Name a result that takes space.
+
+    Attributes
+    ----------
+    handle : str
+        Its name towards upstreams.
+    instance : str
+        Its maker.
+    result_bytes : int
+        Approximate size.
+    until_ms : float
+        When its maker drops it by itself, on the monotonic clock.
+    """
+
+    handle: str
     instance: str
     result_bytes: int
     until_ms: float
@@ -19,8 +37,9 @@
     other pieces were worked on, so a gate that overfills it loses work.
     """
 
-    _kept_by_handle: dict[str, _Kept] = field(default_factory=dict)
+    _kept_by_handle: dict[str, KeptResult] = field(default_factory=dict)
     _full_until_ms: dict[str, float] = field(default_factory=dict)
+    _freed_until_ms: dict[str, float] = field(default_factory=dict)
 
     def note_full(self, instance: str, until_ms: float) -> None:
         """Note that an instance had no space, whatever the account says."""
@@ -30,25 +49,32 @@
         """Tell whether an instance has had no space of late."""
         return self._full_until_ms.get(instance, 0) > now_ms
 
-    def keep(
-        self,
-        *,
-        handle: str,
-        instance: str,
-        result_bytes: int,
-        until_ms: float,
-    ) -> None:
-        """Note a result that takes space until it is freed or expires."""
-        self._kept_by_handle[handle] = _Kept(
-            instance=instance,
-            result_bytes=result_bytes,
-            until_ms=until_ms,
-        )
-
-    def free(self, handle: str) -> str:
+    def keep(self, kept: KeptResult) -> None:
+        """
+        Note a result that takes space until it is freed or expires.
+
+        One that was freed before its maker's gate told of it is not noted:
+        it would take space in the account for seconds that is free.
+        """
+        if self._freed_until_ms.pop(kept.handle, None) is None:
+            self._kept_by_handle[kept.handle] = kept
+
+    def free(self, handle: str, now_ms: float) -> str:
         """Forget a result; return its maker, empty for an unknown one."""
         kept = self._kept_by_handle.pop(handle, None)
-        return '' if kept is None else kept.instance
+        if kept is not None:
+            return kept.instance
+        for old, until_ms in tuple(self._freed_until_ms.items()):
+            if until_ms <= now_ms:
+                self._freed_until_ms.pop(old)
+        self._freed_until_ms[handle] = now_ms + global_settings.FREED_MEMORY_MS
+        return ''
+
+    def take_all(self) -> tuple[KeptResult, ...]:
+        """Give the whole account away, to another gate of the pool."""
+        everything = tuple(self._kept_by_handle.values())
+        self._kept_by_handle.clear()
+        return everything
 
     def get_used(self, now_ms: float) -> dict[str, int]:
         """Return the bytes in use by instance, and drop expired results."""
--- a/packages/ragworthollow/src/ragworthollow/platform/stage_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/stage_wire.py
@@ -116,6 +116,11 @@
     )
 
 
+def get_maker_address(handle: str) -> str:
+    """Return where a result lies; a handle begins with `IP:PORT/`."""
+    return handle.partition('/')[0]
+
+
 def encode_free(handles: tuple[str, ...]) -> bytes:
     """Encode the call that gives results up."""
     return msgspec.json.encode(_FreeCall(handles=handles))
--- a/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
@@ -80,27 +80,56 @@
 
 
 class MemberChange(Message):
-    """
-    Tell the other gateways that one joins or leaves.
-
-    Attributes
-    ----------
-    member : GatewayMember
-        Who.
-    is_leaving : bool
-        Whether it stops.
-    """
+    """Tell the other gateways that one joins or leaves."""
 
     member: GatewayMember
-    is_leaving: bool = False
 
 
 class ResultsRelease(Message):
-    """Give results up, whichever gates had them made."""
+    """Give results of a pool up, whichever gates had them made."""
 
+    pool: str
     handles: tuple[str, ...]
 
 
+class KeptResultMessage(Message):
+    """Tell of a result that takes space, as `KeptResult` does."""
+
+    handle: str
+    instance: str
+    result_bytes: int
+    left_ms: float
+
+
+class ForeignCallMessage(Message):
+    """Tell of a call that is worked on, as `ForeignCall` does."""
+
+    instance: str
+    result_bytes: int
+
+
+class GateTransfer(Message):
+    """
+    Tell the host of a gate what another one of the pool has in hand.
+
+    Attributes
+    ----------
+    pool : str
+        Pool of both gates.
+    source : str
+        Who tells.
+    calls : tuple of ForeignCallMessage
+        All calls that instances still work on.
+    kept : tuple of KeptResultMessage
+        Results that take space.
+    """
+
+    pool: str
+    source: str
+    calls: tuple[ForeignCallMessage, ...] = ()
+    kept: tuple[KeptResultMessage, ...] = ()
+
+
 def encode_pieces(
     pool: str,
     pieces: tuple[Piece, ...],
--- a/packages/ragworthollow/src/ragworthollow/upstreams/directory.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/directory.py
@@ -96,6 +96,13 @@
         """Return an instance that may get work, or None."""
         return self._by_id.get(instance)
 
+    def find_at(self, pool: str, address: str) -> UpstreamInstance | None:
+        """Return the instance of a pool at an address, or None."""
+        for one in self.get_pool(pool):
+            if one.address == address:
+                return one
+        return None
+
     def _is_excused(self, name: str, now_ms: float) -> bool:
         first_ms = self._missing_since_ms.setdefault(name, now_ms)
         was_away = (
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -174,6 +174,24 @@
     When the host of the gate is killed while 6 callers wait for pieces
     Then each of them got its own whole answer
 
+  Scenario: A gate changes its host while pieces wait and are worked on
+    # The host stops in the regular way.  The new one must not send calls
+    # behind those of the old one, and what waited there goes to the new one.
+    Given two more gateways and an instance for stage work
+    And calls for pieces take 400 ms
+    When the host of the gate stops while 12 callers wait for pieces
+    Then each of them got its own whole answer
+    And the instance never had two calls at a time
+    And all results are given up
+
+  Scenario: A gateway that starts is known to one that is stopping
+    # Gateways stop one after the other, and the first is back while the
+    # second still serves.  If that one did not know of it, it would host the
+    # gates itself, beside the host of all others.
+    Given two more gateways and an instance for stage work
+    When two gateways stop and another one starts meanwhile
+    Then the stopping ones take the new one or the third for the host
+
   Scenario: A gateway that starts while the store is away refuses, and recovers
     # Without a configuration it cannot know who may call: a 401 would send a
     # proper caller away for good.
--- a/tests/features/pieces.feature
+++ b/tests/features/pieces.feature
@@ -77,3 +77,18 @@
     Given a pool of 1 instance with calls of 1 piece
     When 3 pieces of priority 0 and 5 of priority 2 wait
     Then a new one of priority 0 expects 3 calls before it and one of 2 all 8
+
+  Scenario: A gate that takes over does not send behind the calls of the other
+    # The earlier host of the gate is stopping and its last call is worked on.
+    # A call that waits behind it is taken for slow, and its pieces are made
+    # twice; over seconds of restarts requests lost the work of their stages.
+    Given a pool of 1 instance with calls of 1 piece
+    And another gate of the pool told of a call that counts for 300 ms
+    Then no call is made at 250 ms and one at 301 ms
+
+  Scenario: A result that was freed early takes no space
+    # Its reader frees it at the new host of the gate, which hears of it from
+    # the old one a moment later, and would count its space for seconds.
+    Given a pool of 1 instance with calls of 1 piece
+    When a result is freed before the gate that had it made tells of it
+    Then it takes no space in the account
--- a/tests/features/steps/pieces.py
+++ b/tests/features/steps/pieces.py
@@ -6,6 +6,8 @@
 from hypothesis import strategies as st
 
 from ragworthollow.pieces import (
+    ForeignCall,
+    KeptResult,
     Piece,
     PieceGate,
     PieceOutcome,
@@ -177,14 +179,16 @@
     gate.finish(call)
     for number, waiting in enumerate(call.waiting):
         gate.room.keep(
-            handle=f'h{number}',
-            instance=call.instance.instance,
-            result_bytes=waiting.piece.result_bytes,
-            until_ms=_FAR_MS,
+            KeptResult(
+                handle=f'h{number}',
+                instance=call.instance.instance,
+                result_bytes=waiting.piece.result_bytes,
+                until_ms=_FAR_MS,
+            ),
         )
     assert not context.pool.plan()
-    assert gate.room.free('h0') == 'i0'
-    assert not gate.room.free('h0')
+    assert gate.room.free('h0', 0) == 'i0'
+    assert not gate.room.free('h0', 0)
     (call,) = context.pool.plan()
     assert len(call.waiting) == 1
 
@@ -324,10 +328,12 @@
             needed = waiting.piece.result_bytes
             self.kept[handle] = (call.instance.instance, needed)
             self.pool.gate.room.keep(
-                handle=handle,
-                instance=call.instance.instance,
-                result_bytes=needed,
-                until_ms=_FAR_MS,
+                KeptResult(
+                    handle=handle,
+                    instance=call.instance.instance,
+                    result_bytes=needed,
+                    until_ms=_FAR_MS,
+                ),
             )
             self.done.append(waiting)
 
@@ -346,7 +352,7 @@
         if self.kept:
             handle = sorted(self.kept)[number % len(self.kept)]
             self.kept.pop(handle)
-            assert self.pool.gate.room.free(handle)
+            assert self.pool.gate.room.free(handle, 0)
 
     def check(self) -> None:
         self.pool.plan()
@@ -395,3 +401,40 @@
     call_ms = pool.profile.estimate_ms(1)
     assert waits_ms[0] == urgent * call_ms, waits_ms
     assert waits_ms[2] == everything * call_ms, waits_ms
+
+
+@given('another gate of the pool told of a call that counts for {left_ms:d} ms')
+def run_foreign(context, left_ms):
+    call = ForeignCall(
+        instance='i0',
+        result_bytes=_RESULT_BYTES,
+        until_ms=left_ms,
+    )
+    context.pool.gate.learn_calls('other', [call])
+
+
+@then('no call is made at {early:d} ms and one at {late:d} ms')
+def check_foreign(context, early, late):
+    context.pool.gate.submit(make_waiting(5000))
+    assert not context.pool.plan(early)
+    (call,) = context.pool.plan(late)
+    assert call.instance.instance == 'i0'
+
+
+@when('a result is freed before the gate that had it made tells of it')
+def free_early(context):
+    gate = context.pool.gate
+    assert not gate.room.free('h0', 0)
+    gate.room.keep(
+        KeptResult(
+            handle='h0',
+            instance='i0',
+            result_bytes=_RESULT_BYTES,
+            until_ms=_FAR_MS,
+        ),
+    )
+
+
+@then('it takes no space in the account')
+def check_no_space(context):
+    assert not context.pool.gate.room.get_used(0)
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -32,6 +32,8 @@
         self.connections = 0
         self.piece_ms = 1
         self.failing_pieces = 0
+        self.busy = 0
+        self.most_busy = 0
         # Holds back the rest of streams that pause.
         self.may_go_on = asyncio.Event()
         self._server: asyncio.Server | None = None
@@ -87,7 +89,10 @@
     async def _make_pieces(self, request, writer) -> bool:
         items = msgspec.json.decode(request.body)['items']
         self.calls.append(items)
+        self.busy += 1
+        self.most_busy = max(self.most_busy, self.busy)
         await asyncio.sleep(self.piece_ms / 1000)
+        self.busy -= 1
         body = msgspec.json.encode({'items': list(map(self._make, items))})
         _write(writer, '200 OK', {}, body)
         return True
