--- a/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
+++ b/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
@@ -70,10 +70,10 @@
         """
         self._silent.discard(state.instance)
         self._waits_ms[state.instance] = state.waits_ms
+        member = self._members.get(state.instance)
         if not state.is_leaving:
             self._leaving.pop(state.instance, None)
-        elif state.instance in self._members:
-            member = self._members[state.instance]
+        elif member is not None:
             self._leaving[state.instance] = member.incarnation
 
     def get_waits_ms(self, pool: str, host: str) -> list[float]:
