Make stages near the results that they read

Pieces aimed at the domain of the engine, although a stage of ten pieces reads all results of the stage before for each of them (3.6 MB) and hands 60 kB to the engine; light pieces waited for a near instance too.

Change: a stage is made where its inputs and results move the fewest bytes; below 200 kB anywhere.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
@@ -11,6 +11,7 @@
 from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.membership.gateway_members import GatewayMembers
 from ragworthollow.pieces import Piece, PieceOutcome, PieceResult
+from ragworthollow.platform.stage_wire import get_maker_address
 from ragworthollow.transport.piece_messages import (
     ResultsRelease,
     decode_results,
@@ -115,6 +116,12 @@
             waits[pool] = by_priority[position] if by_priority else 0
         return waits
 
+    def find_domain(self, pool: str, handle: str) -> str:
+        """Return where a result lies; empty when its maker is gone."""
+        address = get_maker_address(handle)
+        maker = self._context.directory.find_at(pool, address)
+        return '' if maker is None else maker.failure_domain
+
     def free(self, pool: str, handles: Sequence[str]) -> None:
         """Give results up, through the gate that counts their space now."""
         if not handles:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
@@ -8,6 +8,7 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.pieces import Piece, PieceOutcome, PieceResult
+from ragworthollow.pieces.nearness import choose_domain
 from ragworthollow.routes import RouteTable
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.piece_client import PieceClient
@@ -122,7 +123,8 @@
         inputs = tuple(
             handle for earlier in read for handle in self._handles[earlier]
         )
-        pieces = self._make_pieces(position, inputs)
+        domain = choose_domain(self._weigh_domains(position, read))
+        pieces = self._make_pieces(position, inputs, domain)
         found = await self._client.run(stage.pool, pieces)
         self._handles[position] = tuple(
             one.handle for one in found if one.handle
@@ -130,6 +132,28 @@
         self._free_read(read)
         return _find_failure(found, stage.pool)
 
+    def _weigh_domains(
+        self,
+        position: int,
+        read: list[int],
+    ) -> dict[str, float]:
+        """Count the bytes between a stage and what lies in each domain."""
+        stages = self._job.route.stages
+        counts = self._job.terms.piece_counts
+        weights: dict[str, float] = {}
+        for earlier in read:
+            read_bytes = stages[earlier].result_bytes * counts[position]
+            for handle in self._handles[earlier]:
+                domain = self._client.find_domain(stages[earlier].pool, handle)
+                weights[domain] = weights.get(domain, 0) + read_bytes
+        # Where the results will be read is open but for the last stage; the
+        # request's own domain makes all pieces of a stage agree on one.
+        reads = sum(counts[one] for one in self._get_readers(position))
+        made_bytes = stages[position].result_bytes * counts[position]
+        home = self._failure_domain
+        weights[home] = weights.get(home, 0) + made_bytes * max(1, reads)
+        return weights
+
     def _free_read(self, read: list[int]) -> None:
         """Free results that every stage which needs them has read."""
         for before in read:
@@ -142,6 +166,7 @@
         self,
         position: int,
         inputs: tuple[str, ...],
+        failure_domain: str,
     ) -> tuple[Piece, ...]:
         stage = self._job.route.stages[position]
         counts = self._job.terms.piece_counts
@@ -156,7 +181,7 @@
                 due_ms=due_ms,
                 expires_ms=self._get_expiry_ms(),
                 result_bytes=stage.result_bytes,
-                failure_domain=self._failure_domain,
+                failure_domain=failure_domain,
                 priority=self._job.get_priority(),
             )
             for number in range(counts[position])
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -234,6 +234,9 @@
 # that those refused together do not return together.
 GATEWAY_RETRY_AFTER_MS = 400
 RETRY_AFTER_SPREAD = 0.5
+# Bytes between a stage and its neighbours from which its pieces wait for a near
+# instance; below, a result crosses the network in a fraction of a millisecond.
+NEAR_BYTES = 200_000
 # Part of a piece's slack that it may wait for an instance near its reader.
 NEAR_WAIT_SHARE = 0.2
 
