--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
@@ -140,12 +140,10 @@
         """Count the bytes between a stage and what lies in each domain."""
         stages = self._job.route.stages
         counts = self._job.terms.piece_counts
-        weights: dict[str, float] = {}
-        for earlier in read:
-            read_bytes = stages[earlier].result_bytes * counts[position]
-            for handle in self._handles[earlier]:
-                domain = self._client.find_domain(stages[earlier].pool, handle)
-                weights[domain] = weights.get(domain, 0) + read_bytes
+        weights = {
+            domain: lying_bytes * counts[position]
+            for domain, lying_bytes in self._weigh_results(read).items()
+        }
         # Where the results will be read is open but for the last stage; the
         # request's own domain makes all pieces of a stage agree on one.
         reads = sum(counts[one] for one in self._get_readers(position))
@@ -154,6 +152,16 @@
         weights[home] = weights.get(home, 0) + made_bytes * max(1, reads)
         return weights
 
+    def _weigh_results(self, positions: list[int]) -> dict[str, float]:
+        """Count the bytes of results by the domain in which they lie."""
+        weights: dict[str, float] = {}
+        for position in positions:
+            stage = self._job.route.stages[position]
+            for handle in self._handles[position]:
+                domain = self._client.find_domain(stage.pool, handle)
+                weights[domain] = weights.get(domain, 0) + stage.result_bytes
+        return weights
+
     def _free_read(self, read: list[int]) -> None:
         """Free results that every stage which needs them has read."""
         for before in read:
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -156,6 +156,10 @@
 PRIORITIES = 10
 # Expected lateness at which a request is refused on arrival.
 ADMISSION_GRACE_MS = 100
+# How far back the rate of a queue is measured: some calls of 300 to 400 ms.
+DRAIN_RATE_MEMORY_MS = 1_500
+# Time with a backlog from which the measured rate counts: two calls or so.
+DRAIN_RATE_LEAST_MS = 600
 # How long a gate remembers results that were freed before it heard of them;
 # another gate tells of what it had made at its next turn, every 50 ms.
 FREED_MEMORY_MS = 2_000
--- a/packages/ragworthollow/src/ragworthollow/pieces/gate.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/gate.py
@@ -5,6 +5,7 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.pieces.call import ForeignCall, PieceCall
+from ragworthollow.pieces.drain_rate import DrainRate
 from ragworthollow.pieces.order import (
     get_rank_ms,
     is_held,
@@ -34,6 +35,7 @@
         self.room = ResultRoom()
         self._queue: list[WaitingPiece] = []
         self._calls: list[PieceCall] = []
+        self._rate = DrainRate()
         self._foreign: dict[str, tuple[ForeignCall, ...]] = {}
 
     def submit(self, waiting: WaitingPiece) -> None:
@@ -176,7 +178,8 @@
         if len(self._calls) < instances * profile.concurrency:
             busy_ms = 0
         calls_ahead = ahead / profile.batch_limit
-        return (busy_ms / 2 + calls_ahead * full_ms) / instances
+        nominal_ms = (busy_ms / 2 + calls_ahead * full_ms) / instances
+        return max(nominal_ms, self._rate.estimate_ms(ahead))
 
     def plan(
         self,
@@ -206,6 +209,7 @@
         """
         self.drop_unwanted(now_ms)
         if not self._queue:
+            self._rate.note(started=0, is_backlogged=False, now_ms=now_ms)
             return []
         idle = self._find_idle(profile, instances, book, now_ms)
         used = self.room.get_used(now_ms)
@@ -226,6 +230,11 @@
             call = self._fill(profile, instance, wanted, used, now_ms)
             if call is not None:
                 calls.append(call)
+        self._rate.note(
+            started=sum(len(call.waiting) for call in calls),
+            is_backlogged=bool(self._queue),
+            now_ms=now_ms,
+        )
         return calls
 
     def _find_idle(
--- a/tests/features/pieces.feature
+++ b/tests/features/pieces.feature
@@ -106,3 +106,12 @@
       | 3600   | 60      | one      |
       | 48     | 3600    | two      |
       | 60     | 48      | anywhere |
+
+  Scenario: A gate whose instances lack space expects longer waits
+    # A burst of heavy results: the instances are idle for want of space, and
+    # call times promise four pieces at a time where one is made.  Requests let
+    # in by that promise were given up after their objective.
+    Given a pool of 1 instance with calls of 4 pieces
+    And space for 1 results at each instance
+    When 12 pieces wait and one is worked off every 400 ms for 2 s
+    Then a new one expects to wait for more than 2500 ms
--- a/tests/features/steps/pieces.py
+++ b/tests/features/steps/pieces.py
@@ -452,3 +452,28 @@
 @then('its pieces are best made in domain {domain}')
 def check_domain(context, domain):
     assert context.domain == ('' if domain == 'anywhere' else domain)
+
+
+@when(
+    '{count:d} pieces wait and one is worked off '
+    'every {pace_ms:d} ms for {span_s:d} s',
+)
+def work_off(context, count, pace_ms, span_s):
+    gate = context.pool.gate
+    for number in range(count):
+        gate.submit(make_waiting(_FAR_MS + number))
+    context.now_ms = 0
+    while context.now_ms < span_s * 1000:
+        (call,) = context.pool.plan(context.now_ms)
+        context.now_ms += pace_ms
+        gate.finish(call)
+
+
+@then('a new one expects to wait for more than {least_ms:d} ms')
+def check_wait(context, least_ms):
+    waits_ms = context.pool.gate.estimate_waits_ms(
+        context.pool.profile,
+        len(context.pool.instances),
+        context.now_ms,
+    )
+    assert waits_ms[0] > least_ms, waits_ms
