--- a/packages/ragworthollow/src/ragworthollow/pieces/drain_rate.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/drain_rate.py
@@ -19,6 +19,7 @@
     def __init__(self) -> None:
         self._pieces: float = 0
         self._backlog_ms: float = 0
+        self._was_backlogged = False
         self._noted_ms: float | None = None
 
     def note(self, *, started: int, is_backlogged: bool, now_ms: float) -> None:
@@ -39,9 +40,10 @@
         self._noted_ms = now_ms
         self._pieces *= kept
         self._backlog_ms *= kept
-        if is_backlogged:
+        if self._was_backlogged:
             self._pieces += started
             self._backlog_ms += passed_ms
+        self._was_backlogged = is_backlogged
 
     def estimate_ms(self, ahead: int) -> float:
         """Return how long so many pieces take; 0 while that is not known."""
