Begin stages with large results as a whole

Cause: in a burst of the kind with large results two of three instances of the first pool were at work while 35 pieces waited: each has space for six results and makes four in a call, and halves of requests held it for another call.

Change: a request whose results are large against the space is taken into a call as a whole or not at all; the most urgent one is begun all the same, since small ones would overtake it for ever. The selection stands in its own module.

--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -172,6 +172,9 @@
 # An engine reads the inputs of a request before its prompt; the prompt takes
 # hundreds of milliseconds, the inputs a few.
 ENGINE_INPUTS_READ_MS = 100
+# A stage is begun as a whole where the results of this many full calls do not
+# fit into the space of an instance.
+WHOLE_STAGE_CALLS = 2
 # Sizes of results are approximate.
 ROOM_MARGIN = 1.04
 
--- a/packages/ragworthollow/src/ragworthollow/pieces/gate.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/gate.py
@@ -16,6 +16,7 @@
 )
 from ragworthollow.pieces.piece import Piece, PieceOutcome, PieceResult
 from ragworthollow.pieces.result_room import ResultRoom
+from ragworthollow.pieces.selection import select_pieces
 from ragworthollow.pieces.waiting_piece import WaitingPiece
 from ragworthollow.routes.upstream_pool import PieceProfile
 from ragworthollow.upstreams import LoadBook, UpstreamInstance
@@ -311,16 +312,11 @@
     ) -> PieceCall | None:
         room_bytes = profile.room_bytes / global_settings.ROOM_MARGIN
         free_bytes = room_bytes - used.get(instance.instance, 0)
-        taken: list[WaitingPiece] = []
-        for waiting in wanted:
-            if len(taken) == profile.batch_limit:
-                break
-            needed_bytes = waiting.piece.result_bytes
-            is_avoided = instance.instance in waiting.avoid
-            if is_avoided or needed_bytes > free_bytes:
-                continue
-            free_bytes -= needed_bytes
-            taken.append(waiting)
+        taken = select_pieces(
+            [one for one in wanted if instance.instance not in one.avoid],
+            profile,
+            free_bytes,
+        )
         if not taken:
             return None
         for begun in taken:
--- a/tests/features/pieces.feature
+++ b/tests/features/pieces.feature
@@ -115,3 +115,20 @@
     And space for 1 results at each instance
     When 12 pieces wait and one is worked off every 400 ms for 2 s
     Then a new one expects to wait for more than 2500 ms
+
+  Scenario: A stage with large results is not begun by halves
+    # Each instance has space for six results and makes four in a call.  Half
+    # of a request's pieces would lie there for another call's time, while the
+    # instances are idle for want of space.
+    Given a pool of 1 instance with calls of 4 pieces
+    And space for 6 results at each instance
+    When requests of 3, 2 and 1 pieces wait in this order
+    Then the call carries the pieces of those of 3 and 1
+
+  Scenario: The most urgent stage is begun even if only a part of it fits
+    # Small requests would overtake a large one for ever, and the largest
+    # dossiers would not be served.
+    Given a pool of 1 instance with calls of 4 pieces
+    And space for 3 results at each instance
+    When requests of 4, 1 and 1 pieces wait in this order
+    Then the call carries the pieces of those of 3 and 0
--- a/tests/features/steps/pieces.py
+++ b/tests/features/steps/pieces.py
@@ -477,3 +477,27 @@
         context.now_ms,
     )
     assert waits_ms[0] > least_ms, waits_ms
+
+
+@when(
+    'requests of {first:d}, {second:d} and {third:d} pieces wait in this order'
+)
+def bring_stages(context, first, second, third):
+    for order, count in enumerate((first, second, third)):
+        stage_run = StageRun()
+        for number in range(count):
+            context.pool.gate.submit(
+                make_waiting(
+                    5000 + order,
+                    request_id=f'r{order}',
+                    number=number,
+                    stage_run=stage_run,
+                ),
+            )
+    (context.call,) = context.pool.plan()
+
+
+@then('the call carries the pieces of those of {first:d} and {last:d}')
+def check_whole(context, first, last):
+    carried = [one.piece.request_id for one in context.call.waiting]
+    assert carried == ['r0'] * first + ['r2'] * last, carried
