--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/gate_handover.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/gate_handover.py
@@ -1,6 +1,5 @@
 """Hand the gates over that another gateway hosts from now on."""
 
-import aiohttp
 import msgspec
 
 from ragworthollow.conf import global_settings
@@ -14,8 +13,9 @@
     KeptResultMessage,
 )
 from ragworthollow.utils import get_monotonic_ms
-from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
+from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.gate_book import GateBook
+from ragworthollow_daemon.gateway.peer_notes import tell_peer
 
 _STEP = 'pieces'
 TRANSFER_PATH = '/v1/gates/transfer'
@@ -131,26 +131,9 @@
         )
 
     async def _send(self, host: GatewayMember, transfer: GateTransfer) -> None:
-        try:
-            async with self._context.session.post(
-                f'http://{host.peer_address}{TRANSFER_PATH}',
-                data=msgspec.json.encode(transfer),
-                timeout=make_timeout(
-                    global_settings.HOST_PING_TIMEOUT_MS,
-                    global_settings.PEER_CONNECT_TIMEOUT_MS,
-                ),
-            ) as response:
-                await response.read()
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            # The new host meets instances that are fuller than it knows.
-            self._context.metrics.count_event('transfer_failed')
-            log_event(
-                'transfer_failed',
-                step=_STEP,
-                pool=transfer.pool,
-                peer=host.instance,
-                error=repr(error),
-            )
+        # A host that is not told meets instances that are fuller than it knows.
+        body = msgspec.json.encode(transfer)
+        await tell_peer(self._context, host, TRANSFER_PATH, body)
 
 
 def _describe_calls(gate: PieceGate) -> tuple[ForeignCallMessage, ...]:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
@@ -14,6 +14,7 @@
 from ragworthollow.platform.transaction import Put
 from ragworthollow.transport.piece_messages import HostState, MemberChange
 from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
+from ragworthollow_daemon.gateway.peer_notes import tell_peer
 
 _PREFIX = 'gateways/'
 _STEP = 'membership'
@@ -145,27 +146,13 @@
             if one.instance != member.instance
         ]
         body = msgspec.json.encode(change)
-        await asyncio.gather(*(self._tell(one, body) for one in others))
-
-    async def _tell(self, other: GatewayMember, body: bytes) -> None:
-        try:
-            async with self._context.session.post(
-                f'http://{other.peer_address}{CHANGE_PATH}',
-                data=body,
-                timeout=make_timeout(
-                    global_settings.HOST_PING_TIMEOUT_MS,
-                    global_settings.PEER_CONNECT_TIMEOUT_MS,
-                ),
-            ) as response:
-                await response.read()
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            # It learns of the change from the store.
-            log_event(
-                'announcement_failed',
-                step=_STEP,
-                peer=other.instance,
-                error=repr(error),
-            )
+        # One that does not hear it learns of the change from the store.
+        await asyncio.gather(
+            *(
+                tell_peer(self._context, one, CHANGE_PATH, body)
+                for one in others
+            ),
+        )
 
     async def _read_others(self) -> None:
         found = await self._context.store.read_prefix(_PREFIX)
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_notes.py
@@ -0,0 +1,55 @@
+"""Tell other gateways what they need not answer."""
+
+import aiohttp
+
+from ragworthollow.conf import global_settings
+from ragworthollow.logs.events import log_event
+from ragworthollow.membership.gateway_member import GatewayMember
+from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
+
+
+async def tell_peer(
+    context: GatewayContext,
+    peer: GatewayMember,
+    path: str,
+    body: bytes,
+) -> bool:
+    """
+    Send a note to another gateway.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Of this process.
+    peer : GatewayMember
+        Who is told.
+    path : str
+        What the note is about.
+    body : bytes
+        The encoded message.
+
+    Returns
+    -------
+    bool
+        False when it may not have arrived, which is logged and counted.
+    """
+    try:
+        async with context.session.post(
+            f'http://{peer.peer_address}{path}',
+            data=body,
+            timeout=make_timeout(
+                global_settings.HOST_PING_TIMEOUT_MS,
+                global_settings.PEER_CONNECT_TIMEOUT_MS,
+            ),
+        ) as response:
+            await response.read()
+    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        context.metrics.count_event('peer_note_failed')
+        log_event(
+            'peer_note_failed',
+            step=path,
+            peer=peer.instance,
+            error=repr(error),
+        )
+        return False
+    return True
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
@@ -18,7 +18,8 @@
     encode_pieces,
 )
 from ragworthollow.utils import get_monotonic_ms
-from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
+from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.peer_notes import tell_peer
 from ragworthollow_daemon.gateway.piece_service import PieceService
 
 _STEP = 'pieces'
@@ -192,22 +193,6 @@
         host: GatewayMember,
         release: ResultsRelease,
     ) -> None:
-        try:
-            async with self._context.session.post(
-                f'http://{host.peer_address}{FREE_PATH}',
-                data=msgspec.json.encode(release),
-                timeout=make_timeout(
-                    global_settings.HOST_PING_TIMEOUT_MS,
-                    global_settings.PEER_CONNECT_TIMEOUT_MS,
-                ),
-            ) as response:
-                await response.read()
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        body = msgspec.json.encode(release)
+        if not await tell_peer(self._context, host, FREE_PATH, body):
             self._service.free(release.pool, release.handles)
-            self._context.metrics.count_event('free_failed')
-            log_event(
-                'free_failed',
-                step=_STEP,
-                peer=host.instance,
-                error=repr(error),
-            )
