--- /dev/null
+++ b/tests/features/steps/gate_hosts.py
@@ -0,0 +1,84 @@
+"""Steps of gates whose host changes."""
+
+import asyncio
+
+from behave import then, when
+
+from tests.fixtures.staged import NAMES, send_staged
+
+
+def _find_host(stage) -> str:
+    """Return who hosts the gate of the stage pool, as g1 sees it."""
+    members = stage.gateways['g1'].members
+    host = members.find_host('stage')
+    return 'g1' if host is None else host.instance
+
+
+@when('the host of the gate is killed while {count:d} callers wait for pieces')
+def lose_host(context, count):
+    stage = context.gateway_stage
+    context.answers = stage.run(_lose_host(stage, count))
+
+
+async def _lose_host(stage, count):
+    role, sending = await _occupy_host(stage, count)
+    await role.close()
+    return await sending
+
+
+async def _occupy_host(stage, count):
+    """Have requests of the others wait for pieces; return the host, too."""
+    host = _find_host(stage)
+    others = [name for name in NAMES if name != host]
+    sending = asyncio.ensure_future(
+        send_staged(stage, count, '/staged/answer', others),
+    )
+    upstream = stage.upstreams['s1']
+    await stage.wait_for(lambda: upstream.calls)
+    return stage.gateways[host], sending
+
+
+@when('the host of the gate stops while {count:d} callers wait for pieces')
+def stop_host(context, count):
+    stage = context.gateway_stage
+    context.answers = stage.run(_stop_host(stage, count))
+
+
+async def _stop_host(stage, count):
+    role, sending = await _occupy_host(stage, count)
+    role.begin_stop()
+    await role.stop()
+    return await sending
+
+
+@then('the instance never had two calls at a time')
+def check_alone(context):
+    assert context.gateway_stage.upstreams['s1'].most_busy == 1
+
+
+@when('two gateways stop and another one starts meanwhile')
+def stop_two(context):
+    context.gateway_stage.run(_stop_two(context.gateway_stage))
+
+
+async def _stop_two(stage):
+    for name in ('g1', 'g2'):
+        stage.gateways[name].begin_stop()
+        await stage.gateways[name].membership.leave()
+    await stage.add_gateway('g4')
+    await stage.wait_for(lambda: 'g4' in _get_known(stage, 'g1'))
+
+
+def _get_known(stage, name):
+    return stage.gateways[name].members.get_members()
+
+
+@then('the stopping ones take the new one or the third for the host')
+def check_new_host(context):
+    stage = context.gateway_stage
+    hosts = {
+        stage.gateways[name].members.find_host('stage').instance
+        for name in ('g1', 'g2')
+    }
+    assert len(hosts) == 1, hosts
+    assert hosts <= {'g3', 'g4'}, hosts
--- a/tests/features/steps/gateway_fleet.py
+++ b/tests/features/steps/gateway_fleet.py
@@ -5,8 +5,8 @@
 from behave import given, then, when
 
 from ragworthollow.utils import get_monotonic_ms
+from tests.fixtures.staged import NAMES, send_staged
 
-_NAMES = ('g1', 'g2', 'g3')
 _PLAIN = ('u1', 'u2')
 
 
@@ -30,9 +30,9 @@
     }
     routes = [*stage.configuration['routes'], staged]
     await stage.configure(version=11, routes=routes)
-    for name in _NAMES[1:]:
+    for name in NAMES[1:]:
         await stage.add_gateway(name)
-    for name in _NAMES:
+    for name in NAMES:
         await stage.wait_configured(name)
         await _wait_members(stage, name)
 
@@ -41,7 +41,7 @@
     context = stage.get_context(name)
     await stage.wait_for(
         lambda: (
-            context.members == len(_NAMES)
+            context.members == len(NAMES)
             and len(context.directory.get_pool('stage')) == 1
         ),
     )
@@ -57,27 +57,10 @@
     context.gateway_stage.upstreams['s1'].failing_pieces = count
 
 
-async def _send_staged(stage, count: int, path: str, names=_NAMES):
-    return await asyncio.gather(
-        *(
-            stage.send(
-                path,
-                gateway=names[number % len(names)],
-                headers={
-                    'X-Ragworthollow-Pieces': '1,2',
-                    'X-Ragworthollow-Piece-Key': f'key-{number}',
-                },
-                limit_ms=20_000,
-            )
-            for number in range(count)
-        ),
-    )
-
-
 @when('{count:d} callers post to {path:S} through all gateways')
 def send_through_all(context, count, path):
     stage = context.gateway_stage
-    context.answers = stage.run(_send_staged(stage, count, path))
+    context.answers = stage.run(send_staged(stage, count, path))
 
 
 @then('each ran once with all inputs of its own')
@@ -116,84 +99,6 @@
     stage.run(stage.wait_for(lambda: made <= set(upstream.freed)))
 
 
-def _find_host(stage) -> str:
-    """Return who hosts the gate of the stage pool, as g1 sees it."""
-    members = stage.gateways['g1'].members
-    host = members.find_host('stage')
-    return 'g1' if host is None else host.instance
-
-
-@when('the host of the gate is killed while {count:d} callers wait for pieces')
-def lose_host(context, count):
-    stage = context.gateway_stage
-    context.answers = stage.run(_lose_host(stage, count))
-
-
-async def _lose_host(stage, count):
-    host = _find_host(stage)
-    others = [name for name in _NAMES if name != host]
-    sending = asyncio.ensure_future(
-        _send_staged(stage, count, '/staged/answer', others),
-    )
-    upstream = stage.upstreams['s1']
-    await stage.wait_for(lambda: upstream.calls)
-    await stage.gateways[host].close()
-    return await sending
-
-
-@when('the host of the gate stops while {count:d} callers wait for pieces')
-def stop_host(context, count):
-    stage = context.gateway_stage
-    context.answers = stage.run(_stop_host(stage, count))
-
-
-async def _stop_host(stage, count):
-    host = _find_host(stage)
-    others = [name for name in _NAMES if name != host]
-    sending = asyncio.ensure_future(
-        _send_staged(stage, count, '/staged/answer', others),
-    )
-    upstream = stage.upstreams['s1']
-    await stage.wait_for(lambda: upstream.calls)
-    role = stage.gateways[host]
-    role.begin_stop()
-    await role.stop()
-    return await sending
-
-
-@then('the instance never had two calls at a time')
-def check_alone(context):
-    assert context.gateway_stage.upstreams['s1'].most_busy == 1
-
-
-@when('two gateways stop and another one starts meanwhile')
-def stop_two(context):
-    context.gateway_stage.run(_stop_two(context.gateway_stage))
-
-
-async def _stop_two(stage):
-    for name in ('g1', 'g2'):
-        stage.gateways[name].begin_stop()
-        await stage.gateways[name].membership.leave()
-    await stage.add_gateway('g4')
-    await stage.wait_for(lambda: 'g4' in _get_known(stage, 'g1'))
-
-
-def _get_known(stage, name):
-    return stage.gateways[name].members.get_members()
-
-
-@then('the stopping ones take the new one or the third for the host')
-def check_new_host(context):
-    stage = context.gateway_stage
-    hosts = {
-        stage.gateways[name].members.find_host('stage').instance
-        for name in ('g1', 'g2')
-    }
-    assert len(hosts) == 1, hosts
-    assert hosts <= {'g3', 'g4'}, hosts
-
-
 @when('a gateway starts')
 def start_gateway(context):
     stage = context.gateway_stage
@@ -242,19 +147,19 @@
 
 async def _restart_all(stage) -> None:
     await stage.configure(version=30)
-    for name in _NAMES:
+    for name in NAMES:
         await stage.gateways[name].close()
-    for name in _NAMES:
+    for name in NAMES:
         await stage.add_gateway(name)
 
 
 @then('they serve the newest configuration')
 def check_restarted(context):
     stage = context.gateway_stage
-    for name in _NAMES:
+    for name in NAMES:
         stage.run(stage.wait_configured(name))
         stage.run(_wait_plain(stage, name))
-    answers = stage.run(_send_staged(stage, 6, '/staged/answer'))
+    answers = stage.run(send_staged(stage, 6, '/staged/answer'))
     assert {answer.status for answer in answers} == {200}, answers
 
 
--- /dev/null
+++ b/tests/features/steps/piece_space.py
@@ -0,0 +1,116 @@
+"""Steps of the space for results, and of where and when it is taken."""
+
+from behave import given, then, when
+
+from ragworthollow.pieces import (
+    ForeignCall,
+    KeptResult,
+    StageRun,
+)
+from ragworthollow.pieces.nearness import choose_domain
+from tests.fixtures.piece_pool import (
+    FAR_MS,
+    RESULT_BYTES,
+    make_waiting,
+)
+
+
+@given('another gate of the pool told of a call that counts for {left_ms:d} ms')
+def run_foreign(context, left_ms):
+    call = ForeignCall(
+        instance='i0',
+        result_bytes=RESULT_BYTES,
+        until_ms=left_ms,
+    )
+    context.pool.gate.learn_calls('other', [call])
+
+
+@then('no call is made at {early:d} ms and one at {late:d} ms')
+def check_foreign(context, early, late):
+    context.pool.gate.submit(make_waiting(5000))
+    assert not context.pool.plan(early)
+    (call,) = context.pool.plan(late)
+    assert call.instance.instance == 'i0'
+
+
+@when('a result is freed before the gate that had it made tells of it')
+def free_early(context):
+    gate = context.pool.gate
+    assert not gate.room.free('h0', 0)
+    gate.room.keep(
+        KeptResult(
+            handle='h0',
+            instance='i0',
+            result_bytes=RESULT_BYTES,
+            until_ms=FAR_MS,
+        ),
+    )
+
+
+@then('it takes no space in the account')
+def check_no_space(context):
+    assert not context.pool.gate.room.get_used(0)
+
+
+@when(
+    'a stage has {inputs:d} kB to read in domain one '
+    'and {outputs:d} kB to hand to domain two',
+)
+def weigh(context, inputs, outputs):
+    context.domain = choose_domain({'one': inputs * 1e3, 'two': outputs * 1e3})
+
+
+@then('its pieces are best made in domain {domain}')
+def check_domain(context, domain):
+    assert context.domain == ('' if domain == 'anywhere' else domain)
+
+
+@when(
+    '{count:d} pieces wait and one is worked off '
+    'every {pace_ms:d} ms for {span_s:d} s',
+)
+def work_off(context, count, pace_ms, span_s):
+    gate = context.pool.gate
+    for number in range(count):
+        gate.submit(make_waiting(FAR_MS + number))
+    context.now_ms = 0
+    while context.now_ms < span_s * 1000:
+        (call,) = context.pool.plan(context.now_ms)
+        context.now_ms += pace_ms
+        gate.finish(call)
+
+
+@then('a new one expects to wait for more than {least_ms:d} ms')
+def check_wait(context, least_ms):
+    waits_ms = context.pool.gate.estimate_waits_ms(
+        context.pool.profile,
+        len(context.pool.instances),
+        context.now_ms,
+    )
+    assert waits_ms[0] > least_ms, waits_ms
+
+
+@when(
+    'requests of {first:d}, {second:d} and {third:d} pieces wait in this order'
+)
+def bring_stages(context, first, second, third):
+    for order, count in enumerate((first, second, third)):
+        stage_run = StageRun()
+        for number in range(count):
+            context.pool.gate.submit(
+                make_waiting(
+                    5000 + order,
+                    request_id=f'r{order}',
+                    number=number,
+                    stage_run=stage_run,
+                ),
+            )
+    (context.call,) = context.pool.plan()
+
+
+@then('the call carries the pieces of those of {first:d} and {last:d}')
+def check_whole(context, first, last):
+    carried = [one.piece.request_id for one in context.call.waiting]
+    assert carried.count('r0') == first, carried
+    assert carried.count('r2') == last, carried
+    assert len(carried) == first + last, carried
