--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -14,7 +14,7 @@
 from ragworthollow.routes import RequestLimits, RouteTable
 from ragworthollow.transport.checked_connector import make_upstream_session
 from ragworthollow.transport.session import make_plain_session
-from ragworthollow.upstreams import Directory, LoadBook
+from ragworthollow.upstreams import AnswerTime, Directory, LoadBook
 from ragworthollow.utils import make_identifier
 from ragworthollow_daemon.drain import DrainState
 from ragworthollow_daemon.gateway.stop_state import StopState
@@ -51,6 +51,7 @@
         self.table_read_ms = float('-inf')
         self.directory = Directory()
         self.book = LoadBook()
+        self._answer_times: dict[str, AnswerTime] = {}
         self._members = 1
         self._budgets: dict[str, RetryBudget] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -72,6 +73,10 @@
             self._budgets[pool] = budget
         return budget
 
+    def get_answer_time(self, pool: str) -> AnswerTime:
+        """Return what is known of a pool's time to the first event."""
+        return self._answer_times.setdefault(pool, AnswerTime())
+
     def get_limits(self) -> RequestLimits:
         """Return what callers may send by the configuration in force."""
         return RequestLimits() if self.table is None else self.table.limits
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
@@ -134,6 +134,7 @@
         relay: StreamRelay,
         on_inputs_read: Callable[[], None],
     ) -> web.StreamResponse | None:
+        on_first_event = self._watch_first_event(series.job, on_inputs_read)
         opened = await self._open_reading(series, plan, on_inputs_read)
         if isinstance(opened, Err):
             series.note_failure(plan, opened.err_value)
@@ -143,7 +144,7 @@
             if upstream.status not in _SUCCESS:
                 return await self._pass_error(series, plan, relay, upstream)
             await relay.start(upstream)
-            await relay.pump(upstream, on_inputs_read)
+            await relay.pump(upstream, on_first_event)
         except (TimeoutError, ClientError) as error:
             series.note_failure(plan, _explain_break(plan, error))
             return None
@@ -152,6 +153,27 @@
         series.note_answer(plan, upstream.status)
         return await relay.finish()
 
+    def _watch_first_event(
+        self,
+        job: RequestJob,
+        on_inputs_read: Callable[[], None],
+    ) -> Callable[[], None]:
+        """Note how long the first event takes from now."""
+        sent_ms = get_monotonic_ms()
+        is_noted = False
+
+        def note_event() -> None:
+            nonlocal is_noted
+            if not is_noted:
+                is_noted = True
+                self._context.get_answer_time(job.pool).note(
+                    job.terms.prompt_tokens,
+                    get_monotonic_ms() - sent_ms,
+                )
+            on_inputs_read()
+
+        return note_event
+
     async def _open_reading(
         self,
         series: AttemptSeries,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
@@ -116,6 +116,9 @@
             job=job,
             table=job.table,
             failure_domain=self._forwarder.expect_failure_domain(job),
+            answer_ms=self._context.get_answer_time(job.pool).estimate_ms(
+                job.terms.prompt_tokens,
+            ),
         )
         refusal = self._refuse_late(job, stages)
         if refusal is not None:
@@ -217,5 +220,6 @@
             peer=None if failure is None else failure.peer,
             detail=None if failure is None else failure.detail,
             elapsed_ms=round(elapsed_ms),
+            time_limit_ms=terms.time_limit_ms,
         )
         return response
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
@@ -38,6 +38,8 @@
         Configuration by which the request is served.
     failure_domain : str
         Where the request itself is expected to run.
+    answer_ms : float
+        Expected time from the end of all stages to the first event.
     """
 
     def __init__(
@@ -47,7 +49,9 @@
         job: RequestJob,
         table: RouteTable,
         failure_domain: str,
+        answer_ms: float,
     ) -> None:
+        self._answer_ms = answer_ms
         self._failure_domain = failure_domain
         self._client = client
         self._job = job
@@ -226,19 +230,20 @@
         if way_ms <= max(bare, default=0):
             return 0
         goal_ms = self._job.received_ms + self._job.route.objective_ms
-        return max(0, get_monotonic_ms() + way_ms - goal_ms)
+        ends_ms = get_monotonic_ms() + way_ms + self._answer_ms
+        return max(0, ends_ms - goal_ms)
 
     def _get_due_ms(self, position: int) -> float:
         """Return the latest start that still meets the objective."""
         goal_ms = self._job.received_ms + self._job.route.objective_ms
-        return goal_ms - self._get_rest_ms(position, {})
+        return goal_ms - self._answer_ms - self._get_rest_ms(position, {})
 
     def _get_rest_ms(
         self,
         position: int,
         waits_ms: Mapping[str, float],
     ) -> float:
-        """Estimate the way from the start of a stage to the first event."""
+        """Estimate the way from the start of a stage to the end of all."""
         counts = self._job.terms.piece_counts
         stages = self._job.route.stages
         pool = self._table.pools.get(stages[position].pool)
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -134,6 +134,11 @@
 # Others' load is as old as its report, and is known by all gateways at once:
 # half of it keeps them from moving together (routing measurements).
 REPORTED_LOAD_TRUST = 0.5
+# Answers over which the time to a first event is averaged: some seconds of a
+# pool's work at one gateway, so that it follows a burst.
+ANSWER_TIME_SAMPLES = 40
+# Answers before that time is believed: a line through fewer is chance.
+ANSWER_TIME_LEAST_SAMPLES = 4
 # Bounded-load hashing: an instance above this multiple of the mean, plus a
 # twentieth of its slots, passes requests on to the next in rank.
 AFFINITY_LOAD_FACTOR = 1.25
--- a/packages/ragworthollow/src/ragworthollow/upstreams/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/__init__.py
@@ -1,5 +1,6 @@
 """Know the upstream instances and choose among them."""
 
+from ragworthollow.upstreams.answer_time import AnswerTime
 from ragworthollow.upstreams.choice import UpstreamWish, choose_upstream
 from ragworthollow.upstreams.directory import Directory
 from ragworthollow.upstreams.instance_load import InstanceLoad
@@ -7,6 +8,7 @@
 from ragworthollow.upstreams.upstream_instance import UpstreamInstance
 
 __all__ = (
+    'AnswerTime',
     'Directory',
     'InstanceLoad',
     'LoadBook',
