--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from ragworthollow.conf import global_settings
+from ragworthollow.exchange import RequestTerms, UsualLimits
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.platform.request_wire import read_terms
 from ragworthollow.routes import KeyHolder, Route, RouteTable
@@ -31,6 +32,7 @@
 
     def __init__(self, *, context: GatewayContext) -> None:
         self._context = context
+        self._usual_limits = UsualLimits()
 
     async def admit(
         self,
@@ -77,11 +79,17 @@
                 holder=identified.ok_value,
                 pool=self._choose_pool(route),
                 table=table,
+                waited_ms=self._find_waited_ms(route, terms),
                 received_ms=received_ms,
                 deadline_ms=received_ms + limit_ms,
             ),
         )
 
+    def _find_waited_ms(self, route: Route, terms: RequestTerms) -> float:
+        if terms.time_limit_ms is None:
+            return 0
+        return self._usual_limits.note(route.name, terms.time_limit_ms)
+
     def _choose_pool(self, route: Route) -> str:
         weights = [share.weight for share in route.shares]
         if not any(weights):
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
@@ -6,7 +6,6 @@
 from aiohttp import web
 from result import Err, Ok, Result
 
-from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.platform.request_wire import read_terms
@@ -18,9 +17,11 @@
 )
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.forwarder import Forwarder
+from ragworthollow_daemon.gateway.lateness import refuse_late
 from ragworthollow_daemon.gateway.piece_client import PieceClient
 from ragworthollow_daemon.gateway.refusals import refuse
 from ragworthollow_daemon.gateway.request_job import RequestJob
+from ragworthollow_daemon.gateway.stage_way import StageWay
 from ragworthollow_daemon.gateway.stage_work import StageWork
 from ragworthollow_daemon.gateway.stream_relay import (
     AnswerProgress,
@@ -111,18 +112,21 @@
         )
 
     async def _serve(self, job: RequestJob) -> Answered:
-        stages = StageWork(
-            client=self._pieces,
+        way = StageWay(
             job=job,
-            table=job.table,
-            failure_domain=self._forwarder.expect_failure_domain(job),
             answer_ms=self._context.get_answer_time(job.pool).estimate_ms(
                 job.terms.prompt_tokens,
             ),
         )
-        refusal = self._refuse_late(job, stages)
+        refusal = refuse_late(job, way, self._pieces.get_waits_ms)
         if refusal is not None:
             return Err(refusal)
+        stages = StageWork(
+            client=self._pieces,
+            job=job,
+            way=way,
+            failure_domain=self._forwarder.expect_failure_domain(job),
+        )
         try:
             return await self._run(job, stages)
         finally:
@@ -151,26 +155,6 @@
             return Err(make_stopping(job.pool, Outcome.unknown))
         return answered
 
-    def _refuse_late(
-        self,
-        job: RequestJob,
-        stages: StageWork,
-    ) -> UpstreamFailure | None:
-        """Refuse at once what would miss its objective on the whole way."""
-        pools = {stage.pool for stage in job.route.stages}
-        waits_ms = self._pieces.get_waits_ms(pools, job.get_priority())
-        late_ms = stages.find_lateness_ms(waits_ms)
-        if late_ms <= global_settings.ADMISSION_GRACE_MS:
-            return None
-        return UpstreamFailure(
-            outcome=Outcome.not_run,
-            reason=Reason.overloaded,
-            step=_STEP,
-            peer=max(waits_ms, key=waits_ms.get),
-            detail=f'expected {late_ms:.0f} ms late; waits {waits_ms}',
-            retry_after_ms=late_ms,
-        )
-
     async def _run_stages(
         self,
         stages: StageWork,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/gate_book.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/gate_book.py
@@ -4,7 +4,14 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
-from ragworthollow.pieces import Piece, PieceGate, PieceOutcome, PieceResult
+from ragworthollow.pieces import (
+    AnnouncedWork,
+    PeerAnnouncements,
+    Piece,
+    PieceGate,
+    PieceOutcome,
+    PieceResult,
+)
 from ragworthollow.platform.stage_wire import get_maker_address
 from ragworthollow.routes import PieceProfile
 from ragworthollow.utils import get_monotonic_ms
@@ -26,6 +33,8 @@
     def __init__(self, *, context: GatewayContext) -> None:
         self._context = context
         self._gates: dict[str, PieceGate] = {}
+        self.announced = AnnouncedWork()
+        self.peer_announcements = PeerAnnouncements()
 
     def get(self, pool: str) -> PieceGate:
         """Return the gate of a pool, a new one if need be."""
@@ -56,15 +65,22 @@
 
     def get_waits_ms(self) -> dict[str, list[float]]:
         """Return the expected waits of a new piece, by pool and priority."""
+        now_ms = get_monotonic_ms()
+        own = self.announced.get_counts()
         waits_ms = {}
         for pool, gate in self._gates.items():
             profile = self.find_profile(pool)
-            if profile is not None:
-                waits_ms[pool] = gate.estimate_waits_ms(
-                    profile,
-                    len(self._context.directory.get_pool(pool)),
-                    get_monotonic_ms(),
-                )
+            if profile is None:
+                continue
+            announced = self.peer_announcements.sum_counts(pool, now_ms)
+            for priority, pieces in enumerate(own.get(pool, ())):
+                announced[priority] += pieces
+            waits_ms[pool] = gate.estimate_waits_ms(
+                profile,
+                len(self._context.directory.get_pool(pool)),
+                announced,
+                now_ms,
+            )
         return waits_ms
 
     def refuse(
@@ -98,8 +114,12 @@
             first,
             now_ms,
         )
-        late_ms = now_ms + wait_ms - first.due_ms
-        if late_ms <= global_settings.ADMISSION_GRACE_MS:
+        latest_ms = first.due_ms + global_settings.ADMISSION_GRACE_MS
+        if first.due_ms < now_ms:
+            # Let in to be served late.
+            latest_ms = first.give_up_ms
+        late_ms = now_ms + wait_ms - latest_ms
+        if late_ms <= 0:
             return None
         self._context.metrics.count_event('pieces_refused')
         log_event(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
@@ -10,9 +10,14 @@
 from ragworthollow.logs.events import log_error, log_event
 from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.membership.gateway_members import GatewayMembers
+from ragworthollow.pieces import AnnouncedWork
 from ragworthollow.platform.stored import Stored
 from ragworthollow.platform.transaction import Put
-from ragworthollow.transport.piece_messages import HostState, MemberChange
+from ragworthollow.transport.host_messages import (
+    GatewayPing,
+    HostState,
+    MemberChange,
+)
 from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
 from ragworthollow_daemon.gateway.peer_notes import tell_peer
 
@@ -36,6 +41,8 @@
         Of this process.
     members : GatewayMembers
         Where the others are kept.
+    announced : AnnouncedWork
+        Work that hosts are told of.
     """
 
     def __init__(
@@ -43,9 +50,11 @@
         *,
         context: GatewayContext,
         members: GatewayMembers,
+        announced: AnnouncedWork,
     ) -> None:
         self._context = context
         self._members = members
+        self._announced = announced
         self._lease = 0
         self._is_leaving = False
 
@@ -186,9 +195,14 @@
         return list(hosts.values())
 
     async def _ping(self, host: GatewayMember) -> None:
+        ping = GatewayPing(
+            instance=self._context.settings.instance,
+            announced=self._announced.get_counts(),
+        )
         try:
-            async with self._context.session.get(
+            async with self._context.session.post(
                 f'http://{host.peer_address}{PING_PATH}',
+                data=msgspec.json.encode(ping),
                 timeout=make_timeout(
                     global_settings.HOST_PING_TIMEOUT_MS,
                     global_settings.PEER_CONNECT_TIMEOUT_MS,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -6,10 +6,13 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.membership.gateway_members import GatewayMembers
-from ragworthollow.transport.piece_messages import (
-    GateTransfer,
+from ragworthollow.transport.host_messages import (
+    GatewayPing,
     HostState,
     MemberChange,
+)
+from ragworthollow.transport.piece_messages import (
+    GateTransfer,
     PiecesOrder,
     ResultsRelease,
     decode_pieces,
@@ -23,7 +26,7 @@
     GateHandover,
 )
 from ragworthollow_daemon.gateway.membership import CHANGE_PATH, PING_PATH
-from ragworthollow_daemon.gateway.piece_client import FREE_PATH, RUN_PATH
+from ragworthollow_daemon.gateway.piece_exchange import FREE_PATH, RUN_PATH
 from ragworthollow_daemon.gateway.piece_service import PieceService
 
 _BAD_REQUEST = 400
@@ -63,15 +66,25 @@
         application = web.Application(
             client_max_size=global_settings.MAX_BODY_BYTES,
         )
-        application.router.add_get(PING_PATH, self.answer_ping)
+        application.router.add_post(PING_PATH, self.answer_ping)
         application.router.add_post(CHANGE_PATH, self.learn_change)
         application.router.add_post(RUN_PATH, self.run_pieces)
         application.router.add_post(FREE_PATH, self.free_results)
         application.router.add_post(TRANSFER_PATH, self.take_gate)
         return application
 
-    async def answer_ping(self, _request: web.Request) -> web.Response:
-        """Say who is alive here."""
+    async def answer_ping(self, request: web.Request) -> web.Response:
+        """Say who is alive here, and take what work will come."""
+        body = await request.read()
+        try:
+            ping = msgspec.json.decode(body, type=GatewayPing)
+        except msgspec.DecodeError as error:
+            return respond(Problem(error=str(error)), status=_BAD_REQUEST)
+        self._service.get_gates().peer_announcements.note(
+            ping.instance,
+            ping.announced,
+            get_monotonic_ms(),
+        )
         return respond(
             HostState(
                 instance=self._context.settings.instance,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_client.py
@@ -3,8 +3,7 @@
 import asyncio
 from collections.abc import Iterable, Sequence
 
-import aiohttp
-import msgspec
+from result import Err, Result
 
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
@@ -12,22 +11,18 @@
 from ragworthollow.membership.gateway_members import GatewayMembers
 from ragworthollow.pieces import Piece, PieceOutcome, PieceResult
 from ragworthollow.platform.stage_wire import get_maker_address
-from ragworthollow.transport.piece_messages import (
-    ResultsRelease,
-    decode_results,
-    encode_pieces,
-)
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.transport.piece_messages import ResultsRelease
 from ragworthollow_daemon.gateway.context import GatewayContext
-from ragworthollow_daemon.gateway.peer_notes import tell_peer
+from ragworthollow_daemon.gateway.piece_exchange import (
+    AskHost,
+    Found,
+    TellHost,
+    ask_host,
+    tell_released,
+)
 from ragworthollow_daemon.gateway.piece_service import PieceService
 
 _STEP = 'pieces'
-_OK = 200
-RUN_PATH = '/v1/pieces/run'
-FREE_PATH = '/v1/pieces/free'
-
-Found = tuple[PieceResult, ...]
 
 
 class PieceClient:
@@ -42,6 +37,10 @@
         The other gateways.
     service : PieceService
         Gates hosted by this process.
+    ask : callable
+        Has pieces done by another gateway.
+    tell : callable
+        Tells another gateway of results that are given up.
     """
 
     def __init__(
@@ -50,7 +49,11 @@
         context: GatewayContext,
         members: GatewayMembers,
         service: PieceService,
+        ask: AskHost = ask_host,
+        tell: TellHost = tell_released,
     ) -> None:
+        self._ask = ask
+        self._tell = tell
         self._context = context
         self._members = members
         self._service = service
@@ -117,6 +120,10 @@
             waits[pool] = by_priority[position] if by_priority else 0
         return waits
 
+    def announce(self, pool: str, priority: int, pieces: int) -> None:
+        """Tell the gate of a pool how many pieces more will come, or fewer."""
+        self._service.get_gates().announced.add(pool, priority, pieces)
+
     def find_domain(self, pool: str, handle: str) -> str:
         """Return where a result lies; empty when its maker is gone."""
         address = get_maker_address(handle)
@@ -140,7 +147,9 @@
         pool: str,
         pieces: tuple[Piece, ...],
     ) -> Found | None:
-        asking = asyncio.ensure_future(self._ask(host, pool, pieces))
+        asking = asyncio.ensure_future(
+            self._ask(self._context, host, pool, pieces),
+        )
         try:
             while not asking.done():
                 await asyncio.wait(
@@ -152,40 +161,7 @@
         finally:
             asking.cancel()
         if asking.done() and not asking.cancelled():
-            return asking.result()
-        return None
-
-    async def _ask(
-        self,
-        host: GatewayMember,
-        pool: str,
-        pieces: tuple[Piece, ...],
-    ) -> Found | None:
-        try:
-            async with self._context.session.post(
-                f'http://{host.peer_address}{RUN_PATH}',
-                data=encode_pieces(pool, pieces, get_monotonic_ms()),
-                timeout=aiohttp.ClientTimeout(
-                    total=None,
-                    sock_connect=(
-                        global_settings.PEER_CONNECT_TIMEOUT_MS / 1000
-                    ),
-                ),
-            ) as response:
-                text = await response.read()
-                status = response.status
-            if status == _OK:
-                return decode_results(text)
-            detail = f'status {status}'
-        except (
-            TimeoutError,
-            aiohttp.ClientError,
-            OSError,
-            msgspec.DecodeError,
-        ) as error:
-            detail = repr(error)
-        self._members.note_silent(host.instance)
-        log_event('peer_lost', step=_STEP, peer=host.instance, error=detail)
+            return self._note_answer(host, asking.result())
         return None
 
     async def _free_at(
@@ -193,6 +169,21 @@
         host: GatewayMember,
         release: ResultsRelease,
     ) -> None:
-        body = msgspec.json.encode(release)
-        if not await tell_peer(self._context, host, FREE_PATH, body):
+        if not await self._tell(self._context, host, release):
             self._service.free(release.pool, release.handles)
+
+    def _note_answer(
+        self,
+        host: GatewayMember,
+        answered: Result[Found, str],
+    ) -> Found | None:
+        if not isinstance(answered, Err):
+            return answered.ok_value
+        self._members.note_silent(host.instance)
+        log_event(
+            'peer_lost',
+            step=_STEP,
+            peer=host.instance,
+            error=answered.err_value,
+        )
+        return None
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
@@ -1,9 +1,9 @@
 """Host the gates of pools and send their calls."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Coroutine, Sequence
 
-from result import Err
+from result import Err, Result
 
 from ragworthollow.conf import global_settings
 from ragworthollow.pieces import (
@@ -19,8 +19,17 @@
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.gate_book import GateBook
 from ragworthollow_daemon.gateway.piece_call import free_results, send_call
+from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
 Found = tuple[PieceResult, ...]
+SendCall = Callable[
+    [GatewayContext, PieceCall],
+    Coroutine[None, None, Result[Found, UpstreamFailure]],
+]
+FreeResults = Callable[
+    [GatewayContext, str, tuple[str, ...]],
+    Coroutine[None, None, None],
+]
 
 
 class PieceService:
@@ -31,10 +40,22 @@
     ----------
     context : GatewayContext
         Of this process.
+    send : callable
+        Makes one call and returns its results.
+    free_at : callable
+        Gives results up at the instance that made them.
     """
 
-    def __init__(self, *, context: GatewayContext) -> None:
+    def __init__(
+        self,
+        *,
+        context: GatewayContext,
+        send: SendCall = send_call,
+        free_at: FreeResults = free_results,
+    ) -> None:
         self._context = context
+        self._send_call = send
+        self._free_at = free_at
         self._gates = GateBook(context=context)
         self._outcomes = CallOutcomes(context=context, free=self.free)
 
@@ -124,7 +145,7 @@
                 by_maker.setdefault(maker, []).append(handle)
         for maker, given_up in by_maker.items():
             self._context.spawn(
-                free_results(self._context, maker, tuple(given_up)),
+                self._free_at(self._context, maker, tuple(given_up)),
             )
 
     async def _send(self, pool: str, gate: PieceGate, call: PieceCall) -> None:
@@ -138,7 +159,7 @@
         """
         record = self._context.book.get(call.instance.instance)
         record.in_flight += 1
-        sending = asyncio.ensure_future(send_call(self._context, call))
+        sending = asyncio.ensure_future(self._send_call(self._context, call))
         try:
             await self._watch(pool, gate, call, sending)
             answered = await sending
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
@@ -30,6 +30,9 @@
         Pool that is to answer it.
     table : RouteTable
         Configuration by which it is served.
+    waited_ms : float
+        How long its caller has waited before it came back; 0 for a first
+        request.
     received_ms, deadline_ms : float
         On the monotonic clock; after the deadline nobody waits any more.
     """
@@ -41,9 +44,14 @@
     holder: KeyHolder | None
     pool: str
     table: RouteTable
+    waited_ms: float
     received_ms: float
     deadline_ms: float
 
+    def get_goal_ms(self) -> float:
+        """Return when its objective is missed; it counts from the first try."""
+        return self.received_ms - self.waited_ms + self.route.objective_ms
+
     def get_remaining_ms(self) -> float:
         """Return the time left in milliseconds."""
         return self.deadline_ms - get_monotonic_ms()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -41,11 +41,12 @@
         self._settings = settings
         self.context = GatewayContext(settings=settings)
         self.members = GatewayMembers(instance=settings.instance)
+        self._service = PieceService(context=self.context)
         self.membership = Membership(
             context=self.context,
             members=self.members,
+            announced=self._service.get_gates().announced,
         )
-        self._service = PieceService(context=self.context)
         self._pieces = PieceClient(
             context=self.context,
             members=self.members,
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_way.py
@@ -0,0 +1,121 @@
+"""Estimate how long the stages of a request take."""
+
+from collections.abc import Mapping
+
+from ragworthollow.conf import global_settings
+from ragworthollow.utils import get_monotonic_ms
+from ragworthollow_daemon.gateway.request_job import RequestJob
+
+
+class StageWay:
+    """
+    Know the way of one request from its stages to its first event.
+
+    Parameters
+    ----------
+    job : RequestJob
+        The request.
+    answer_ms : float
+        Expected time from the end of all stages to the first event.
+    """
+
+    def __init__(self, *, job: RequestJob, answer_ms: float) -> None:
+        self.active = job.get_active_stages()
+        self._job = job
+        self._stages = job.route.stages
+        self._counts = job.terms.piece_counts
+        self._answer_ms = answer_ms
+
+    def get_readers(self, position: int) -> list[int]:
+        """Return the active stages that read the results of one."""
+        return [
+            reader
+            for reader in self.active
+            if position in self._stages[reader].after
+        ]
+
+    def find_lateness_ms(self, waits_ms: Mapping[str, float]) -> float:
+        """
+        Estimate by how much a request that begins now misses its objective.
+
+        Parameters
+        ----------
+        waits_ms : mapping of str to float
+            Expected waits by pool.
+
+        Returns
+        -------
+        float
+            Milliseconds, negative when it should be in time.  Minus infinity
+            when no pool has a queue: an estimate of the work alone refuses
+            nobody.
+        """
+        way_ms = self._estimate_way_ms(waits_ms)
+        if way_ms <= self._estimate_way_ms({}):
+            return float('-inf')
+        ends_ms = get_monotonic_ms() + way_ms + self._answer_ms
+        return ends_ms - self._job.get_goal_ms()
+
+    def get_due_ms(self, position: int) -> float:
+        """Return the latest start that still meets the objective."""
+        rest_ms = self._answer_ms + self._estimate_rest_ms(position)
+        return self._job.get_goal_ms() - rest_ms
+
+    def get_give_up_ms(self, position: int) -> float:
+        """
+        Return when a first stage that has not begun is given up.
+
+        One whose caller came back too late for its objective was let in to
+        be served late, in time that nobody else needs.
+        """
+        due_ms = self.get_due_ms(position)
+        if due_ms < self._job.received_ms:
+            return self.get_expiry_ms()
+        return due_ms + global_settings.PIECE_GIVE_UP_MS
+
+    def get_expiry_ms(self) -> float:
+        """Return when waiting for stage work is given up."""
+        patience_ms = (
+            self._job.route.objective_ms * global_settings.STAGE_PATIENCE
+        )
+        return min(
+            self._job.deadline_ms,
+            self._job.received_ms + patience_ms,
+        )
+
+    def _estimate_way_ms(self, waits_ms: Mapping[str, float]) -> float:
+        """
+        Estimate how long all stages take from now.
+
+        A wait that is told now has partly passed when the request arrives
+        at a later stage.
+        """
+        ends_ms: dict[int, float] = {}
+        for position in self.active:
+            stage = self._stages[position]
+            starts_ms = max(
+                (ends_ms.get(before, 0) for before in stage.after),
+                default=0,
+            )
+            wait_ms = max(0, waits_ms.get(stage.pool, 0) - starts_ms)
+            own_ms = self._estimate_own_ms(position)
+            ends_ms[position] = starts_ms + wait_ms + own_ms
+        return max(ends_ms.values(), default=0)
+
+    def _estimate_rest_ms(self, position: int) -> float:
+        """Estimate the way from the start of a stage to the end of all."""
+        later_ms = [
+            self._estimate_rest_ms(reader)
+            for reader in self.get_readers(position)
+        ]
+        return self._estimate_own_ms(position) + max(later_ms, default=0)
+
+    def _estimate_own_ms(self, position: int) -> float:
+        """Estimate the time of a stage's call."""
+        pool = self._job.table.pools.get(self._stages[position].pool)
+        if pool is None or pool.pieces is None:
+            return 0
+        profile = pool.pieces
+        return profile.estimate_ms(
+            min(self._counts[position], profile.batch_limit),
+        )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
@@ -1,18 +1,15 @@
 """Do the work that a request needs before it can run."""
 
 import asyncio
-from collections.abc import Mapping
 
 from result import Err, Ok, Result
 
-from ragworthollow.conf import global_settings
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.pieces import Piece, PieceOutcome, PieceResult
 from ragworthollow.pieces.nearness import choose_domain
-from ragworthollow.routes import RouteTable
-from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.piece_client import PieceClient
 from ragworthollow_daemon.gateway.request_job import RequestJob
+from ragworthollow_daemon.gateway.stage_way import StageWay
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
 _STEP = 'stages'
@@ -34,12 +31,10 @@
         Has pieces done.
     job : RequestJob
         The request.
-    table : RouteTable
-        Configuration by which the request is served.
+    way : StageWay
+        What its stages are expected to take.
     failure_domain : str
         Where the request itself is expected to run.
-    answer_ms : float
-        Expected time from the end of all stages to the first event.
     """
 
     def __init__(
@@ -47,17 +42,16 @@
         *,
         client: PieceClient,
         job: RequestJob,
-        table: RouteTable,
+        way: StageWay,
         failure_domain: str,
-        answer_ms: float,
     ) -> None:
-        self._answer_ms = answer_ms
+        self._way = way
         self._failure_domain = failure_domain
         self._client = client
         self._job = job
-        self._table = table
         self._handles: dict[int, tuple[str, ...]] = {}
-        self._active = job.get_active_stages()
+        self._active = way.active
+        self._announced: set[int] = set()
 
     async def run(self) -> Result[tuple[str, ...], UpstreamFailure]:
         """
@@ -71,6 +65,7 @@
         """
         tasks: dict[int, asyncio.Task[UpstreamFailure | None]] = {}
         for position in self._active:
+            self._announce(position)
             tasks[position] = asyncio.ensure_future(
                 self._run_stage(position, tasks),
             )
@@ -83,6 +78,8 @@
         finally:
             for task in tasks.values():
                 task.cancel()
+            for position in tuple(self._announced):
+                self._withdraw(position)
         return Ok(self._collect())
 
     def free(self) -> None:
@@ -90,6 +87,23 @@
         for position in tuple(self._handles):
             self._free_stage(position)
 
+    def _announce(self, position: int) -> None:
+        self._announced.add(position)
+        self._tell_pieces(position, 1)
+
+    def _withdraw(self, position: int) -> None:
+        self._announced.remove(position)
+        self._tell_pieces(position, -1)
+
+    def _tell_pieces(self, position: int, sign: int) -> None:
+        stage = self._job.route.stages[position]
+        pieces = self._job.terms.piece_counts[position]
+        self._client.announce(
+            stage.pool,
+            self._job.get_priority(),
+            sign * pieces,
+        )
+
     def _free_stage(self, position: int) -> None:
         stage = self._job.route.stages[position]
         self._client.free(stage.pool, self._handles.pop(position, ()))
@@ -99,18 +113,10 @@
         return tuple(
             handle
             for position in self._active
-            if not self._get_readers(position)
+            if not self._way.get_readers(position)
             for handle in self._handles[position]
         )
 
-    def _get_readers(self, position: int) -> list[int]:
-        stages = self._job.route.stages
-        return [
-            reader
-            for reader in self._active
-            if position in stages[reader].after
-        ]
-
     async def _run_stage(
         self,
         position: int,
@@ -129,6 +135,7 @@
         )
         domain = choose_domain(self._weigh_domains(position, read))
         pieces = self._make_pieces(position, inputs, domain)
+        self._withdraw(position)
         found = await self._client.run(stage.pool, pieces)
         self._handles[position] = tuple(
             one.handle for one in found if one.handle
@@ -150,7 +157,7 @@
         }
         # Where the results will be read is open but for the last stage; the
         # request's own domain makes all pieces of a stage agree on one.
-        reads = sum(counts[one] for one in self._get_readers(position))
+        reads = sum(counts[one] for one in self._way.get_readers(position))
         made_bytes = stages[position].result_bytes * counts[position]
         home = self._failure_domain
         weights[home] = weights.get(home, 0) + made_bytes * max(1, reads)
@@ -170,7 +177,8 @@
         """Free results that every stage which needs them has read."""
         for before in read:
             if all(
-                reader in self._handles for reader in self._get_readers(before)
+                reader in self._handles
+                for reader in self._way.get_readers(before)
             ):
                 self._free_stage(before)
 
@@ -182,7 +190,7 @@
     ) -> tuple[Piece, ...]:
         stage = self._job.route.stages[position]
         counts = self._job.terms.piece_counts
-        due_ms = self._get_due_ms(position)
+        due_ms = self._way.get_due_ms(position)
         return tuple(
             Piece(
                 request_id=self._job.terms.request_id,
@@ -191,7 +199,8 @@
                 key='' if inputs else self._job.terms.piece_key,
                 inputs=inputs,
                 due_ms=due_ms,
-                expires_ms=self._get_expiry_ms(),
+                give_up_ms=self._way.get_give_up_ms(position),
+                expires_ms=self._way.get_expiry_ms(),
                 result_bytes=stage.result_bytes,
                 failure_domain=failure_domain,
                 priority=self._job.get_priority(),
@@ -199,66 +208,6 @@
             for number in range(counts[position])
         )
 
-    def _get_expiry_ms(self) -> float:
-        """Return when waiting for stage work is given up."""
-        patience_ms = (
-            self._job.route.objective_ms * global_settings.STAGE_PATIENCE
-        )
-        return min(
-            self._job.deadline_ms,
-            self._job.received_ms + patience_ms,
-        )
-
-    def find_lateness_ms(self, waits_ms: Mapping[str, float]) -> float:
-        """
-        Estimate by how much a request that begins now misses its objective.
-
-        Parameters
-        ----------
-        waits_ms : mapping of str to float
-            Expected waits by pool.
-
-        Returns
-        -------
-        float
-            Milliseconds; 0 when it should be in time, or when no pool has a
-            queue: an estimate of the work alone refuses nobody.
-        """
-        heads = [self._get_rest_ms(one, waits_ms) for one in self._active]
-        bare = [self._get_rest_ms(one, {}) for one in self._active]
-        way_ms = max(heads, default=0)
-        if way_ms <= max(bare, default=0):
-            return 0
-        goal_ms = self._job.received_ms + self._job.route.objective_ms
-        ends_ms = get_monotonic_ms() + way_ms + self._answer_ms
-        return max(0, ends_ms - goal_ms)
-
-    def _get_due_ms(self, position: int) -> float:
-        """Return the latest start that still meets the objective."""
-        goal_ms = self._job.received_ms + self._job.route.objective_ms
-        return goal_ms - self._answer_ms - self._get_rest_ms(position, {})
-
-    def _get_rest_ms(
-        self,
-        position: int,
-        waits_ms: Mapping[str, float],
-    ) -> float:
-        """Estimate the way from the start of a stage to the end of all."""
-        counts = self._job.terms.piece_counts
-        stages = self._job.route.stages
-        pool = self._table.pools.get(stages[position].pool)
-        own_ms: float = 0
-        if pool is not None and pool.pieces is not None:
-            own_ms = pool.pieces.estimate_ms(
-                min(counts[position], pool.pieces.batch_limit),
-            )
-        later_ms = [
-            self._get_rest_ms(reader, waits_ms)
-            for reader in self._get_readers(position)
-        ]
-        wait_ms = waits_ms.get(stages[position].pool, 0)
-        return wait_ms + own_ms + max(later_ms, default=0)
-
 
 def _find_failure(
     found: tuple[PieceResult, ...],
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -159,8 +159,20 @@
 PRIORITY_STEP_MS = 250
 # Priorities that are told apart, 0 first.
 PRIORITIES = 10
-# Expected lateness at which a request is refused on arrival.
+# How long the announced work of another gateway counts after it last told of
+# it; it does so with each ping, every 250 ms, and two of these may be lost.
+ANNOUNCEMENT_MS = 750
+# Expected lateness at which a gate refuses stage work, and a front a caller
+# that comes back after a refusal.
 ADMISSION_GRACE_MS = 100
+# Part of its objective that a new request must be expected to have left over
+# when pools have queues.
+ADMISSION_MARGIN = 0.15
+# Requests of a route over which the usual time limit is taken.
+USUAL_LIMIT_SAMPLES = 25
+# How much less than the usual limit tells that a caller has waited before;
+# transport takes some milliseconds of a limit, a refusal and a pause more.
+WAITED_LEAST_MS = 100
 # How far back the rate of a queue is measured: some calls of 300 to 400 ms.
 DRAIN_RATE_MEMORY_MS = 1_500
 # Time with a backlog from which the measured rate counts: two calls or so.
--- a/packages/ragworthollow/src/ragworthollow/exchange/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/exchange/__init__.py
@@ -3,5 +3,12 @@
 from ragworthollow.exchange.answer_marks import AnswerMarks
 from ragworthollow.exchange.request_terms import PromptPart, RequestTerms
 from ragworthollow.exchange.upstream_order import UpstreamOrder
+from ragworthollow.exchange.usual_limits import UsualLimits
 
-__all__ = ('AnswerMarks', 'PromptPart', 'RequestTerms', 'UpstreamOrder')
+__all__ = (
+    'AnswerMarks',
+    'PromptPart',
+    'RequestTerms',
+    'UpstreamOrder',
+    'UsualLimits',
+)
--- a/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
+++ b/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 
 from ragworthollow.membership.gateway_member import GatewayMember
-from ragworthollow.transport.piece_messages import HostState, MemberChange
+from ragworthollow.transport.host_messages import HostState, MemberChange
 from ragworthollow.utils.hashing import get_rank
 
 WaitsByPool = Mapping[str, list[float]]
--- a/packages/ragworthollow/src/ragworthollow/pieces/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/__init__.py
@@ -1,5 +1,9 @@
 """Fill calls with pieces of stages, across requests."""
 
+from ragworthollow.pieces.announced_work import (
+    AnnouncedWork,
+    PeerAnnouncements,
+)
 from ragworthollow.pieces.call import ForeignCall, PieceCall
 from ragworthollow.pieces.gate import PieceGate
 from ragworthollow.pieces.piece import (
@@ -12,6 +16,8 @@
 from ragworthollow.pieces.waiting_piece import WaitingPiece
 
 __all__ = (
+    'AnnouncedWork',
+    'PeerAnnouncements',
     'ForeignCall',
     'KeptResult',
     'Piece',
--- a/packages/ragworthollow/src/ragworthollow/pieces/gate.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/gate.py
@@ -7,12 +7,12 @@
 from ragworthollow.pieces.call import ForeignCall, PieceCall
 from ragworthollow.pieces.drain_rate import DrainRate
 from ragworthollow.pieces.order import (
-    get_rank_ms,
     is_held,
     is_hopeless,
     is_late,
     prefer_domain,
     rank,
+    rank_piece,
 )
 from ragworthollow.pieces.piece import Piece, PieceOutcome, PieceResult
 from ragworthollow.pieces.result_room import ResultRoom
@@ -131,31 +131,40 @@
         now_ms : float
             Time on the monotonic clock.
         """
-        rank_ms = get_rank_ms(piece)
-        ahead = sum(
-            not is_late(one, now_ms) and get_rank_ms(one.piece) <= rank_ms
-            for one in self._queue
-        )
+        own = rank_piece(piece, now_ms)
+        ahead = sum(rank_piece(one.piece, now_ms) <= own for one in self._queue)
         return self._estimate_ms(profile, instances, ahead, now_ms)
 
     def estimate_waits_ms(
         self,
         profile: PieceProfile,
         instances: int,
+        announced: Sequence[int],
         now_ms: float,
     ) -> list[float]:
         """
         Estimate the waits of requests that are due later than all queued.
 
+        Parameters
+        ----------
+        profile : PieceProfile
+            Of the pool.
+        instances : int
+            Instances that may get work.
+        announced : sequence of int
+            Pieces that are on their way here, by priority.
+        now_ms : float
+            Time on the monotonic clock.
+
         Returns
         -------
         list of float
             By priority, 0 first; only pieces that are at least as urgent
             count, so that the less urgent are refused first.
         """
-        counts = [0 for _ in range(global_settings.PRIORITIES)]
+        counts = list(announced)
         for one in self._queue:
-            if not is_late(one, now_ms):
+            if not is_late(one.piece, now_ms):
                 counts[min(one.piece.priority, len(counts) - 1)] += 1
         return [
             self._estimate_ms(profile, instances, ahead, now_ms)
--- a/packages/ragworthollow/src/ragworthollow/pieces/order.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/order.py
@@ -22,7 +22,7 @@
         return True
     if piece.inputs or waiting.stage_run.is_begun:
         return False
-    return piece.due_ms + global_settings.PIECE_GIVE_UP_MS < now_ms
+    return piece.give_up_ms < now_ms
 
 
 def rank(waiting: WaitingPiece, now_ms: float) -> tuple[bool, bool, float]:
@@ -35,20 +35,23 @@
     """
     return (
         not waiting.stage_run.is_begun,
-        is_late(waiting, now_ms),
-        get_rank_ms(waiting.piece),
+        *rank_piece(waiting.piece, now_ms),
     )
 
 
+def rank_piece(piece: Piece, now_ms: float) -> tuple[bool, float]:
+    """Return the order of pieces whose stages have not begun."""
+    return (is_late(piece, now_ms), get_rank_ms(piece))
+
+
 def get_rank_ms(piece: Piece) -> float:
     """Return the latest start, later for what is less urgent."""
     return piece.due_ms + piece.priority * global_settings.PRIORITY_STEP_MS
 
 
-def is_late(waiting: WaitingPiece, now_ms: float) -> bool:
+def is_late(piece: Piece, now_ms: float) -> bool:
     """Tell whether a piece can no longer meet its objective."""
-    grace_ms = global_settings.PIECE_LATE_GRACE_MS
-    return waiting.piece.due_ms + grace_ms < now_ms
+    return piece.due_ms + global_settings.PIECE_LATE_GRACE_MS < now_ms
 
 
 def is_held(
--- a/packages/ragworthollow/src/ragworthollow/pieces/piece.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/piece.py
@@ -24,6 +24,9 @@
     due_ms : float
         Latest start, on the monotonic clock, with which the request still
         meets its objective.
+    give_up_ms : float
+        Time after which the piece is given up if nothing was spent on its
+        request yet.
     expires_ms : float
         Time after which nobody waits for the result any more.
     result_bytes : int
@@ -40,6 +43,7 @@
     key: str = ''
     inputs: tuple[str, ...] = ()
     due_ms: float
+    give_up_ms: float
     expires_ms: float
     result_bytes: int = 0
     failure_domain: str = ''
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/transport/host_messages.py
@@ -0,0 +1,45 @@
+"""Define what gateways say to each other about themselves."""
+
+from ragworthollow.membership.gateway_member import GatewayMember
+from ragworthollow.utils.message import Message
+
+
+class GatewayPing(Message):
+    """
+    Ask a host whether it lives, and announce work that will come to it.
+
+    Attributes
+    ----------
+    instance : str
+        Who asks.
+    announced : dict
+        Pieces that its requests will need later, by pool and priority.
+    """
+
+    instance: str
+    announced: dict[str, list[int]] = {}
+
+
+class HostState(Message):
+    """
+    Say who is alive, and how busy its gates are.
+
+    Attributes
+    ----------
+    instance : str
+        Name of the gateway.
+    is_leaving : bool
+        Whether it is stopping: it finishes what it has, and takes no more.
+    waits_ms : dict
+        Expected waits of a new piece, by pool and priority.
+    """
+
+    instance: str
+    is_leaving: bool = False
+    waits_ms: dict[str, list[float]] = {}
+
+
+class MemberChange(Message):
+    """Tell the other gateways that one joins or leaves."""
+
+    member: GatewayMember
--- a/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
@@ -2,7 +2,6 @@
 
 import msgspec
 
-from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.pieces import Piece, PieceOutcome, PieceResult
 from ragworthollow.utils.message import Message
 
@@ -17,7 +16,7 @@
     ----------
     request_id, position, number, key, inputs : various
         As in `Piece`.
-    due_in_ms, expires_in_ms : float
+    due_in_ms, give_up_in_ms, expires_in_ms : float
         From now; negative when the moment has passed.
     result_bytes : int
         Approximate size of the result.
@@ -31,6 +30,7 @@
     position: int
     number: int
     due_in_ms: float
+    give_up_in_ms: float
     expires_in_ms: float
     key: str = ''
     inputs: tuple[str, ...] = ()
@@ -60,31 +60,6 @@
     results: tuple[PieceResultMessage, ...]
 
 
-class HostState(Message):
-    """
-    Say who is alive, and how busy its gates are.
-
-    Attributes
-    ----------
-    instance : str
-        Name of the gateway.
-    is_leaving : bool
-        Whether it is stopping: it finishes what it has, and takes no more.
-    waits_ms : dict
-        Expected waits of a new piece, by pool and priority.
-    """
-
-    instance: str
-    is_leaving: bool = False
-    waits_ms: dict[str, list[float]] = {}
-
-
-class MemberChange(Message):
-    """Tell the other gateways that one joins or leaves."""
-
-    member: GatewayMember
-
-
 class ResultsRelease(Message):
     """Give results of a pool up, whichever gates had them made."""
 
@@ -145,6 +120,7 @@
                     position=piece.position,
                     number=piece.number,
                     due_in_ms=piece.due_ms - now_ms,
+                    give_up_in_ms=piece.give_up_ms - now_ms,
                     expires_in_ms=piece.expires_ms - now_ms,
                     key=piece.key,
                     inputs=piece.inputs,
@@ -168,6 +144,7 @@
             key=one.key,
             inputs=one.inputs,
             due_ms=now_ms + one.due_in_ms,
+            give_up_ms=now_ms + one.give_up_in_ms,
             expires_ms=now_ms + one.expires_in_ms,
             result_bytes=one.result_bytes,
             failure_domain=one.failure_domain,
--- a/packages/ragworthollow/src/ragworthollow/utils/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/utils/__init__.py
@@ -1,6 +1,10 @@
 """Hold small parts that belong to no subject: clocks, identifiers, YAML."""
 
-from ragworthollow.utils.clock import get_monotonic_ms, get_wall_ms
+from ragworthollow.utils.clock import (
+    get_monotonic_ms,
+    get_wall_ms,
+    use_monotonic,
+)
 from ragworthollow.utils.hashing import get_rank, hash_secret
 from ragworthollow.utils.identifiers import get_birth_ms, make_identifier
 from ragworthollow.utils.message import Message, StrictMessage
@@ -14,4 +18,5 @@
     'get_wall_ms',
     'hash_secret',
     'make_identifier',
+    'use_monotonic',
 )
--- a/packages/ragworthollow/src/ragworthollow/utils/clock.py
+++ b/packages/ragworthollow/src/ragworthollow/utils/clock.py
@@ -1,10 +1,27 @@
 """Read the clocks in milliseconds."""
 
 import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
 
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
 
 
+def _read_steady_ms() -> float:
+    return time.monotonic_ns() / _NANOSECONDS_PER_MILLISECOND
+
+
+@dataclass(kw_only=True, slots=True)
+class _Clock:
+    """Hold what the monotonic clock is read from."""
+
+    read_ms: Callable[[], float]
+
+
+_clock = _Clock(read_ms=_read_steady_ms)
+
+
 def get_monotonic_ms() -> float:
     """
     Return a clock that never goes back.
@@ -14,7 +31,25 @@
     float
         Milliseconds since an arbitrary start of this machine.
     """
-    return time.monotonic_ns() / _NANOSECONDS_PER_MILLISECOND
+    return _clock.read_ms()
+
+
+@contextmanager
+def use_monotonic(read_ms: Callable[[], float]) -> Iterator[None]:
+    """
+    Read another clock for a while, for models in virtual time.
+
+    Parameters
+    ----------
+    read_ms : callable
+        Returns milliseconds and never goes back.
+    """
+    earlier = _clock.read_ms
+    _clock.read_ms = read_ms
+    try:
+        yield
+    finally:
+        _clock.read_ms = earlier
 
 
 def get_wall_ms() -> float:
--- a/tests/features/steps/piece_space.py
+++ b/tests/features/steps/piece_space.py
@@ -10,6 +10,7 @@
 from ragworthollow.pieces.nearness import choose_domain
 from tests.fixtures.piece_pool import (
     FAR_MS,
+    NOTHING,
     RESULT_BYTES,
     make_waiting,
 )
@@ -85,6 +86,7 @@
     waits_ms = context.pool.gate.estimate_waits_ms(
         context.pool.profile,
         len(context.pool.instances),
+        NOTHING,
         context.now_ms,
     )
     assert waits_ms[0] > least_ms, waits_ms
--- a/tests/features/steps/pieces.py
+++ b/tests/features/steps/pieces.py
@@ -13,6 +13,7 @@
 from tests.fixtures.gate_model import GateModel
 from tests.fixtures.piece_pool import (
     FAR_MS,
+    NOTHING,
     PiecePool,
     make_profile,
     make_waiting,
@@ -239,7 +240,7 @@
 )
 def check_kinds(context, urgent, everything):
     pool = context.pool
-    waits_ms = pool.gate.estimate_waits_ms(pool.profile, 1, 0)
+    waits_ms = pool.gate.estimate_waits_ms(pool.profile, 1, NOTHING, 0)
     call_ms = pool.profile.estimate_ms(1)
     assert waits_ms[0] == urgent * call_ms, waits_ms
     assert waits_ms[2] == everything * call_ms, waits_ms
--- a/tests/features/steps/store_bounds.py
+++ b/tests/features/steps/store_bounds.py
@@ -8,9 +8,9 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from measure.fleet_model.virtual_time import run_virtually
 from ragworthollow.conf import global_settings
 from ragworthollow_daemon.gateway.poll_pace import poll_forever
-from tests.fixtures.virtual_time import run_virtually
 
 _END_S = 30
 _MOMENTS_MS = st.integers(0, 8000)
