--- /dev/null
+++ b/measure/fleet_model/day.py
@@ -0,0 +1,293 @@
+"""Play one day."""
+
+import asyncio
+import random
+
+from measure.fleet_model.arrivals import Arrival, draw_arrivals
+from measure.fleet_model.engine_instance import EngineInstance
+from measure.fleet_model.gateway import ENGINES, ModelGateway
+from measure.fleet_model.hosting import Hosting, connect
+from measure.fleet_model.load_sheet import LoadSheet, Pattern
+from measure.fleet_model.network import Network
+from measure.fleet_model.outcome import (
+    Answer,
+    DayReport,
+    PoolReport,
+    RequestRecord,
+    sum_attained,
+    sum_kinds,
+)
+from measure.fleet_model.patterns import SPAN_MS
+from measure.fleet_model.stage_instance import StageInstance
+from measure.fleet_model.tables import make_table
+from measure.fleet_model.virtual_time import VirtualLoop
+from ragworthollow.conf import GatewaySettings
+from ragworthollow.outcomes import Reason
+from ragworthollow.upstreams import UpstreamInstance
+from ragworthollow.utils import use_monotonic
+
+_MILLISECONDS = 1000
+# Part of the time left that a caller waits at most before it comes back.
+_RETURN_SHARE = 1 / 3
+_TRIES = 2
+# The followers of a gateway notice a change of instances so late.
+_LIST_LAG_MS = 600
+
+
+class Day:
+    """
+    Play one day of a deployment.
+
+    Parameters
+    ----------
+    sheet : LoadSheet
+        The deployment.
+    pattern : Pattern
+        What happens.
+    hosting : Hosting
+        Who fills the calls of a pool.
+    seed : int
+        Of all random numbers.
+    span_ms : float
+        How long requests come.
+    """
+
+    def __init__(
+        self,
+        *,
+        sheet: LoadSheet,
+        pattern: Pattern,
+        hosting: Hosting = Hosting.pool,
+        seed: int = 1,
+        span_ms: float = SPAN_MS,
+    ) -> None:
+        self.sheet = sheet
+        self.pattern = pattern
+        self.records: list[RequestRecord] = []
+        self._hosting = hosting
+        self._seed = seed
+        self._span_ms = span_ms
+        self._rng = random.Random(f'day/{seed}')  # noqa: S311
+        self._network = Network(sheet=sheet)
+        self._table = make_table(sheet)
+
+    def play(self) -> DayReport:
+        """Play the day on a loop of its own."""
+        loop = VirtualLoop()
+        try:
+            with use_monotonic(loop.get_ms):
+                loop.run_until_complete(self._play())
+        finally:
+            loop.close()
+        return self._report()
+
+    async def _play(self) -> None:
+        self._add_instances()
+        self._add_gateways()
+        arrivals = draw_arrivals(
+            self.sheet,
+            self.pattern,
+            self._span_ms,
+            self._seed,
+        )
+        troubles = asyncio.ensure_future(self._make_troubles())
+        await asyncio.gather(*map(self._call, arrivals))
+        troubles.cancel()
+        self._network.close()
+        for gateway in self._network.gateways.values():
+            await gateway.context.close()
+
+    def _add_instances(self) -> None:
+        for pool, sheet in self.sheet.pools.items():
+            shares = {
+                stage.result_bytes: stage.work_share
+                for kind in self.sheet.kinds.values()
+                for stage in kind.stages
+                if stage.pool == pool
+            }
+            for number in range(sheet.instances):
+                name = f'{pool}-{number}'
+                self._network.stages[name] = StageInstance(
+                    name=name,
+                    sheet=sheet,
+                    work_shares=shares,
+                    seed=self._seed,
+                )
+        for number in range(self.sheet.engine.instances):
+            self._network.engines[f'{ENGINES}-{number}'] = EngineInstance(
+                sheet=self.sheet.engine,
+            )
+
+    def _add_gateways(self) -> None:
+        for number in range(self.sheet.gateways):
+            name = f'gateway-{number}'
+            settings = GatewaySettings(
+                role='gateway',
+                instance=name,
+                failure_domain=self._get_domain(number),
+                front_address='',
+                ready_address='',
+                peer_address=name,
+                store_url='http://store',
+                retry_slack=50,
+            )
+            gateway = ModelGateway(
+                settings=settings,
+                table=self._table,
+                network=self._network,
+            )
+            rng = random.Random(f'{name}/{self._seed}')  # noqa: S311
+            gateway.context.rng = rng
+            gateway.context.set_members(self.sheet.gateways)
+            self._network.gateways[name] = gateway
+        connect(self._hosting, self._network)
+        self._list_instances()
+        for gateway in self._network.gateways.values():
+            gateway.start()
+        fault = self.pattern.gateway_fault
+        if fault is not None:
+            self._network.faults[self._find_busiest_host()] = fault
+
+    def _find_busiest_host(self) -> str:
+        """Return who hosts the gate of the pool that most kinds need first."""
+        first = self._network.gateways['gateway-0']
+        host = first.members.find_host(next(iter(self.sheet.pools)))
+        return first.name if host is None else host.instance
+
+    def _list_instances(self) -> None:
+        listed = [
+            self._describe(name, name.rpartition('-')[0])
+            for name, instance in self._network.stages.items()
+            if not instance.is_lost
+        ]
+        listed += [
+            self._describe(name, ENGINES) for name in self._network.engines
+        ]
+        for gateway in self._network.gateways.values():
+            gateway.context.directory.replace(listed, 0)
+
+    def _describe(self, name: str, pool: str) -> UpstreamInstance:
+        number = int(name.rpartition('-')[2])
+        is_engine = pool == ENGINES
+        return UpstreamInstance(
+            instance=name,
+            pool=pool,
+            address=name,
+            failure_domain=self._get_domain(number),
+            slots=self.sheet.engine.slots if is_engine else 1,
+        )
+
+    def _get_domain(self, number: int) -> str:
+        domains = self.sheet.failure_domains
+        return domains[number % len(domains)]
+
+    async def _make_troubles(self) -> None:
+        changes = []
+        for lost in self.pattern.lost:
+            instance = self._network.stages[f'{lost.pool}-{lost.number}']
+            changes.append((lost.start_ms, instance.lose))
+            changes.append((lost.end_ms, instance.return_))
+        for slow in self.pattern.slow:
+            instance = self._network.stages[f'{slow.pool}-{slow.number}']
+            changes.append((slow.start_ms, _make_pace(instance, slow.factor)))
+            changes.append((slow.end_ms, _make_pace(instance, 1)))
+        loop = asyncio.get_running_loop()
+        for at_ms, change in sorted(changes, key=lambda one: one[0]):
+            await asyncio.sleep(at_ms / _MILLISECONDS - loop.time())
+            change()
+            await asyncio.sleep(_LIST_LAG_MS / _MILLISECONDS)
+            self._list_instances()
+
+    async def _call(self, arrival: Arrival) -> None:
+        """Be the caller of one request."""
+        loop = asyncio.get_running_loop()
+        kind = self.sheet.kinds[arrival.kind]
+        await asyncio.sleep(arrival.at_ms / _MILLISECONDS)
+        deadline_ms = arrival.at_ms + kind.timeout_ms
+        reason = None
+        tries = 0
+        while tries < _TRIES:
+            tries += 1
+            left_ms = deadline_ms - loop.time() * _MILLISECONDS
+            answer = await self._try(arrival, left_ms)
+            if answer.is_served:
+                took_ms = loop.time() * _MILLISECONDS - arrival.at_ms
+                self._note(arrival, took_ms, tries, None)
+                return
+            reason = answer.reason
+            left_ms = deadline_ms - loop.time() * _MILLISECONDS
+            pause_ms = min(answer.retry_after_ms, left_ms * _RETURN_SHARE)
+            if left_ms <= 0 or reason is Reason.connection_lost:
+                break
+            await asyncio.sleep(pause_ms / _MILLISECONDS)
+        self._note(arrival, None, tries, reason)
+
+    async def _try(self, arrival: Arrival, left_ms: float) -> Answer:
+        caller_s = self.sheet.caller_ms / _MILLISECONDS
+        alive = [
+            name
+            for name in self._network.gateways
+            if self._network.find_fault(name) != 'kill'
+        ]
+        gateway = self._network.gateways[self._rng.choice(alive)]
+        await asyncio.sleep(caller_s)
+        serving = asyncio.ensure_future(
+            gateway.serve(arrival, self._get_route(arrival), left_ms),
+        )
+        while not serving.done():
+            await asyncio.wait({serving}, timeout=left_ms / _MILLISECONDS)
+            if not serving.done():
+                serving.cancel()
+                return Answer(is_served=False, reason=Reason.deadline_exceeded)
+        await asyncio.sleep(caller_s)
+        if self._network.find_fault(gateway.name) == 'kill':
+            return Answer(is_served=False, reason=Reason.connection_lost)
+        return serving.result()
+
+    def _get_route(self, arrival: Arrival):
+        return self._table.match('model', f'/{arrival.kind}/')
+
+    def _note(
+        self,
+        arrival: Arrival,
+        took_ms: float | None,
+        tries: int,
+        reason: Reason | None,
+    ) -> None:
+        self.records.append(
+            RequestRecord(
+                arrival=arrival,
+                took_ms=took_ms,
+                tries=tries,
+                reason=reason,
+            ),
+        )
+
+    def _report(self) -> DayReport:
+        return DayReport(
+            attained=sum_attained(self.sheet, self.records),
+            kinds=sum_kinds(self.sheet, self.records),
+            pools={pool: self._sum_pool(pool) for pool in self.sheet.pools},
+            tokens_read=sum(
+                one.tokens_read_again for one in self._network.engines.values()
+            ),
+        )
+
+    def _sum_pool(self, pool: str) -> PoolReport:
+        instances = [
+            one
+            for name, one in self._network.stages.items()
+            if name.rpartition('-')[0] == pool
+        ]
+        time_ms = self._span_ms * len(instances)
+        return PoolReport(
+            busy=sum(one.busy_ms for one in instances) / time_ms,
+            pieces=sum(one.pieces_made for one in instances),
+        )
+
+
+def _make_pace(instance: StageInstance, factor: float):
+    def change() -> None:
+        instance.slow_factor = factor
+
+    return change
--- /dev/null
+++ b/measure/fleet_model/gateway.py
@@ -0,0 +1,319 @@
+"""Model a gateway: the product's decisions, the model's network."""
+
+import asyncio
+
+from result import Err, Ok, Result
+
+from measure.fleet_model.arrivals import Arrival
+from measure.fleet_model.network import Network
+from measure.fleet_model.outcome import Answer
+from measure.fleet_model.stage_instance import InstanceLost, StageInstance
+from ragworthollow.conf import GatewaySettings, global_settings
+from ragworthollow.exchange import PromptPart, RequestTerms, UsualLimits
+from ragworthollow.membership.gateway_member import GatewayMember
+from ragworthollow.membership.gateway_members import GatewayMembers
+from ragworthollow.outcomes import Outcome, Reason
+from ragworthollow.pieces import Piece, PieceCall, PieceResult
+from ragworthollow.routes import Route, RouteTable
+from ragworthollow.transport.host_messages import HostState
+from ragworthollow.transport.piece_messages import ResultsRelease
+from ragworthollow.upstreams import UpstreamWish, choose_upstream
+from ragworthollow.utils import get_monotonic_ms
+from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.lateness import refuse_late
+from ragworthollow_daemon.gateway.piece_client import PieceClient
+from ragworthollow_daemon.gateway.piece_service import PieceService
+from ragworthollow_daemon.gateway.refusals import refuse
+from ragworthollow_daemon.gateway.request_job import RequestJob
+from ragworthollow_daemon.gateway.stage_way import StageWay
+from ragworthollow_daemon.gateway.stage_work import StageWork
+from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
+
+ENGINES = 'engines'
+_MILLISECONDS = 1000
+
+Found = tuple[PieceResult, ...]
+
+
+class ModelGateway:
+    """
+    Serve requests as a gateway does, without sockets.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Its name and place.
+    table : RouteTable
+        Configuration in force.
+    network : Network
+        What it reaches, and the other gateways.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        table: RouteTable,
+        network: Network,
+    ) -> None:
+        self.name = settings.instance
+        self.context = GatewayContext(settings=settings)
+        self.context.table = table
+        self.members = GatewayMembers(instance=self.name)
+        self._network = network
+        self._usual_limits = UsualLimits()
+        self.service = PieceService(
+            context=self.context,
+            send=self._send,
+            free_at=self._free_at,
+        )
+        self.client = PieceClient(
+            context=self.context,
+            members=self.members,
+            service=self.service,
+            ask=self._ask,
+            tell=self._tell,
+        )
+
+    def describe(self) -> GatewayMember:
+        """Return what the others know of it."""
+        return GatewayMember(
+            instance=self.name,
+            incarnation=self.name,
+            peer_address=self.name,
+            failure_domain=self.context.settings.failure_domain,
+        )
+
+    def start(self) -> None:
+        """Begin to advance gates and to ping their hosts."""
+        self.context.spawn(self._tick())
+        self.context.spawn(self._ping_forever())
+
+    async def serve(
+        self,
+        arrival: Arrival,
+        route: Route,
+        time_limit_ms: float,
+    ) -> Answer:
+        """Answer a request at its first event, or refuse it."""
+        await self._network.wait_awake(self.name)
+        terms = self._make_terms(arrival, time_limit_ms)
+        now_ms = get_monotonic_ms()
+        job = RequestJob(
+            request=None,
+            body=b'',
+            terms=terms,
+            route=route,
+            holder=None,
+            pool=ENGINES,
+            table=self.context.table,
+            waited_ms=self._usual_limits.note(route.name, time_limit_ms),
+            received_ms=now_ms,
+            deadline_ms=now_ms + time_limit_ms,
+        )
+        way = StageWay(
+            job=job,
+            answer_ms=self.context.get_answer_time(ENGINES).estimate_ms(
+                job.terms.prompt_tokens,
+            ),
+        )
+        refusal = refuse_late(job, way, self.client.get_waits_ms)
+        if refusal is not None:
+            return self._refuse(refusal)
+        engine = self.context.directory.get(self._choose_engine(job))
+        stages = StageWork(
+            client=self.client,
+            job=job,
+            way=way,
+            failure_domain=engine.failure_domain,
+        )
+        try:
+            return await self._run(job, stages)
+        finally:
+            stages.free()
+
+    async def _run(self, job: RequestJob, stages: StageWork) -> Answer:
+        try:
+            async with asyncio.timeout(job.get_remaining_ms() / _MILLISECONDS):
+                made = await stages.run()
+        except TimeoutError:
+            made = Err(
+                UpstreamFailure(
+                    outcome=Outcome.not_run,
+                    reason=Reason.deadline_exceeded,
+                    step='front',
+                    peer=job.pool,
+                ),
+            )
+        if isinstance(made, Err):
+            return self._refuse(made.err_value)
+        chosen = self._choose_engine(job)
+        record = self.context.book.get(chosen)
+        record.in_flight += 1
+        sent_ms = get_monotonic_ms()
+        reading = asyncio.get_running_loop().call_later(
+            global_settings.ENGINE_INPUTS_READ_MS / _MILLISECONDS,
+            stages.free,
+        )
+        try:
+            await self._network.read_prompt(self.name, chosen, job.terms)
+        finally:
+            reading.cancel()
+            record.in_flight -= 1
+        self.context.get_answer_time(ENGINES).note(
+            job.terms.prompt_tokens,
+            get_monotonic_ms() - sent_ms,
+        )
+        self._network.generate(chosen, job.terms.output_tokens)
+        return Answer(is_served=True)
+
+    def _choose_engine(self, job: RequestJob) -> str:
+        chosen = choose_upstream(
+            self.context.directory.get_pool(ENGINES),
+            self.context.book,
+            UpstreamWish(affinity_key=job.terms.get_affinity_key()),
+            get_monotonic_ms(),
+            self.context.rng,
+        )
+        return chosen.instance
+
+    def _make_terms(
+        self,
+        arrival: Arrival,
+        time_limit_ms: float,
+    ) -> RequestTerms:
+        kind = self._network.sheet.kinds[arrival.kind]
+        shared = PromptPart(
+            part=f'{arrival.kind}/{arrival.subject}',
+            tokens=kind.shared_tokens,
+        )
+        own = PromptPart(
+            part=f'own/{arrival.number}', tokens=arrival.own_tokens
+        )
+        return RequestTerms(
+            request_id=f'{arrival.number}',
+            time_limit_ms=time_limit_ms,
+            prompt_parts=(shared, own),
+            prompt_tokens=shared.tokens + own.tokens,
+            output_tokens=kind.output_tokens,
+            piece_counts=arrival.piece_counts,
+            piece_key=f'{arrival.number}',
+        )
+
+    def _refuse(self, failure: UpstreamFailure) -> Answer:
+        response = refuse(failure, self.context.rng)
+        after_s = float(response.headers.get('Retry-After', 0))
+        return Answer(
+            is_served=False,
+            reason=failure.reason,
+            retry_after_ms=after_s * _MILLISECONDS,
+        )
+
+    async def _send(
+        self,
+        context: GatewayContext,
+        call: PieceCall,
+    ) -> Result[Found, UpstreamFailure]:
+        pieces = tuple(waiting.piece for waiting in call.waiting)
+        instance = self._network.stages[call.instance.instance]
+        await self._network.travel(self.name)
+        try:
+            found = await instance.run(pieces, self._network.stages)
+        except InstanceLost as error:
+            return Err(
+                UpstreamFailure(
+                    outcome=Outcome.unknown,
+                    reason=Reason.connection_lost,
+                    step='pieces',
+                    peer=call.instance.instance,
+                    detail=str(error),
+                ),
+            )
+        await self._network.travel(self.name)
+        return Ok(found)
+
+    async def _free_at(
+        self,
+        context: GatewayContext,
+        maker: str,
+        handles: tuple[str, ...],
+    ) -> None:
+        await self._network.travel(self.name)
+        instance: StageInstance = self._network.stages[maker]
+        for handle in handles:
+            instance.free(handle)
+
+    async def _ask(
+        self,
+        context: GatewayContext,
+        host: GatewayMember,
+        pool: str,
+        pieces: tuple[Piece, ...],
+    ) -> Result[Found, str]:
+        if not await self._network.reach(self.name, host.instance):
+            return Err('no connection')
+        peer = self._network.gateways[host.instance]
+        found = await peer.service.run(pool, pieces)
+        if not await self._network.reach(host.instance, self.name):
+            return Err('connection lost')
+        return Ok(found)
+
+    async def _tell(
+        self,
+        context: GatewayContext,
+        host: GatewayMember,
+        release: ResultsRelease,
+    ) -> bool:
+        if not await self._network.reach(self.name, host.instance):
+            return False
+        peer = self._network.gateways[host.instance]
+        peer.service.free(release.pool, release.handles)
+        return True
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(global_settings.GATE_TICK_MS / _MILLISECONDS)
+            await self._network.wait_awake(self.name)
+            self.service.advance_all()
+
+    async def _ping_forever(self) -> None:
+        while True:
+            await asyncio.sleep(global_settings.HOST_PING_MS / _MILLISECONDS)
+            await asyncio.gather(
+                *(
+                    self._ping(name)
+                    for name in tuple(self.members.get_members())
+                    if name != self.name
+                ),
+            )
+
+    async def _ping(self, name: str) -> None:
+        try:
+            async with asyncio.timeout(
+                global_settings.HOST_PING_TIMEOUT_MS / _MILLISECONDS,
+            ):
+                state = await self._ask_state(name)
+        except TimeoutError:
+            state = None
+        if state is None:
+            self.members.note_silent(name)
+        else:
+            self.members.note_answer(state)
+
+    async def _ask_state(self, name: str) -> HostState | None:
+        if not await self._network.reach(self.name, name):
+            return None
+        peer = self._network.gateways[name]
+        gates = peer.service.get_gates()
+        gates.peer_announcements.note(
+            self.name,
+            self.service.get_gates().announced.get_counts(),
+            get_monotonic_ms(),
+        )
+        state = HostState(
+            instance=name,
+            waits_ms=peer.service.get_waits_ms(),
+        )
+        if not await self._network.reach(name, self.name):
+            return None
+        return state
--- /dev/null
+++ b/measure/fleet_model/tables.py
@@ -0,0 +1,66 @@
+"""Make the configuration of a deployment that is modelled."""
+
+from measure.fleet_model.gateway import ENGINES
+from measure.fleet_model.load_sheet import LoadSheet
+from ragworthollow.routes import (
+    PoolShare,
+    RequestLimits,
+    Route,
+    RouteKind,
+    RouteTable,
+    StageStep,
+    UpstreamPool,
+)
+
+
+def make_table(sheet: LoadSheet) -> RouteTable:
+    """
+    Make the route table that gateways go by.
+
+    Parameters
+    ----------
+    sheet : LoadSheet
+        Kinds become routes `/KIND/` of the host `model`.
+    """
+    return RouteTable(
+        version=1,
+        routes=[
+            Route(
+                name=name,
+                host='model',
+                path_prefix=f'/{name}/',
+                kind=RouteKind.stream,
+                shares=(PoolShare(pool=ENGINES, weight=1),),
+                stages=tuple(
+                    StageStep(
+                        pool=stage.pool,
+                        after=stage.after,
+                        result_bytes=stage.result_bytes,
+                    )
+                    for stage in kind.stages
+                ),
+                timeout_ms=kind.timeout_ms,
+                objective_ms=kind.objective_ms,
+                priority=kind.priority,
+            )
+            for name, kind in sheet.kinds.items()
+        ],
+        pools={
+            ENGINES: UpstreamPool(
+                name=ENGINES,
+                max_connections=1000,
+                is_engine=True,
+            ),
+            **{
+                name: UpstreamPool(
+                    name=name,
+                    max_connections=1000,
+                    pieces=pool.make_profile(),
+                )
+                for name, pool in sheet.pools.items()
+            },
+        },
+        holders_by_key={},
+        requires_key=False,
+        limits=RequestLimits(),
+    )
