--- a/measure/fleet_model/day.py
+++ b/measure/fleet_model/day.py
@@ -32,6 +32,8 @@
 _TRIES = 2
 # The followers of a gateway notice a change of instances so late.
 _LIST_LAG_MS = 600
+# Further attempts beside a share of the requests, as the users grant.
+_RETRY_SLACK = 50
 
 
 class Day:
@@ -81,9 +83,22 @@
             loop.close()
         return self._report()
 
+    def get_busy_ms(self, pool: str, step_ms: float) -> list[float]:
+        """Return how long the instances of a pool worked, by step of time."""
+        steps = [0.0 for _ in range(int(self._span_ms // step_ms))]
+        for name, instance in self._network.stages.items():
+            if name.rpartition('-')[0] != pool:
+                continue
+            for began_ms, took_ms in instance.calls:
+                step = int(began_ms // step_ms)
+                if step < len(steps):
+                    steps[step] += took_ms
+        return steps
+
     async def _play(self) -> None:
         self._add_instances()
         self._add_gateways()
+        self._set_faults()
         arrivals = draw_arrivals(
             self.sheet,
             self.pattern,
@@ -120,8 +135,17 @@
 
     def _add_gateways(self) -> None:
         for number in range(self.sheet.gateways):
-            name = f'gateway-{number}'
-            settings = GatewaySettings(
+            gateway = self._make_gateway(number)
+            self._network.gateways[gateway.name] = gateway
+        connect(self._hosting, self._network)
+        self._list_instances()
+        for gateway in self._network.gateways.values():
+            gateway.start()
+
+    def _make_gateway(self, number: int) -> ModelGateway:
+        name = f'gateway-{number}'
+        gateway = ModelGateway(
+            settings=GatewaySettings(
                 role='gateway',
                 instance=name,
                 failure_domain=self._get_domain(number),
@@ -129,24 +153,29 @@
                 ready_address='',
                 peer_address=name,
                 store_url='http://store',
-                retry_slack=50,
-            )
-            gateway = ModelGateway(
-                settings=settings,
-                table=self._table,
-                network=self._network,
-            )
-            rng = random.Random(f'{name}/{self._seed}')  # noqa: S311
-            gateway.context.rng = rng
-            gateway.context.set_members(self.sheet.gateways)
-            self._network.gateways[name] = gateway
-        connect(self._hosting, self._network)
-        self._list_instances()
+                retry_slack=_RETRY_SLACK,
+            ),
+            table=self._table,
+            network=self._network,
+        )
+        rng = random.Random(f'{name}/{self._seed}')  # noqa: S311
+        gateway.context.rng = rng
+        gateway.context.set_members(self.sheet.gateways)
+        return gateway
+
+    def _set_faults(self) -> None:
+        if self.pattern.gateway_fault is not None:
+            host = self._find_busiest_host()
+            self._network.faults[host] = self.pattern.gateway_fault
+        if self.pattern.all_killed is not None:
+            for name in self._network.gateways:
+                self._network.faults[name] = self.pattern.all_killed
+
+    async def _restart_all(self) -> None:
+        """Replace every gateway by one that knows nothing."""
         for gateway in self._network.gateways.values():
-            gateway.start()
-        fault = self.pattern.gateway_fault
-        if fault is not None:
-            self._network.faults[self._find_busiest_host()] = fault
+            await gateway.context.close()
+        self._add_gateways()
 
     def _find_busiest_host(self) -> str:
         """Return who hosts the gate of the pool that most kinds need first."""
@@ -191,10 +220,15 @@
             instance = self._network.stages[f'{slow.pool}-{slow.number}']
             changes.append((slow.start_ms, _make_pace(instance, slow.factor)))
             changes.append((slow.end_ms, _make_pace(instance, 1)))
+        killed = self.pattern.all_killed
+        if killed is not None:
+            changes.append((killed.end_ms, self._restart_all))
         loop = asyncio.get_running_loop()
         for at_ms, change in sorted(changes, key=lambda one: one[0]):
             await asyncio.sleep(at_ms / _MILLISECONDS - loop.time())
-            change()
+            restarting = change()
+            if restarting is not None:
+                await restarting
             await asyncio.sleep(_LIST_LAG_MS / _MILLISECONDS)
             self._list_instances()
 
@@ -229,6 +263,8 @@
             for name in self._network.gateways
             if self._network.find_fault(name) != 'kill'
         ]
+        if not alive:
+            return Answer(is_served=False, reason=Reason.connect_failed)
         gateway = self._network.gateways[self._rng.choice(alive)]
         await asyncio.sleep(caller_s)
         serving = asyncio.ensure_future(
@@ -240,7 +276,8 @@
                 serving.cancel()
                 return Answer(is_served=False, reason=Reason.deadline_exceeded)
         await asyncio.sleep(caller_s)
-        if self._network.find_fault(gateway.name) == 'kill':
+        is_replaced = self._network.gateways[gateway.name] is not gateway
+        if is_replaced or self._network.find_fault(gateway.name) == 'kill':
             return Answer(is_served=False, reason=Reason.connection_lost)
         return serving.result()
 
--- a/measure/fleet_model/load_sheet.py
+++ b/measure/fleet_model/load_sheet.py
@@ -187,6 +187,8 @@
         Stage instances that turn slow for a while.
     gateway_fault : GatewayFault or None
         What befalls the first host of a gate.
+    all_killed : GatewayFault or None
+        When all gateways are killed, and back without their memory.
     """
 
     name: str
@@ -194,6 +196,7 @@
     lost: tuple['LostInstance', ...] = ()
     slow: tuple['SlowInstance', ...] = ()
     gateway_fault: 'GatewayFault | None' = None
+    all_killed: 'GatewayFault | None' = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/measure/fleet_model/patterns.py
+++ b/measure/fleet_model/patterns.py
@@ -11,8 +11,9 @@
 
 # A day of the model; as long as a day of the users' bench.
 SPAN_MS = 34_000
-# Bursts of 1.5 to 2.5 times a kind for 4 to 7 s, and instances that are lost
-# or five times as slow for 4 to 6 s, are the troubles that the users list.
+# Bursts of 1.5 to 2.5 times a kind for 4 to 7 s, instances that are five times
+# as slow for 4 to 6 s and some that are taken away for good are the troubles
+# that the users list.
 _BURST_MS = 6_000
 _TROUBLE_MS = 6_000
 _BURST = 2.3
@@ -22,6 +23,8 @@
 _SECOND_MS = 16_000
 _LAST_MS = 26_000
 _TROUBLE_START_MS = 11_000
+# Until killed processes are back and have read what they need.
+_RESTART_MS = 1_500
 
 
 def make_patterns(sheet: LoadSheet) -> dict[str, Pattern]:
@@ -71,6 +74,15 @@
             )
             for kind in ('kill', 'freeze', 'cut')
         ),
+        Pattern(
+            name='all-killed',
+            bursts=bursts,
+            all_killed=GatewayFault(
+                kind='kill',
+                start_ms=_SECOND_MS + _BURST_MS / 2,
+                end_ms=_SECOND_MS + _BURST_MS / 2 + _RESTART_MS,
+            ),
+        ),
     ]
     return {one.name: one for one in found}
 
@@ -89,7 +101,7 @@
         pool=pool,
         number=0,
         start_ms=_TROUBLE_START_MS,
-        end_ms=_TROUBLE_START_MS + _TROUBLE_MS,
+        end_ms=SPAN_MS,
     )
 
 
--- /dev/null
+++ b/measure/fleet_model/rows.py
@@ -0,0 +1,61 @@
+"""Print what days came to."""
+
+import statistics
+from collections.abc import Sequence
+
+from rich.console import Console
+from rich.table import Table
+
+from measure.fleet_model.outcome import DayReport, KindReport
+from ragworthollow.utils.message import Message
+
+
+class TableRow(Message):
+    """Hold the days of one row and their mean."""
+
+    name: str
+    attained: float
+    reports: list[DayReport]
+    bound: float | None = None
+
+
+def print_rows(rows: Sequence[TableRow]) -> None:
+    """Print a table: by kind in time, late and refused, by pool its use."""
+    table = Table()
+    table.add_column('days')
+    table.add_column('attained')
+    table.add_column('bound')
+    first = rows[0].reports[0]
+    for kind in first.kinds:
+        table.add_column(f'{kind}: in time/late/refused')
+    for pool in first.pools:
+        table.add_column(f'{pool}: busy')
+    for row in rows:
+        table.add_row(*_make_cells(row, first))
+    Console(width=200).print(table)
+
+
+def _make_cells(row: TableRow, first: DayReport) -> list[str]:
+    bound = '' if row.bound is None else f'{row.bound:.3f}'
+    return [
+        row.name,
+        f'{row.attained:.3f}',
+        bound,
+        *(
+            _render_kind([one.kinds[kind] for one in row.reports])
+            for kind in first.kinds
+        ),
+        *(
+            f'{statistics.mean(one.pools[pool].busy for one in row.reports):.2f}'
+            for pool in first.pools
+        ),
+    ]
+
+
+def _render_kind(kinds: Sequence[KindReport]) -> str:
+    parts = (
+        statistics.mean(one.in_time for one in kinds),
+        statistics.mean(one.late for one in kinds),
+        statistics.mean(one.refused for one in kinds),
+    )
+    return ' / '.join(f'{part:.2f}' for part in parts)
--- a/measure/fleet_model/stage_instance.py
+++ b/measure/fleet_model/stage_instance.py
@@ -58,6 +58,8 @@
         self.is_lost = False
         self.busy_ms: float = 0
         self.pieces_made = 0
+        # When each call began and how long it took.
+        self.calls: list[tuple[float, float]] = []
         self._sheet = sheet
         self._work_shares = work_shares
         self._rng = random.Random(f'{name}/{seed}')  # noqa: S311
@@ -101,6 +103,7 @@
             work_ms += read_bytes / _LINK_BYTES_PER_MS
             work_ms *= self.slow_factor * self._rng.gauss(1, _JITTER)
             self.busy_ms += work_ms
+            self.calls.append((_get_ms(), work_ms))
             await asyncio.sleep(work_ms / _MILLISECONDS)
         if self.is_lost:
             raise InstanceLost(self.name)
