--- a/measure/fleet_model/stage_instance.py
+++ b/measure/fleet_model/stage_instance.py
@@ -95,6 +95,8 @@
                 self._sheet.piece_ms * self._work_shares[one.result_bytes]
                 for one in accepted
             )
+            # Inputs are read when the turn comes, and needed no more then.
+            gone = [one for one in accepted if _is_gone(one, holds)]
             read_bytes = sum(
                 holds[handle.partition('/')[0]].get_bytes(handle)
                 for piece in accepted
@@ -107,7 +109,7 @@
             await asyncio.sleep(work_ms / _MILLISECONDS)
         if self.is_lost:
             raise InstanceLost(self.name)
-        return tuple(self._finish(piece, accepted, holds) for piece in pieces)
+        return tuple(self._finish(piece, accepted, gone) for piece in pieces)
 
     def free(self, handle: str) -> None:
         """Give a result up."""
@@ -144,13 +146,12 @@
         self,
         piece: Piece,
         accepted: list[Piece],
-        holds: Mapping[str, 'StageInstance'],
+        gone: list[Piece],
     ) -> PieceResult:
         if not any(piece is one for one in accepted):
             return PieceResult(outcome=PieceOutcome.no_room)
-        for handle in piece.inputs:
-            if not holds[handle.partition('/')[0]].get_bytes(handle):
-                return PieceResult(outcome=PieceOutcome.input_gone)
+        if any(piece is one for one in gone):
+            return PieceResult(outcome=PieceOutcome.input_gone)
         if self._rng.random() < _FAILING_SHARE:
             return PieceResult(outcome=PieceOutcome.failed)
         self.pieces_made += 1
@@ -162,5 +163,12 @@
         return PieceResult(outcome=PieceOutcome.done, handle=handle)
 
 
+def _is_gone(piece: Piece, holds: Mapping[str, StageInstance]) -> bool:
+    return not all(
+        holds[handle.partition('/')[0]].get_bytes(handle)
+        for handle in piece.inputs
+    )
+
+
 def _get_ms() -> float:
     return asyncio.get_running_loop().time() * _MILLISECONDS
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
@@ -9,6 +9,7 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.utils import get_monotonic_ms
+from ragworthollow_daemon.gateway.answer_progress import AnswerProgress
 from ragworthollow_daemon.gateway.attempt import (
     AttemptPlan,
     Opened,
@@ -23,10 +24,7 @@
 )
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.request_job import RequestJob
-from ragworthollow_daemon.gateway.stream_relay import (
-    AnswerProgress,
-    StreamRelay,
-)
+from ragworthollow_daemon.gateway.stream_relay import StreamRelay
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
 _STEP = 'forward'
@@ -83,15 +81,21 @@
         series = AttemptSeries(context=self._context, job=job, inputs=inputs)
         if job.route.is_stream():
             return await self._relay(series, on_inputs_read, progress)
-        return await self._fetch(series)
+        return await self._fetch(series, progress)
 
-    async def _fetch(self, series: AttemptSeries) -> Forwarded:
+    async def _fetch(
+        self,
+        series: AttemptSeries,
+        progress: AnswerProgress,
+    ) -> Forwarded:
         job = series.job
         while True:
             planned = series.plan_next()
             if isinstance(planned, Err):
                 return series.give_up(planned.err_value)
             plan = planned.ok_value
+            progress.step = _STEP
+            progress.peer = plan.instance.instance
             with series.occupy(plan.instance):
                 answered = await fetch_answer(self._context, job, plan)
             if isinstance(answered, Err):
@@ -120,6 +124,8 @@
                     raise relay.abort(planned.err_value)
                 return series.give_up(planned.err_value)
             plan = planned.ok_value
+            progress.step = _STEP
+            progress.peer = plan.instance.instance
             with series.occupy(plan.instance):
                 done = await self._relay_once(
                     series, plan, relay, on_inputs_read
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
@@ -15,6 +15,7 @@
     make_refusal,
     make_stopping,
 )
+from ragworthollow_daemon.gateway.answer_progress import AnswerProgress
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.forwarder import Forwarder
 from ragworthollow_daemon.gateway.lateness import refuse_late
@@ -23,10 +24,7 @@
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.stage_way import StageWay
 from ragworthollow_daemon.gateway.stage_work import StageWork
-from ragworthollow_daemon.gateway.stream_relay import (
-    AnswerProgress,
-    StreamBroken,
-)
+from ragworthollow_daemon.gateway.stream_relay import StreamBroken
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
 _STEP = 'front'
@@ -75,8 +73,9 @@
 
     async def _serve_present(self, job: RequestJob) -> Answered:
         """Serve as long as the caller is there; say so when it leaves."""
+        progress = AnswerProgress(step='stages', peer=job.pool)
         try:
-            return await self._serve(job)
+            return await self._serve(job, progress)
         except StreamBroken as broken:
             self._note_broken(job, broken.failure)
             return Ok(broken.response)
@@ -88,7 +87,9 @@
             )
             log_event(
                 'request_abandoned',
-                step=_STEP,
+                step=progress.step,
+                peer=progress.peer,
+                is_started=progress.is_started,
                 request_id=job.terms.request_id,
                 route=job.route.name,
                 pool=job.pool,
@@ -111,7 +112,11 @@
             detail=failure.detail,
         )
 
-    async def _serve(self, job: RequestJob) -> Answered:
+    async def _serve(
+        self,
+        job: RequestJob,
+        progress: AnswerProgress,
+    ) -> Answered:
         way = StageWay(
             job=job,
             answer_ms=self._context.get_answer_time(job.pool).estimate_ms(
@@ -128,25 +133,30 @@
             failure_domain=self._forwarder.expect_failure_domain(job),
         )
         try:
-            return await self._run(job, stages)
+            return await self._run(job, stages, progress)
         finally:
             stages.free()
 
-    async def _run(self, job: RequestJob, stages: StageWork) -> Answered:
+    async def _run(
+        self,
+        job: RequestJob,
+        stages: StageWork,
+        progress: AnswerProgress,
+    ) -> Answered:
         made = await self._context.stop.run(self._run_stages(stages, job))
         if made is None:
             return Err(make_stopping(job.pool, Outcome.not_run))
         if isinstance(made, Err):
             return made
-        return await self._forward(job, made.ok_value, stages.free)
+        return await self._forward(job, made.ok_value, stages.free, progress)
 
     async def _forward(
         self,
         job: RequestJob,
         inputs: tuple[str, ...],
         on_inputs_read: Callable[[], None],
+        progress: AnswerProgress,
     ) -> Answered:
-        progress = AnswerProgress()
         answered = await self._context.stop.run(
             self._forwarder.forward(job, inputs, on_inputs_read, progress),
             may_end=lambda: not progress.is_started,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
@@ -1,11 +1,11 @@
 """Pass a stream through to the caller, from one upstream or several."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from aiohttp import ClientResponse, web
 
 from ragworthollow.platform.answer_wire import make_caller_headers
+from ragworthollow_daemon.gateway.answer_progress import AnswerProgress
 from ragworthollow_daemon.gateway.event_splitter import EventSplitter
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
@@ -34,20 +34,6 @@
         self.failure = failure
 
 
-@dataclass(kw_only=True, slots=True)
-class AnswerProgress:
-    """
-    Tell how far the answer to a request is.
-
-    Attributes
-    ----------
-    is_started : bool
-        Whether its head is sent, so that no other answer is possible.
-    """
-
-    is_started: bool = False
-
-
 class StreamRelay:
     """
     Write the events of a stream as they arrive.
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -82,6 +82,13 @@
     When a caller leaves while /safe/wait is worked on
     Then the upstream sees the connection close
 
+  @fixture.log_lines
+  Scenario: The log of a caller that left says who kept it waiting
+    # A caller waits for its whole limit and leaves.  Its engine had gone dark,
+    # but no line named it: the request had neither an answer nor a failure.
+    When a caller leaves while /safe/wait is worked on
+    Then the log says that it waited for the instance that had its request
+
   Scenario: A request past its time limit is answered at once
     When a caller waits 300 ms for /unsafe/wait
     Then it gets status 504 and the request has run 1 times
