--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_outcomes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_outcomes.py
@@ -53,7 +53,7 @@
     ) -> None:
         """Take the answer to a call."""
         now_ms = get_monotonic_ms()
-        self._context.book.note_success(call.instance.instance)
+        self._note_trust(call, now_ms)
         self._context.metrics.latency.record(
             f'pieces/{pool}',
             now_ms - call.started_ms,
@@ -63,6 +63,19 @@
             self._settle(pool, gate, call, waiting, piece_result)
         self._log(pool, gate, call, 'pieces_done', outcomes=_count(found))
 
+    def _note_trust(self, call: PieceCall, now_ms: float) -> None:
+        """
+        Trust an instance again, unless the call was a slow one.
+
+        An instance at a fifth of its speed ends every call well.  Trusted for
+        that, it got the next full call as soon as it had ended one, and every
+        piece of it missed its objective.
+        """
+        took_ms = now_ms - call.started_ms
+        patience_ms = call.expected_ms * global_settings.PIECE_CALL_PATIENCE
+        if took_ms <= patience_ms:
+            self._context.book.note_success(call.instance.instance)
+
     def note_failure(
         self,
         pool: str,
--- a/tests/features/overload.feature
+++ b/tests/features/overload.feature
@@ -54,3 +54,11 @@
     When the model plays the loss of an instance of gin-sync
     Then at most one request in ten of each kind is late
     And half of the first refusals came within an eighth of the objective
+
+  Scenario: An instance that is slow is not trusted for calls that it ends
+    # A burst meets an instance at a fifth of its speed.  Each call that it
+    # ended at last cleared it of suspicion, so that it got a full call every
+    # second, and each of these was late.
+    Given 2 instances, of which the first takes 5 times as long
+    When pieces keep coming for 12 s
+    Then the slow one got at most 5 calls, each after a longer pause
