--- a/measure/fleet_model/experiment.py
+++ b/measure/fleet_model/experiment.py
@@ -112,9 +112,9 @@
 
 @contextmanager
 def _silence() -> Iterator[None]:
-    """Keep the product's log of thousands of modelled requests back."""
+    """Keep the log of thousands of modelled requests back, but errors."""
     earlier = logging.get_verbosity()
-    logging.set_verbosity(logging.FATAL)
+    logging.set_verbosity(logging.ERROR)
     try:
         yield
     finally:
--- a/measure/fleet_model/gateway.py
+++ b/measure/fleet_model/gateway.py
@@ -267,7 +267,7 @@
         if not await self._network.reach(self.name, host.instance):
             return False
         peer = self._network.gateways[host.instance]
-        peer.service.take_release(release)
+        peer.service.free(release.pool, release.handles)
         return True
 
     async def _tick(self) -> None:
