--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 DEPLOYMENT ?= kingston
 CODE = packages tests measure
 
-.PHONY: setup serve demo test lint format measure slopes soak
+.PHONY: setup serve demo test lint format measure model slopes soak
 
 setup: $(VENV)/.ready
 
@@ -38,6 +38,9 @@
 measure: setup
 	$(PYTHON) -m measure.decisions
 
+model: setup
+	$(PYTHON) -m measure.fleet_model days
+
 slopes: setup
 	$(PYTHON) -m measure.slopes
 
