--- a/measure/fleet_model/day.py
+++ b/measure/fleet_model/day.py
@@ -3,14 +3,14 @@
 import asyncio
 import random
 
-from measure.fleet_model.arrivals import Arrival, draw_arrivals
+from measure.fleet_model.arrivals import draw_arrivals
+from measure.fleet_model.callers import Callers
 from measure.fleet_model.engine_instance import EngineInstance
 from measure.fleet_model.gateway import ENGINES, ModelGateway
 from measure.fleet_model.hosting import Hosting, connect
 from measure.fleet_model.load_sheet import LoadSheet, Pattern
 from measure.fleet_model.network import Network
 from measure.fleet_model.outcome import (
-    Answer,
     DayReport,
     PoolReport,
     RequestRecord,
@@ -22,14 +22,10 @@
 from measure.fleet_model.tables import make_table
 from measure.fleet_model.virtual_time import VirtualLoop
 from ragworthollow.conf import GatewaySettings
-from ragworthollow.outcomes import Reason
 from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import use_monotonic
 
 _MILLISECONDS = 1000
-# Part of the time left that a caller waits at most before it comes back.
-_RETURN_SHARE = 1 / 3
-_TRIES = 2
 # The followers of a gateway notice a change of instances so late.
 _LIST_LAG_MS = 600
 # Further attempts beside a share of the requests, as the users grant.
@@ -69,7 +65,6 @@
         self._hosting = hosting
         self._seed = seed
         self._span_ms = span_ms
-        self._rng = random.Random(f'day/{seed}')  # noqa: S311
         self._network = Network(sheet=sheet)
         self._table = make_table(sheet)
 
@@ -106,7 +101,10 @@
             self._seed,
         )
         troubles = asyncio.ensure_future(self._make_troubles())
-        await asyncio.gather(*map(self._call, arrivals))
+        callers = Callers(
+            network=self._network, table=self._table, seed=self._seed
+        )
+        self.records = await callers.send_all(arrivals)
         troubles.cancel()
         self._network.close()
         for gateway in self._network.gateways.values():
@@ -232,79 +230,6 @@
             await asyncio.sleep(_LIST_LAG_MS / _MILLISECONDS)
             self._list_instances()
 
-    async def _call(self, arrival: Arrival) -> None:
-        """Be the caller of one request."""
-        loop = asyncio.get_running_loop()
-        kind = self.sheet.kinds[arrival.kind]
-        await asyncio.sleep(arrival.at_ms / _MILLISECONDS)
-        deadline_ms = arrival.at_ms + kind.timeout_ms
-        reason = None
-        refused_ms = None
-        tries = 0
-        while tries < _TRIES:
-            tries += 1
-            left_ms = deadline_ms - loop.time() * _MILLISECONDS
-            answer = await self._try(arrival, left_ms)
-            if answer.is_served:
-                took_ms = loop.time() * _MILLISECONDS - arrival.at_ms
-                self._note(arrival, took_ms, tries, refused_ms, None)
-                return
-            reason = answer.reason
-            if refused_ms is None:
-                refused_ms = loop.time() * _MILLISECONDS - arrival.at_ms
-            left_ms = deadline_ms - loop.time() * _MILLISECONDS
-            pause_ms = min(answer.retry_after_ms, left_ms * _RETURN_SHARE)
-            if left_ms <= 0 or reason is Reason.connection_lost:
-                break
-            await asyncio.sleep(pause_ms / _MILLISECONDS)
-        self._note(arrival, None, tries, refused_ms, reason)
-
-    async def _try(self, arrival: Arrival, left_ms: float) -> Answer:
-        caller_s = self.sheet.caller_ms / _MILLISECONDS
-        alive = [
-            name
-            for name in self._network.gateways
-            if self._network.find_fault(name) != 'kill'
-        ]
-        if not alive:
-            return Answer(is_served=False, reason=Reason.connect_failed)
-        gateway = self._network.gateways[self._rng.choice(alive)]
-        await asyncio.sleep(caller_s)
-        serving = asyncio.ensure_future(
-            gateway.serve(arrival, self._get_route(arrival), left_ms),
-        )
-        while not serving.done():
-            await asyncio.wait({serving}, timeout=left_ms / _MILLISECONDS)
-            if not serving.done():
-                serving.cancel()
-                return Answer(is_served=False, reason=Reason.deadline_exceeded)
-        await asyncio.sleep(caller_s)
-        is_replaced = self._network.gateways[gateway.name] is not gateway
-        if is_replaced or self._network.find_fault(gateway.name) == 'kill':
-            return Answer(is_served=False, reason=Reason.connection_lost)
-        return serving.result()
-
-    def _get_route(self, arrival: Arrival):
-        return self._table.match('model', f'/{arrival.kind}/')
-
-    def _note(
-        self,
-        arrival: Arrival,
-        took_ms: float | None,
-        tries: int,
-        refused_ms: float | None,
-        reason: Reason | None,
-    ) -> None:
-        self.records.append(
-            RequestRecord(
-                arrival=arrival,
-                took_ms=took_ms,
-                tries=tries,
-                refused_ms=refused_ms,
-                reason=reason,
-            ),
-        )
-
     def _report(self) -> DayReport:
         return DayReport(
             attained=sum_attained(self.sheet, self.records),
--- a/measure/fleet_model/gateway.py
+++ b/measure/fleet_model/gateway.py
@@ -7,6 +7,7 @@
 from measure.fleet_model.arrivals import Arrival
 from measure.fleet_model.network import Network
 from measure.fleet_model.outcome import Answer
+from measure.fleet_model.pings import ping_forever
 from measure.fleet_model.stage_instance import InstanceLost, StageInstance
 from ragworthollow.conf import GatewaySettings, global_settings
 from ragworthollow.exchange import PromptPart, RequestTerms, UsualLimits
@@ -15,7 +16,6 @@
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.pieces import Piece, PieceCall, PieceResult
 from ragworthollow.routes import Route, RouteTable
-from ragworthollow.transport.host_messages import HostState
 from ragworthollow.transport.piece_messages import ResultsRelease
 from ragworthollow.upstreams import UpstreamWish, choose_upstream
 from ragworthollow.utils import get_monotonic_ms
@@ -87,7 +87,7 @@
     def start(self) -> None:
         """Begin to advance gates and to ping their hosts."""
         self.context.spawn(self._tick())
-        self.context.spawn(self._ping_forever())
+        self.context.spawn(ping_forever(self, self._network))
 
     async def serve(
         self,
@@ -275,45 +275,3 @@
             await asyncio.sleep(global_settings.GATE_TICK_MS / _MILLISECONDS)
             await self._network.wait_awake(self.name)
             self.service.advance_all()
-
-    async def _ping_forever(self) -> None:
-        while True:
-            await asyncio.sleep(global_settings.HOST_PING_MS / _MILLISECONDS)
-            await asyncio.gather(
-                *(
-                    self._ping(name)
-                    for name in tuple(self.members.get_members())
-                    if name != self.name
-                ),
-            )
-
-    async def _ping(self, name: str) -> None:
-        try:
-            async with asyncio.timeout(
-                global_settings.HOST_PING_TIMEOUT_MS / _MILLISECONDS,
-            ):
-                state = await self._ask_state(name)
-        except TimeoutError:
-            state = None
-        if state is None:
-            self.members.note_silent(name)
-        else:
-            self.members.note_answer(state)
-
-    async def _ask_state(self, name: str) -> HostState | None:
-        if not await self._network.reach(self.name, name):
-            return None
-        peer = self._network.gateways[name]
-        gates = peer.service.get_gates()
-        gates.peer_announcements.note(
-            self.name,
-            self.service.get_gates().announced.get_counts(),
-            get_monotonic_ms(),
-        )
-        state = HostState(
-            instance=name,
-            waits_ms=peer.service.get_waits_ms(),
-        )
-        if not await self._network.reach(name, self.name):
-            return None
-        return state
--- /dev/null
+++ b/measure/fleet_model/pings.py
@@ -0,0 +1,59 @@
+"""Let modelled gateways ping the hosts of gates."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from measure.fleet_model.network import Network
+from ragworthollow.conf import global_settings
+from ragworthollow.transport.host_messages import HostState
+from ragworthollow.utils import get_monotonic_ms
+
+if TYPE_CHECKING:
+    from measure.fleet_model.gateway import ModelGateway
+
+_MILLISECONDS = 1000
+
+
+async def ping_forever(gateway: 'ModelGateway', network: Network) -> None:
+    """Ask every other gateway that this one knows, until cancelled."""
+    while True:
+        await asyncio.sleep(global_settings.HOST_PING_MS / _MILLISECONDS)
+        await asyncio.gather(
+            *(
+                _ping(gateway, name, network)
+                for name in tuple(gateway.members.get_members())
+                if name != gateway.name
+            ),
+        )
+
+
+async def _ping(gateway: 'ModelGateway', name: str, network: Network) -> None:
+    timeout_ms = global_settings.HOST_PING_TIMEOUT_MS
+    try:
+        async with asyncio.timeout(timeout_ms / _MILLISECONDS):
+            state = await _ask_state(gateway, name, network)
+    except TimeoutError:
+        state = None
+    if state is None:
+        gateway.members.note_silent(name)
+    else:
+        gateway.members.note_answer(state)
+
+
+async def _ask_state(
+    gateway: 'ModelGateway',
+    name: str,
+    network: Network,
+) -> HostState | None:
+    if not await network.reach(gateway.name, name):
+        return None
+    peer = network.gateways[name]
+    peer.service.get_gates().peer_announcements.note(
+        gateway.name,
+        gateway.service.get_gates().announced.get_counts(),
+        get_monotonic_ms(),
+    )
+    state = HostState(instance=name, waits_ms=peer.service.get_waits_ms())
+    if not await network.reach(name, gateway.name):
+        return None
+    return state
