--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/store_follower.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/store_follower.py
@@ -62,6 +62,7 @@
         """
         asked_ms = get_monotonic_ms()
         found = await self._context.store.read_prefix('')
+        self._note_read(asked_ms, has_answered=not isinstance(found, Err))
         if isinstance(found, Err):
             for follower in self._followers:
                 follower.note_lost(str(found.err_value))
@@ -69,3 +70,18 @@
         for follower in self._followers:
             follower.take(found.ok_value, asked_ms)
         return True
+
+    def _note_read(self, asked_ms: float, *, has_answered: bool) -> None:
+        """
+        Count a read, and how long it took.
+
+        The log names the first read that is lost; these tell whether all
+        later ones are lost too, and how near to it the good ones come.
+        """
+        metrics = self._context.metrics
+        took_ms = get_monotonic_ms() - asked_ms
+        if not has_answered:
+            metrics.count_event('store_read_lost')
+            return
+        metrics.count_event('store_read')
+        metrics.set_state('store_read_ms', took_ms)
--- a/packages/ragworthollow/src/ragworthollow/platform/store_client.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_client.py
@@ -7,10 +7,10 @@
 import aiohttp
 import msgspec
 from result import Err, Ok, Result
-from yarl import URL
 
 from ragworthollow.conf import global_settings
 from ragworthollow.platform.exceptions import PlatformError
+from ragworthollow.platform.store_transport import StoreTransport
 from ragworthollow.platform.store_wire import (
     ExpectedRevision,
     Item,
@@ -24,16 +24,10 @@
 from ragworthollow.platform.stored import Stored
 from ragworthollow.platform.transaction import Compare, Put
 
-_MILLISECONDS = 1000
-
 
 class StoreClient:
     """
-    Call the store with a timeout of our own on every call.
-
-    A connection to the store may fall silent for good without a reset; a
-    call that runs into its timeout closes its connection, so that the next
-    call opens a new one.
+    Read, write and watch keys of the store.
 
     Parameters
     ----------
@@ -55,11 +49,17 @@
         prefix: str = '',
         timeout_ms: float = global_settings.STORE_TIMEOUT_MS,
     ) -> None:
-        self._session = session
-        self._base = URL(base_url)
+        self._transport = StoreTransport(
+            session=session,
+            base_url=base_url,
+            timeout_ms=timeout_ms,
+        )
         self._prefix = prefix
-        self._timeout_ms = timeout_ms
-        self.calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Return the number of calls made."""
+        return self._transport.calls
 
     async def read(self, key: str) -> Result[Stored, PlatformError]:
         """
@@ -70,7 +70,7 @@
         Result
             What is stored, absent keys included, or the store's failure.
         """
-        answer = await self._call(
+        answer = await self._transport.call(
             'GET',
             '/api/kv-key',
             query={'key': f'{self._prefix}{key}'},
@@ -97,7 +97,9 @@
         found: dict[str, Stored] = {}
         query = {'path_prefix': f'{self._prefix}{prefix}'}
         while True:
-            answer = await self._call('GET', '/api/kv-range', query=query)
+            answer = await self._transport.call(
+                'GET', '/api/kv-range', query=query
+            )
             if isinstance(answer, Err):
                 return answer
             page = msgspec.json.decode(answer.ok_value, type=RangePage)
@@ -143,7 +145,7 @@
             ),
             remove=tuple(f'{self._prefix}{key}' for key in removes),
         )
-        answer = await self._call(
+        answer = await self._transport.call(
             'POST',
             '/api/kv-txn',
             body=msgspec.json.encode(call),
@@ -153,7 +155,7 @@
 
     async def grant_lease(self, ttl_ms: int) -> Result[int, PlatformError]:
         """Create a lease and return its identifier."""
-        answer = await self._call(
+        answer = await self._transport.call(
             'POST',
             '/api/kv-lease',
             body=msgspec.json.encode(LeaseCall(ttl_ms=ttl_ms)),
@@ -164,7 +166,7 @@
 
     async def renew_lease(self, lease: int) -> Result[bool, PlatformError]:
         """Renew a lease; False when it has lapsed."""
-        answer = await self._call(
+        answer = await self._transport.call(
             'POST',
             f'/api/kv-keep/{lease}',
             absent_status=HTTPStatus.NOT_FOUND,
@@ -173,7 +175,7 @@
 
     async def revoke_lease(self, lease: int) -> Result[bool, PlatformError]:
         """End a lease, which deletes its keys."""
-        answer = await self._call(
+        answer = await self._transport.call(
             'DELETE',
             f'/api/kv-lease-end/{lease}',
             absent_status=HTTPStatus.NOT_FOUND,
@@ -196,7 +198,7 @@
             The changes, perhaps none; None when the history after
             `after_revision` is no longer kept and the keys must be read.
         """
-        answer = await self._call(
+        answer = await self._transport.call(
             'GET',
             '/api/kv-watch',
             query={
@@ -253,57 +255,6 @@
                 if not event.tombstone:
                     yield _to_stored(event)
 
-    async def _call(
-        self,
-        method: str,
-        path: str,
-        *,
-        query: dict[str, str] | None = None,
-        body: bytes | None = None,
-        absent_status: HTTPStatus | None = None,
-        extra_ms: float = 0,
-    ) -> Result[bytes | None, PlatformError]:
-        self.calls += 1
-        timeout_ms = self._timeout_ms + extra_ms
-        try:
-            async with self._session.request(
-                method,
-                (self._base / path.removeprefix('/')).with_query(query),
-                data=body,
-                headers=_HEADERS if body else None,
-                timeout=aiohttp.ClientTimeout(total=timeout_ms / _MILLISECONDS),
-            ) as response:
-                text = await response.read()
-                status = response.status
-        except aiohttp.ClientConnectorError as error:
-            return Err(self._explain(path, repr(error), applied=False))
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            return Err(self._explain(path, repr(error), applied=True))
-        if status == HTTPStatus.OK:
-            return Ok(text)
-        if status == absent_status:
-            return Ok(None)
-        # Every other status says that the store did nothing.
-        detail = f'status {status}'
-        return Err(self._explain(path, detail, applied=False))
-
-    def _explain(
-        self,
-        path: str,
-        detail: str,
-        *,
-        applied: bool,
-    ) -> PlatformError:
-        return PlatformError(
-            step=path,
-            peer=str(self._base),
-            detail=detail,
-            may_have_applied=applied,
-        )
-
-
-_HEADERS = {'Content-Type': 'application/json'}
-
 
 def _to_stored(item: Item) -> Stored:
     return Stored(
--- /dev/null
+++ b/tests/features/steps/thin_links.py
@@ -0,0 +1,96 @@
+"""Steps of gateways to which the store's answers come slowly."""
+
+from behave import given, step, then, when
+
+_BYTES_PER_MBIT = 125_000
+_POLLING_PATHS = ('/api/kv-range', '/api/kv-watch')
+
+
+@given('a store behind a link of {mbit_per_s:d} Mbit/s')
+def thin_link(context, mbit_per_s):
+    store = context.gateway_stage.store
+    store.faults.active = {'bytes_per_s': mbit_per_s * _BYTES_PER_MBIT}
+
+
+@given('the store stops in the middle of one answer')
+def stall(context):
+    stage = context.gateway_stage
+    stage.store.faults.active = {'stall': 1, 'left': 1}
+    stage.run(stage.wait_for(lambda: not stage.store.faults.active['left']))
+
+
+@when('the operators add {count:d} routes')
+def add_routes(context, count):
+    _write_version(context, count, version=10)
+
+
+@when('the operators add {count:d} routes in each of {versions:d} versions')
+def add_routes_often(context, count, versions):
+    context.sent_before = context.gateway_stage.store.sent_bytes
+    for number in range(versions):
+        _write_version(context, count, version=10 + number)
+
+
+@step('the gateway takes the configuration')
+def take(context):
+    stage = context.gateway_stage
+    stage.run(stage.wait_configured())
+
+
+@when('instance {name} leaves')
+def leave(context, name):
+    stage = context.gateway_stage
+    stage.run(stage.show(name, 'plain', state='draining'))
+
+
+@then('the gateway sends to {name} only')
+def check_one(context, name):
+    stage = context.gateway_stage
+    directory = stage.get_context().directory
+    stage.run(
+        stage.wait_for(
+            lambda: (
+                [one.instance for one in directory.get_pool('plain')] == [name]
+            ),
+        ),
+    )
+
+
+@then('{count:d} further polls carry less than one configuration')
+def check_polls(context, count):
+    stage = context.gateway_stage
+    stage.run(_wait_polls(stage, 1))
+    before = stage.store.sent_bytes
+    stage.run(_wait_polls(stage, count))
+    assert stage.store.sent_bytes - before < _get_size(stage)
+
+
+@then('it received no more than {count:d} configurations')
+def check_received(context, count):
+    stage = context.gateway_stage
+    sent = stage.store.sent_bytes - context.sent_before
+    # The list of instances comes along, with a tenth of a configuration.
+    assert sent <= (count + 0.1) * _get_size(stage), sent
+
+
+def _write_version(context, count: int, *, version: int) -> None:
+    stage = context.gateway_stage
+    first = stage.configuration['routes'][0]
+    added = [
+        {**first, 'name': f'r-{version}-{one}', 'path_prefix': f'/at{one}/'}
+        for one in range(count)
+    ]
+    routes = [*stage.configuration['routes'][:4], *added]
+    stage.run(stage.configure(version=version, routes=routes))
+
+
+def _get_size(stage) -> int:
+    return len(stage.store.entries['op/config'].value)
+
+
+async def _wait_polls(stage, count: int) -> None:
+    counts = stage.store.counts
+    target = sum(counts.get(path, 0) for path in _POLLING_PATHS) + count
+    await stage.wait_for(
+        lambda: sum(counts.get(path, 0) for path in _POLLING_PATHS) >= target,
+    )
--- a/tests/standins/key_value.py
+++ b/tests/standins/key_value.py
@@ -11,6 +11,8 @@
 
 _PAGE = 500
 _TXN = '/api/kv-txn'
+# How often a thin link takes some bytes.
+_SENDING_S = 0.02
 
 
 class Entry:
@@ -37,7 +39,9 @@
     Faults beside the common ones: `mute` takes calls and never answers,
     `refuse` answers 503 without doing anything, `deaf` leaves watches
     waiting while changes are made, `down_after_manifest` fails for good
-    after a configuration of the project's own operators was written.
+    after a configuration of the project's own operators was written,
+    `bytes_per_s` is what the link to a caller carries, and `stall` falls
+    silent in the middle of an answer.
     """
 
     def __init__(self) -> None:
@@ -49,6 +53,7 @@
         self.history: list[tuple[int, dict]] = []
         self.changed = asyncio.Condition()
         self.counts: dict[str, int] = {}
+        self.sent_bytes = 0
 
     def put_bytes(self, key: str, found: bytes) -> None:
         """Keep a value of somebody else."""
@@ -86,10 +91,46 @@
             response = await answer(request)
             if path == _TXN and self.faults.has('lose_answer'):
                 return drop(request)
-            return response
+            return await self._send(request, response)
 
         return serve
 
+    async def _send(
+        self,
+        request: web.Request,
+        response: web.Response,
+    ) -> web.StreamResponse:
+        self.sent_bytes += len(response.body or b'')
+        rate = self.faults.active.get('bytes_per_s')
+        if self.faults.has('stall'):
+            return await self._send_slowly(request, response, 0)
+        if rate:
+            return await self._send_slowly(request, response, rate)
+        return response
+
+    async def _send_slowly(
+        self,
+        request: web.Request,
+        response: web.Response,
+        bytes_per_s: float,
+    ) -> web.StreamResponse:
+        """Send as a thin link does; without a rate, half of it and no end."""
+        body = response.body or b''
+        slow = web.StreamResponse(
+            status=response.status,
+            headers={'Content-Type': 'application/json'},
+        )
+        slow.content_length = len(body)
+        await slow.prepare(request)
+        if not bytes_per_s:
+            await slow.write(body[: len(body) // 2])
+            await asyncio.Event().wait()
+        size = int(bytes_per_s * _SENDING_S)
+        for begin in range(0, len(body), size):
+            await slow.write(body[begin : begin + size])
+            await asyncio.sleep(_SENDING_S)
+        return slow
+
     async def _show_counts(self, _request: web.Request) -> web.Response:
         return web.json_response(self.counts)
 
