Show the same cause between members: whole answers under a fixed timeout

A process asks a peer for a generation within 500 ms and the platform for its list within 1,500 ms, whole answers both. At 2 Mbit/s neither 400 kB of configuration nor 4,000 instances ever arrive.

--- a/tests/features/steps/thin_links.py
+++ b/tests/features/steps/thin_links.py
@@ -1,15 +1,31 @@
 """Steps of gateways to which the store's answers come slowly."""
 
+import random
+
+import msgspec
+from aiohttp import ClientSession, web
 from behave import given, step, then, when
 
-_BYTES_PER_MBIT = 125_000
+from ragworthollow.configuration.follower import Follower
+from ragworthollow.configuration.snapshot import Snapshot
+from ragworthollow.configuration.store import ConfigurationStore
+from ragworthollow.membership import Peers
+from ragworthollow.platform import (
+    InstanceEntry,
+    InstanceList,
+    InstancePoller,
+    StoreClient,
+)
+from tests.fixtures.gateways import HOST
+from tests.standins.thin_link import BYTES_PER_MBIT, send_slowly
+
 _POLLING_PATHS = ('/api/kv-range', '/api/kv-watch')
 
 
 @given('a store behind a link of {mbit_per_s:d} Mbit/s')
 def thin_link(context, mbit_per_s):
     store = context.gateway_stage.store
-    store.faults.active = {'bytes_per_s': mbit_per_s * _BYTES_PER_MBIT}
+    store.faults.active = {'bytes_per_s': mbit_per_s * BYTES_PER_MBIT}
 
 
 @given('the store stops in the middle of one answer')
@@ -73,6 +89,87 @@
     assert sent <= (count + 0.1) * _get_size(stage), sent
 
 
+@given('a peer that answers at {mbit_per_s:d} Mbit/s')
+def thin_peer(context, mbit_per_s):
+    context.peer_bytes_per_s = mbit_per_s * BYTES_PER_MBIT
+
+
+@when('a process asks it for {size_kb:d} kB of configuration')
+def ask_configuration(context, size_kb):
+    text = 'x' * size_kb * 1000
+    body = msgspec.json.encode(Snapshot(files_by_sha256={'some': text}))
+    context.is_taken = context.gateway_stage.run(
+        _ask_peer(context, body, _pull),
+    )
+
+
+@when('a process asks it for the instances of a fleet of {count:d}')
+def ask_instances(context, count):
+    listed = InstanceList(
+        revision=1,
+        instances=tuple(
+            InstanceEntry(
+                instance=f'instance-{one}',
+                pool='pool',
+                failure_domain='one',
+                address=f'127.0.0.1:{one}',
+            )
+            for one in range(count)
+        ),
+    )
+    body = msgspec.json.encode(listed)
+    context.is_taken = context.gateway_stage.run(
+        _ask_peer(context, body, _poll),
+    )
+
+
+@then('the answer is taken')
+def check_taken(context):
+    assert context.is_taken
+
+
+async def _ask_peer(context, body: bytes, ask) -> bool:
+    async def answer(request: web.Request) -> web.StreamResponse:
+        response = web.Response(body=body)
+        return await send_slowly(request, response, context.peer_bytes_per_s)
+
+    stage = context.gateway_stage
+    runner = web.ServerRunner(web.Server(answer))
+    await runner.setup()
+    port = stage.ports.take()
+    await web.TCPSite(runner, HOST, port).start()
+    try:
+        return await ask(stage.session, f'{HOST}:{port}')
+    finally:
+        await runner.cleanup()
+
+
+async def _pull(session: ClientSession, address: str) -> bool:
+    follower = Follower(
+        key_value=StoreClient(session=session, base_url=f'http://{address}'),
+        store=ConfigurationStore(instance='asker'),
+        peers=Peers(
+            instance='asker',
+            failure_domain='one',
+            rng=random.Random(1),
+        ),
+        session=session,
+        count_event=str,
+    )
+    return await follower.pull(address, wait_ms=0)
+
+
+async def _poll(session: ClientSession, address: str) -> bool:
+    lists: list[InstanceList] = []
+    poller = InstancePoller(
+        session=session,
+        url=f'http://{address}/',
+        on_change=lists.append,
+    )
+    await poller.poll()
+    return bool(lists)
+
+
 def _write_version(context, count: int, *, version: int) -> None:
     stage = context.gateway_stage
     first = stage.configuration['routes'][0]
--- a/tests/features/thin_links.feature
+++ b/tests/features/thin_links.feature
@@ -43,3 +43,16 @@
     Given the store stops in the middle of one answer
     When the operators add 1400 routes
     Then the gateway takes the configuration
+
+  Scenario Outline: A peer of the fleet is behind a thin link
+    # Where members publish their files through the system itself, a process
+    # asks a peer for what it lacks.  A peer with a large generation sent it
+    # for as long as a silent one is waited for, again and again.
+    Given a peer that answers at 2 Mbit/s
+    When a process asks it for <what>
+    Then the answer is taken
+
+    Examples:
+      | what                               |
+      | 400 kB of configuration            |
+      | the instances of a fleet of 4000   |
--- a/tests/standins/key_value.py
+++ b/tests/standins/key_value.py
@@ -8,11 +8,10 @@
 from aiohttp import web
 
 from tests.standins.faults import Faults, drop
+from tests.standins.thin_link import send_slowly
 
 _PAGE = 500
 _TXN = '/api/kv-txn'
-# How often a thin link takes some bytes.
-_SENDING_S = 0.02
 
 
 class Entry:
@@ -100,36 +99,16 @@
         request: web.Request,
         response: web.Response,
     ) -> web.StreamResponse:
-        self.sent_bytes += len(response.body or b'')
         rate = self.faults.active.get('bytes_per_s')
         if self.faults.has('stall'):
-            return await self._send_slowly(request, response, 0)
+            return await send_slowly(request, response, 0)
         if rate:
-            return await self._send_slowly(request, response, rate)
+            return await send_slowly(request, response, rate, self._note_sent)
+        self._note_sent(len(response.body or b''))
         return response
 
-    async def _send_slowly(
-        self,
-        request: web.Request,
-        response: web.Response,
-        bytes_per_s: float,
-    ) -> web.StreamResponse:
-        """Send as a thin link does; without a rate, half of it and no end."""
-        body = response.body or b''
-        slow = web.StreamResponse(
-            status=response.status,
-            headers={'Content-Type': 'application/json'},
-        )
-        slow.content_length = len(body)
-        await slow.prepare(request)
-        if not bytes_per_s:
-            await slow.write(body[: len(body) // 2])
-            await asyncio.Event().wait()
-        size = int(bytes_per_s * _SENDING_S)
-        for begin in range(0, len(body), size):
-            await slow.write(body[begin : begin + size])
-            await asyncio.sleep(_SENDING_S)
-        return slow
+    def _note_sent(self, size: int) -> None:
+        self.sent_bytes += size
 
     async def _show_counts(self, _request: web.Request) -> web.Response:
         return web.json_response(self.counts)
