Follow the store's changes, and give a call up only when nothing comes

Cause: a gateway read all keys with every poll, the configuration's whole text included, and gave the call up after 450 ms for everything. Behind 5 Mbit/s a configuration of 350 kB takes 560 ms: each try ended in the middle and the next began anew, so that neither configuration nor list nor members were read again.

Ruled out: connections that fall silent (bytes came until the end: 275,000 bytes in 451 ms, silent for 12 ms in the reproduction; 0 bytes and 451 ms on a mute one), a busy core (1 to 2% at the gateways concerned).

Change: the timeout counts silence, with 10 s for the whole exchange; all keys are read once, then a watch that does not wait tells what has changed; a history that is gone or longer than everything is replaced by a read of everything. The next question starts after the last change that was heard, not at the revision of the answer. Polls begin 600 ms apart however long one takes. The same cause in the list of instances and in the generations that members send each other is mended alike.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/poll_pace.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/poll_pace.py
@@ -25,13 +25,18 @@
     poll : callable
         Asks once and tells whether the store answered.
     interval_ms : float
-        Pause after an answer.
+        Time between the beginnings of polls that are answered.  An answer
+        may take seconds to come; a pause after it would delay a change by
+        both.
     """
+    loop = asyncio.get_running_loop()
     failures = 0
     while True:
+        began_s = loop.time()
         has_answered = await poll()
         failures = 0 if has_answered else failures + 1
-        pause_ms = interval_ms
+        took_ms = (loop.time() - began_s) * _MILLISECONDS
+        pause_ms = max(0, interval_ms - took_ms)
         if failures:
             doublings = min(failures - 1, _DOUBLINGS)
             pause_ms = global_settings.STORE_RETRY_MS * 2**doublings
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/record_reader.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/record_reader.py
@@ -84,7 +84,8 @@
         found = await self._context.key_value.read_prefix(self._prefix)
         if isinstance(found, Err):
             return None
-        record = found.ok_value.get(self.record_key, _ABSENT)
+        keys = found.ok_value.found
+        record = keys.get(self.record_key, _ABSENT)
         if record.mod_revision > self._record.mod_revision:
             # A write of ours that is still on its way compares the old
             # revision and can no longer apply.
@@ -93,7 +94,7 @@
         if record.mod_revision >= self._record.mod_revision:
             self._record = record
             self._ownership.learn(decode_assignment(record.text))
-        return found.ok_value
+        return keys
 
     def compare_record(self) -> Compare:
         """Require that the record is still the one last read."""
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -45,7 +45,9 @@
 # Configuration.
 WATCHERS_PER_DOMAIN = 4
 CONFIGURATION_WAIT_MS = 3_000
-CONFIGURATION_POLL_TIMEOUT_MS = 3_500
+# Silence of a peer beyond the wait that it was asked for; a live one answers
+# within milliseconds.
+CONFIGURATION_PEER_TIMEOUT_MS = 500
 CONFIGURATION_RETRY_MS = 300
 CONFIGURATION_REREAD_MS = 30_000
 CHANGE_ATTEMPTS = 8
@@ -243,14 +245,24 @@
 # Part of the retry budget of a stage pool that the host of its gate uses: the
 # others send nothing there, and two hosts may follow each other in a window.
 HOST_RETRY_SHARE = 0.5
-# The store answers in milliseconds; a call that takes this long runs on a
-# silent connection.
+# The store answers in milliseconds; a call that hears nothing for this long
+# runs on a silent connection.
 STORE_TIMEOUT_MS = 450
 # Configuration and instances must be in force within 2 s.  A poll that is
 # lost right before a change is noticed after 450 ms and made again at once,
 # so that the change is seen after 600 + 450 + 50 ms and a read.
 STORE_POLL_MS = 600
 STORE_RETRY_MS = 50
+# How often all keys are read although their changes are followed, as a guard
+# against a change that no watch tells of.
+STORE_REREAD_MS = 5_000
+# Longest read of all keys that is repeated for that: a change that is made
+# meanwhile waits for its end, and the link is shared with callers.
+STORE_REREAD_LONGEST_MS = 150
+# Longest exchange in which bytes keep coming.  The largest value of the store,
+# 1 MB (1.4 MB as sent), takes 2.2 s at 5 Mbit/s, and four times that beside
+# callers' traffic and another read.
+EXCHANGE_LIMIT_MS = 10_000
 # Membership of gateways: a lease outlives two lost renewals.
 MEMBER_LEASE_MS = 4_000
 MEMBER_POLL_MS = 1_500
--- a/packages/ragworthollow/src/ragworthollow/configuration/follower.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/follower.py
@@ -19,6 +19,7 @@
 from ragworthollow.logs.events import log_event
 from ragworthollow.membership.peers import Peers
 from ragworthollow.platform import StoreClient
+from ragworthollow.transport.timeouts import make_silence_timeout
 
 _MILLISECONDS = 1000
 _NO_CONTENT = 204
@@ -115,13 +116,8 @@
         bool
             Whether the peer answered.
         """
-        timeout_ms = (
-            global_settings.CONFIGURATION_POLL_TIMEOUT_MS
-            - global_settings.CONFIGURATION_WAIT_MS
-            + wait_ms
-        )
         try:
-            snapshot = await self._ask(address, wait_ms, timeout_ms)
+            snapshot = await self._ask(address, wait_ms)
         except _UNREACHABLE as error:
             log_event(
                 'configuration_peer_unreachable',
@@ -138,12 +134,14 @@
         self,
         address: str,
         wait_ms: int,
-        timeout_ms: int,
     ) -> Snapshot | None:
         async with self._session.get(
             f'http://{address}/v1/configuration',
             params={'have': self._store.generation, 'wait_ms': wait_ms},
-            timeout=aiohttp.ClientTimeout(total=timeout_ms / _MILLISECONDS),
+            timeout=make_silence_timeout(
+                global_settings.CONFIGURATION_PEER_TIMEOUT_MS,
+                wait_ms,
+            ),
             raise_for_status=True,
         ) as response:
             if response.status == _NO_CONTENT:
--- a/packages/ragworthollow/src/ragworthollow/platform/instance_poller.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/instance_poller.py
@@ -9,6 +9,7 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.platform.instance_list import InstanceList
+from ragworthollow.transport.timeouts import make_silence_timeout
 
 _MILLISECONDS = 1000
 _NOT_MODIFIED = 304
@@ -80,9 +81,7 @@
         async with self._session.get(
             self._url,
             headers={'If-None-Match': self._entity_tag},
-            timeout=aiohttp.ClientTimeout(
-                total=global_settings.PLATFORM_TIMEOUT_MS / _MILLISECONDS,
-            ),
+            timeout=make_silence_timeout(global_settings.PLATFORM_TIMEOUT_MS),
             raise_for_status=True,
         ) as response:
             if response.status == _NOT_MODIFIED:
--- a/packages/ragworthollow/src/ragworthollow/platform/store_client.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_client.py
@@ -10,7 +10,12 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.platform.exceptions import PlatformError
-from ragworthollow.platform.store_transport import StoreTransport
+from ragworthollow.platform.store_changes import StoreChanges
+from ragworthollow.platform.store_snapshot import StoreSnapshot
+from ragworthollow.platform.store_transport import (
+    UNLIMITED_BYTES,
+    StoreTransport,
+)
 from ragworthollow.platform.store_wire import (
     ExpectedRevision,
     Item,
@@ -38,7 +43,7 @@
     prefix : str
         Put before every key; keys that others write have none.
     timeout_ms : float
-        Longest time for one call.
+        Longest time without a byte of an answer.
     """
 
     def __init__(
@@ -87,30 +92,88 @@
     async def read_prefix(
         self,
         prefix: str,
-    ) -> Result[dict[str, Stored], PlatformError]:
+    ) -> Result[StoreSnapshot, PlatformError]:
         """
-        Read all keys that begin with `prefix`, by key.
+        Read all keys that begin with `prefix`.
 
-        Pages are no snapshot; an error on any of them is an error of all,
-        so that a part of a list never passes for the whole.
+        Pages are no snapshot by themselves; an error on any of them is an
+        error of all, so that a part of a list never passes for the whole.
         """
         found: dict[str, Stored] = {}
+        revision = 0
+        size_bytes = 0
         query = {'path_prefix': f'{self._prefix}{prefix}'}
         while True:
             answer = await self._transport.call(
-                'GET', '/api/kv-range', query=query
+                'GET',
+                '/api/kv-range',
+                query=query,
             )
             if isinstance(answer, Err):
                 return answer
             page = msgspec.json.decode(answer.ok_value, type=RangePage)
+            revision = revision or page.as_of
+            size_bytes += len(answer.ok_value)
             found.update(
                 (one.key.removeprefix(self._prefix), _to_stored(one))
                 for one in page.items
             )
             if not page.has_more or not page.items:
-                return Ok(found)
+                return Ok(
+                    StoreSnapshot(
+                        found=found,
+                        revision=revision,
+                        size_bytes=size_bytes,
+                    ),
+                )
             query['after'] = page.items[-1].key
 
+    async def read_changes(
+        self,
+        prefix: str,
+        *,
+        after_revision: int,
+        longest_bytes: int,
+    ) -> Result[StoreChanges | None, PlatformError]:
+        """
+        Read what became of the keys under a prefix after a revision.
+
+        A watch that does not wait answers at once.  It may hear nothing while
+        changes are made; the store drops their history before it says of
+        anything later.  So the revision of the last change that was heard is
+        where the next question has to start: the revision that the answer
+        gives for the whole store would step over what was not heard.
+
+        Parameters
+        ----------
+        prefix : str
+            Of the keys.
+        after_revision : int
+            Of the last change that is known.
+        longest_bytes : int
+            Size from which reading everything is shorter: each change
+            comes with its whole value.
+
+        Returns
+        -------
+        Result
+            The changes; None where everything has to be read, since the
+            history is no longer kept or is too long.
+        """
+        answer = await self._call_watch(
+            prefix,
+            after_revision=after_revision,
+            wait_ms=0,
+            longest_bytes=longest_bytes,
+        )
+        return answer.map(
+            lambda page: (
+                None
+                if page is None or page.as_of < after_revision
+                else self._to_changes(page, after_revision)
+            ),
+        )
+
     async def commit(
         self,
         *,
@@ -198,23 +261,10 @@
             The changes, perhaps none; None when the history after
             `after_revision` is no longer kept and the keys must be read.
         """
-        answer = await self._transport.call(
-            'GET',
-            '/api/kv-watch',
-            query={
-                'path_prefix': f'{self._prefix}{prefix}',
-                'after': str(after_revision),
-                'wait_ms': str(wait_ms),
-            },
-            absent_status=HTTPStatus.GONE,
-            extra_ms=wait_ms,
-        )
-        return answer.map(
-            lambda body: (
-                None
-                if body is None
-                else msgspec.json.decode(body, type=WatchPage)
-            ),
+        return await self._call_watch(
+            prefix,
+            after_revision=after_revision,
+            wait_ms=wait_ms,
         )
 
     async def follow(
@@ -255,6 +305,52 @@
                 if not event.tombstone:
                     yield _to_stored(event)
 
+    async def _call_watch(
+        self,
+        prefix: str,
+        *,
+        after_revision: int,
+        wait_ms: int,
+        longest_bytes: float = UNLIMITED_BYTES,
+    ) -> Result[WatchPage | None, PlatformError]:
+        answer = await self._transport.call(
+            'GET',
+            '/api/kv-watch',
+            query={
+                'path_prefix': f'{self._prefix}{prefix}',
+                'after': str(after_revision),
+                'wait_ms': str(wait_ms),
+            },
+            absent_status=HTTPStatus.GONE,
+            extra_ms=wait_ms,
+            longest_bytes=longest_bytes,
+        )
+        return answer.map(
+            lambda body: (
+                None
+                if body is None
+                else msgspec.json.decode(body, type=WatchPage)
+            ),
+        )
+
+    def _to_changes(self, page: WatchPage, after_revision: int) -> StoreChanges:
+        last = {
+            event.key.removeprefix(self._prefix): event for event in page.events
+        }
+        return StoreChanges(
+            written={
+                key: _to_stored(event)
+                for key, event in last.items()
+                if not event.tombstone
+            },
+            removed={
+                key: event.rev for key, event in last.items() if event.tombstone
+            },
+            revision=max(
+                (one.rev for one in page.events), default=after_revision
+            ),
+        )
+
 
 def _to_stored(item: Item) -> Stored:
     return Stored(
--- a/packages/ragworthollow/src/ragworthollow/platform/store_transport.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_transport.py
@@ -7,9 +7,10 @@
 from yarl import URL
 
 from ragworthollow.platform.exceptions import PlatformError
+from ragworthollow.transport.timeouts import make_silence_timeout
 from ragworthollow.utils import get_monotonic_ms
 
-_MILLISECONDS = 1000
+UNLIMITED_BYTES = float('inf')
 _HEADERS = {'Content-Type': 'application/json'}
 
 
@@ -18,8 +19,8 @@
     Call the store with a timeout of our own on every call.
 
     A connection to the store may fall silent for good without a reset; a
-    call that runs into its timeout closes its connection, so that the next
-    call opens a new one.
+    call that hears nothing for the timeout closes its connection, so that
+    the next call opens a new one.
 
     Parameters
     ----------
@@ -28,7 +29,7 @@
     base_url : str
         Address of the store.
     timeout_ms : float
-        Longest time for one call.
+        Longest time without a byte.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         body: bytes | None = None,
         absent_status: HTTPStatus | None = None,
         extra_ms: float = 0,
+        longest_bytes: float = UNLIMITED_BYTES,
     ) -> Result[bytes | None, PlatformError]:
         """
         Make one call.
@@ -68,14 +70,17 @@
             Status that says that there is nothing to return.
         extra_ms : float
             How long the store may wait before it answers.
+        longest_bytes : float
+            Size from which an answer is not worth reading; what is left of
+            it is dropped together with the connection.
 
         Returns
         -------
         Result
-            The body of the answer, None for `absent_status`; or the failure.
+            The body of the answer, None for `absent_status` or an answer
+            that is too long; or the failure.
         """
         self.calls += 1
-        timeout_ms = self._timeout_ms + extra_ms
         received = _Received()
         try:
             async with self._session.request(
@@ -83,20 +88,19 @@
                 (self._base / path.removeprefix('/')).with_query(query),
                 data=body,
                 headers=_HEADERS if body else None,
-                timeout=aiohttp.ClientTimeout(total=timeout_ms / _MILLISECONDS),
+                timeout=make_silence_timeout(self._timeout_ms, extra_ms),
             ) as response:
-                async for chunk in response.content.iter_any():
-                    received.add(chunk)
+                is_whole = await received.read(response, longest_bytes)
                 status = response.status
         except aiohttp.ClientConnectorError as error:
             return Err(self._explain(path, repr(error), applied=False))
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             detail = f'{error!r}, {received.describe()}'
             return Err(self._explain(path, detail, applied=True))
+        if status == absent_status or not is_whole:
+            return Ok(None)
         if status == HTTPStatus.OK:
             return Ok(received.join())
-        if status == absent_status:
-            return Ok(None)
         # Every other status says that the store did nothing.
         detail = f'status {status}'
         return Err(self._explain(path, detail, applied=False))
@@ -123,10 +127,23 @@
         self._began_ms = get_monotonic_ms()
         self._last_ms = self._began_ms
         self._chunks: list[bytes] = []
+        self._size = 0
 
-    def add(self, chunk: bytes) -> None:
-        self._last_ms = get_monotonic_ms()
-        self._chunks.append(chunk)
+    async def read(
+        self,
+        response: aiohttp.ClientResponse,
+        longest_bytes: float,
+    ) -> bool:
+        """Read an answer, and tell whether it was short enough for that."""
+        if (response.content_length or 0) > longest_bytes:
+            return False
+        async for chunk in response.content.iter_any():
+            self._last_ms = get_monotonic_ms()
+            self._chunks.append(chunk)
+            self._size += len(chunk)
+            if self._size > longest_bytes:
+                return False
+        return True
 
     def join(self) -> bytes:
         return b''.join(self._chunks)
@@ -138,8 +155,7 @@
         Both end in a timeout; only the second is helped by a new connection.
         """
         now_ms = get_monotonic_ms()
-        size = sum(map(len, self._chunks))
         return (
-            f'{size} bytes in {now_ms - self._began_ms:.0f} ms, '
+            f'{self._size} bytes in {now_ms - self._began_ms:.0f} ms, '
             f'silent for {now_ms - self._last_ms:.0f} ms'
         )
