--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/gate_handover.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/gate_handover.py
@@ -70,7 +70,7 @@
         now_ms = get_monotonic_ms()
         gate = self._gates.get(transfer.pool)
         if transfer.calls is not None:
-            gate.learn_calls(
+            gate.running.learn(
                 transfer.source,
                 _read_calls(transfer.calls, now_ms),
             )
@@ -125,7 +125,7 @@
             pool=pool,
             peer=host.instance,
             queued=queued,
-            calls=len(gate.get_calls()),
+            calls=len(gate.running.own),
         )
 
     async def _send(self, host: GatewayMember, transfer: GateTransfer) -> None:
@@ -142,7 +142,7 @@
                 waiting.piece.result_bytes for waiting in call.waiting
             ),
         )
-        for call in gate.get_calls()
+        for call in gate.running.own
     )
 
 
--- a/packages/ragworthollow/src/ragworthollow/pieces/gate.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/gate.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 from ragworthollow.conf import global_settings
-from ragworthollow.pieces.call import ForeignCall, PieceCall
+from ragworthollow.pieces.call import PieceCall
 from ragworthollow.pieces.call_limit import find_limit
 from ragworthollow.pieces.drain_rate import DrainRate
 from ragworthollow.pieces.order import (
@@ -18,6 +18,7 @@
 )
 from ragworthollow.pieces.piece import Piece, PieceOutcome, PieceResult
 from ragworthollow.pieces.result_room import ResultRoom
+from ragworthollow.pieces.running_calls import RunningCalls
 from ragworthollow.pieces.selection import select_pieces
 from ragworthollow.pieces.waiting_piece import WaitingPiece
 from ragworthollow.pieces.waits import estimate_domain_waits, estimate_wait_ms
@@ -38,9 +39,8 @@
     def __init__(self) -> None:
         self.room = ResultRoom()
         self._queue: list[WaitingPiece] = []
-        self._calls: list[PieceCall] = []
+        self.running = RunningCalls()
         self._rate = DrainRate()
-        self._foreign: dict[str, tuple[ForeignCall, ...]] = {}
 
     def submit(self, waiting: WaitingPiece) -> None:
         """Queue a piece."""
@@ -74,13 +74,9 @@
         """Return the number of pieces that wait."""
         return len(self._queue)
 
-    def get_calls(self) -> tuple[PieceCall, ...]:
-        """Return the calls that instances work on."""
-        return tuple(self._calls)
-
     def finish(self, call: PieceCall) -> None:
         """Note that a call has ended."""
-        self._calls.remove(call)
+        self.running.own.remove(call)
 
     def drop_asker(self, asker: str) -> None:
         """Want no piece any more that a gateway which is gone has asked for."""
@@ -94,19 +90,6 @@
             waiting.settle(PieceResult(outcome=PieceOutcome.moved))
         self._queue = []
 
-    def learn_calls(self, source: str, calls: Sequence[ForeignCall]) -> None:
-        """
-        Take the calls that another gate of the pool has running now.
-
-        Parameters
-        ----------
-        source : str
-            Who hosts that gate; what it told before is forgotten.
-        calls : sequence of ForeignCall
-            All of them.
-        """
-        self._foreign[source] = tuple(calls)
-
     def drop_unwanted(self, now_ms: float) -> None:
         """Take out pieces that nobody waits for any more."""
         staying = []
@@ -188,7 +171,7 @@
         now_ms: float,
     ) -> float:
         nominal_ms = estimate_wait_ms(
-            profile, instances, self._calls, ahead, now_ms
+            profile, instances, self.running.own, ahead, now_ms
         )
         return max(nominal_ms, self._rate.estimate_ms(ahead))
 
@@ -224,11 +207,11 @@
             return []
         idle = self._find_idle(profile, instances, book, now_ms)
         used = self.room.get_used(now_ms)
-        for foreign in self._get_foreign(now_ms):
+        for foreign in self.running.get_foreign(now_ms):
             taken_bytes = used.get(foreign.instance, 0) + foreign.result_bytes
             used[foreign.instance] = taken_bytes
         waits_ms = estimate_domain_waits(
-            profile, instances, self._calls, self._queue, now_ms
+            profile, instances, self.running.own, self._queue, now_ms
         )
         self._queue.sort(key=lambda one: rank(one, now_ms))
         calls = []
@@ -281,8 +264,7 @@
         book: LoadBook,
         now_ms: float,
     ) -> list[UpstreamInstance]:
-        busy = [call.instance.instance for call in self._calls]
-        busy += [one.instance for one in self._get_foreign(now_ms)]
+        busy = self.running.get_occupied(now_ms)
         idle = [
             one
             for one in instances
@@ -300,14 +282,6 @@
         )
         return idle if all_suspect else trusted
 
-    def _get_foreign(self, now_ms: float) -> list[ForeignCall]:
-        return [
-            call
-            for calls in self._foreign.values()
-            for call in calls
-            if call.until_ms > now_ms
-        ]
-
     def _fill(
         self,
         profile: PieceProfile,
@@ -339,5 +313,5 @@
             left=len(self._queue),
             free_bytes=free_bytes,
         )
-        self._calls.append(call)
+        self.running.own.append(call)
         return call
--- a/tests/features/steps/piece_space.py
+++ b/tests/features/steps/piece_space.py
@@ -24,7 +24,7 @@
         result_bytes=RESULT_BYTES,
         until_ms=left_ms,
     )
-    context.pool.gate.learn_calls('other', [call])
+    context.pool.gate.running.learn('other', [call])
 
 
 @then('no call is made at {early:d} ms and one at {late:d} ms')
