Tell from logs which requests were not served, and why

ragworthctl losses reads the lines of gateways from standard input and gives each request that was not served one cause (and its pool or instance), by route and by second, with how full each pool's calls were and what limited them. Late answers are not told: the log lacks the objective.

--- /dev/null
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/__init__.py
@@ -0,0 +1,9 @@
+"""Tell from logs which requests were not served, and why."""
+
+from ragworthollow_ctl.losses.loss_account import LossAccount
+from ragworthollow_ctl.losses.rendering import render_account
+
+__all__ = (
+    'LossAccount',
+    'render_account',
+)
--- /dev/null
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/rendering.py
@@ -0,0 +1,96 @@
+"""Show an account of losses as text."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from ragworthollow_ctl.losses.loss_account import LossAccount
+from ragworthollow_ctl.losses.pool_calls import PoolCalls
+
+# Peers and routes below this rank are summed up in the counts of their cause.
+_ROWS = 20
+_BAR_WIDTH = 40
+_PERCENT = 100
+
+
+def render_account(account: LossAccount) -> Iterator[str]:
+    """
+    Render the tables and the picture of the day, line by line.
+
+    Parameters
+    ----------
+    account : LossAccount
+        What the lines told.
+    """
+    owed = account.owed.total()
+    lost = account.lost.total()
+    yield f'{owed} requests, {lost} not served ({_share(lost, owed)})'
+    if lost:
+        yield ''
+        yield from _render_causes(account, lost)
+        yield ''
+        yield from _render_routes(account)
+    if account.calls_by_pool:
+        yield ''
+        yield from _render_pools(account)
+    yield ''
+    yield from _render_seconds(account)
+
+
+def _render_causes(account: LossAccount, lost: int) -> Iterator[str]:
+    yield f'{"not served":24}{"peer":24}{"requests":>9}{"share":>8}'
+    for (cause, peer), count in account.causes.most_common(_ROWS):
+        yield f'{cause:24}{peer:24}{count:9}{_share(count, lost):>8}'
+
+
+def _render_routes(account: LossAccount) -> Iterator[str]:
+    yield f'{"route":24}{"not served":24}{"requests":>9}'
+    for (route, cause), count in account.routes.most_common(_ROWS):
+        yield f'{route or "-":24}{cause:24}{count:9}'
+
+
+def _render_pools(account: LossAccount) -> Iterator[str]:
+    yield (
+        f'{"pool":24}{"calls":>7}{"pieces a call":>15}{"most":>6}'
+        f'{"queued":>8}  limited by'
+    )
+    for pool, calls in sorted(account.calls_by_pool.items()):
+        yield (
+            f'{pool:24}{calls.calls:7}{calls.pieces / calls.calls:15.1f}'
+            f'{calls.largest:6}{calls.queued / calls.calls:8.1f}'
+            f'  {_render_limits(calls)}'
+        )
+
+
+def _render_limits(calls: PoolCalls) -> str:
+    return ', '.join(
+        f'{limit} {_share(count, calls.calls)}'
+        for limit, count in calls.limits.most_common()
+    )
+
+
+def _render_seconds(account: LossAccount) -> Iterator[str]:
+    """Draw one bar a second: served as `=`, not served as `x`."""
+    if not account.owed:
+        return
+    first = min(account.owed)
+    scale = min(1, _BAR_WIDTH / max(account.owed.values()))
+    yield f'{"second":>6}{"requests":>9}{"lost":>6}'
+    for second in range(first, max(account.owed) + 1):
+        yield _render_second(account.owed, account.lost, second, first, scale)
+
+
+def _render_second(
+    owed: Counter[int],
+    lost: Counter[int],
+    second: int,
+    first: int,
+    scale: float,
+) -> str:
+    served = round((owed[second] - lost[second]) * scale)
+    drawn = '=' * served + 'x' * round(lost[second] * scale)
+    row = f'{second - first:6}{owed[second]:9}{lost[second]:6}  {drawn}'
+    return row.rstrip()
+
+
+def _share(count: int, of_all: int) -> str:
+    return f'{count * _PERCENT / of_all:.1f}%' if of_all else '-'
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/main.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/main.py
@@ -8,6 +8,7 @@
 from ragworthollow_ctl.commands.diff import diff
 from ragworthollow_ctl.commands.hash_key import hash_key
 from ragworthollow_ctl.commands.history import history
+from ragworthollow_ctl.commands.losses import losses
 from ragworthollow_ctl.commands.pull import pull
 from ragworthollow_ctl.commands.show import show
 from ragworthollow_ctl.commands.status import status
@@ -27,6 +28,7 @@
 app.command(history)
 app.command(status)
 app.command(hash_key)
+app.command(losses)
 
 
 def main() -> None:
--- /dev/null
+++ b/tests/features/losses.feature
@@ -0,0 +1,43 @@
+Feature: Logs tell which requests were not served, and why
+
+  Scenario: Each request that was not served has one cause
+    # After a bad day an operator has only logs.  Refusals, errors and callers
+    # that left stood in three kinds of lines; a broken stream has two.
+    Given log lines of these ends of requests
+      | event             | request | step   | reason          | peer | status |
+      | request_ended     | a       | front  |                 |      | 200    |
+      | request_ended     | b       | front  | overloaded      | p2   | 503    |
+      | request_ended     | c       | stages | overloaded      | p1   | 503    |
+      | request_ended     | d       | stages | stage_failed    | p2   | 503    |
+      | request_ended     | e       | front  |                 |      | 500    |
+      | request_abandoned | f       | stages |                 | p1   | 0      |
+      | stream_broken     | g       | attempt | connection_lost | i-1  | 0      |
+      | request_ended     | g       | front  |                 |      | 200    |
+      | request_ended     | h       | front  | unauthorized    | r    | 401    |
+      | request_ended     | i       | front  | not_configured  |      | 503    |
+    When an operator asks for the losses
+    Then 7 of 8 requests were not served
+    And the losses are
+      | cause                 | peer | requests |
+      | refused at the door   | p2   | 1        |
+      | refused in the stages | p1   | 1        |
+      | pieces failed         | p2   | 1        |
+      | upstream error        | pool | 1        |
+      | caller left           | p1   | 1        |
+      | connection broken     | i-1  | 1        |
+      | process not ready     | pool | 1        |
+
+  Scenario: Pools show how full their calls were
+    Given log lines of calls of 4, 2 and 3 pieces, the first one full
+    When an operator asks for the losses
+    Then the pool has 3 calls of 3.0 pieces on average, 33.3% of them full
+
+  Scenario: Lines of others, and names before a line, do no harm
+    Given a log line behind a time and a name, and lines that are no JSON
+    When an operator asks for the losses
+    Then 0 of 1 requests were not served
+
+  Scenario: Input without any line of a gateway is an error
+    Given a log without lines of a gateway
+    When an operator asks for the losses
+    Then the command fails and says so
--- /dev/null
+++ b/tests/features/steps/losses.py
@@ -0,0 +1,100 @@
+"""Steps of the losses that logs tell."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+from behave import given, then, when
+
+_COMMAND = Path(sys.executable).parent / 'ragworthctl'
+_NOTHING_FOUND = 1
+
+
+def _render(**fields) -> str:
+    line = {'time_ms': 1_700_000_000_000.0, 'pool': 'pool', **fields}
+    return msgspec.json.encode(line).decode()
+
+
+@given('log lines of these ends of requests')
+def write_ends(context):
+    context.log = [
+        _render(
+            event=row['event'],
+            request_id=row['request'],
+            route='r',
+            step=row['step'],
+            reason=row['reason'] or None,
+            peer=row['peer'] or None,
+            status=int(row['status']),
+        )
+        for row in context.table
+    ]
+
+
+@given('log lines of calls of 4, 2 and 3 pieces, the first one full')
+def write_calls(context):
+    limits = {4: 'full', 2: 'queue', 3: 'queue'}
+    context.log = [
+        _render(event='pieces_done', pieces=pieces, limit=limit, queued=1)
+        for pieces, limit in limits.items()
+    ]
+
+
+@given('a log line behind a time and a name, and lines that are no JSON')
+def write_noise(context):
+    served = _render(event='request_ended', request_id='a', status=200)
+    context.log = [f'12.5 gateway-1 {served}', 'Traceback', '{broken', '{}']
+
+
+@given('a log without lines of a gateway')
+def write_nothing(context):
+    context.log = ['Traceback']
+
+
+@when('an operator asks for the losses')
+def ask(context):
+    context.shown = subprocess.run(
+        [_COMMAND, 'losses'],
+        input='\n'.join(context.log),
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@then('{lost:d} of {owed:d} requests were not served')
+def check_total(context, lost, owed):
+    first = context.shown.stdout.splitlines()[0]
+    assert first.startswith(f'{owed} requests, {lost} not served'), first
+
+
+@then('the losses are')
+def check_causes(context):
+    rows = context.shown.stdout.split('\n\n')[1].splitlines()[1:]
+    found = {
+        (row[:24].strip(), row[24:48].strip(), row.split()[-2]) for row in rows
+    }
+    expected = {
+        (row['cause'], row['peer'], row['requests']) for row in context.table
+    }
+    assert found == expected, found
+
+
+@then(
+    'the pool has {calls:d} calls of {mean} pieces on average, {full} of them full'
+)
+def check_pool(context, calls, mean, full):
+    (row,) = (
+        line
+        for line in context.shown.stdout.splitlines()
+        if line.startswith('pool ') and 'full' in line
+    )
+    assert row.split()[1:3] == [str(calls), mean], row
+    assert f'full {full}' in row, row
+
+
+@then('the command fails and says so')
+def check_failure(context):
+    assert context.shown.returncode == _NOTHING_FOUND
+    assert 'no line of a gateway' in context.shown.stderr
