--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/log_line.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/log_line.py
@@ -21,6 +21,8 @@
         Which request; empty for lines about calls for pieces.
     status : int
         What its caller got.
+    late_ms : float
+        How much later than its objective an answer began; negative in time.
     pieces : int or list of int
         Pieces of a call, or of each stage of a request.
     limit : str
@@ -39,6 +41,7 @@
     route: str = ''
     pool: str = ''
     status: int = 0
+    late_ms: float = 0
     pieces: int | list[int] = 0
     limit: str = ''
     queued: int = 0
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/loss_account.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/loss_account.py
@@ -29,6 +29,8 @@
         Those that were not, by cause and peer.
     routes : Counter of tuple of str and LossCause
         The same by route and cause.
+    late : Counter of str
+        Those that were served after their objective, by route.
     calls_by_pool : dict of str to PoolCalls
         Calls for pieces.
     """
@@ -37,13 +39,17 @@
     lost: Counter[int] = field(default_factory=Counter)
     causes: Counter[tuple[LossCause, str]] = field(default_factory=Counter)
     routes: Counter[tuple[str, LossCause]] = field(default_factory=Counter)
+    late: Counter[str] = field(default_factory=Counter)
     calls_by_pool: dict[str, PoolCalls] = field(default_factory=dict)
     _ended: set[str] = field(default_factory=set)
+    _answered_late: set[str] = field(default_factory=set)
 
     def take(self, line: LogLine) -> None:
         """Take one log line; lines about other things change nothing."""
         if line.event == 'pieces_done':
             self.calls_by_pool.setdefault(line.pool, PoolCalls()).note(line)
+        elif line.event == 'answered' and line.late_ms > 0:
+            self._answered_late.add(line.request_id)
         elif line.event in _ENDS and is_owed(line):
             self._take_end(line)
 
@@ -56,6 +62,7 @@
         self.owed[second] += 1
         cause = find_cause(line)
         if cause is None:
+            self.late[line.route] += line.request_id in self._answered_late
             return
         self.lost[second] += 1
         self.causes[cause, line.peer or line.pool] += 1
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/rendering.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/rendering.py
@@ -10,6 +10,7 @@
 _ROWS = 20
 _BAR_WIDTH = 40
 _PERCENT = 100
+_LATE = 'late'
 
 
 def render_account(account: LossAccount) -> Iterator[str]:
@@ -23,10 +24,15 @@
     """
     owed = account.owed.total()
     lost = account.lost.total()
-    yield f'{owed} requests, {lost} not served ({_share(lost, owed)})'
+    late = account.late.total()
+    yield (
+        f'{owed} requests, {lost} not served ({_share(lost, owed)}),'
+        f' {late} late ({_share(late, owed)})'
+    )
     if lost:
         yield ''
         yield from _render_causes(account, lost)
+    if lost or late:
         yield ''
         yield from _render_routes(account)
     if account.calls_by_pool:
@@ -43,9 +49,12 @@
 
 
 def _render_routes(account: LossAccount) -> Iterator[str]:
-    yield f'{"route":24}{"not served":24}{"requests":>9}'
-    for (route, cause), count in account.routes.most_common(_ROWS):
-        yield f'{route or "-":24}{cause:24}{count:9}'
+    rows = Counter(account.routes)
+    rows.update({(route, _LATE): late for route, late in account.late.items()})
+    yield f'{"route":24}{"not served, or late":24}{"requests":>9}'
+    for (route, cause), count in rows.most_common(_ROWS):
+        if count:
+            yield f'{route or "-":24}{cause:24}{count:9}'
 
 
 def _render_pools(account: LossAccount) -> Iterator[str]:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
@@ -136,7 +136,8 @@
     def note_answer(self, plan: AttemptPlan, status: int) -> None:
         """Note an answer that is passed on."""
         self._context.book.note_success(plan.instance.instance)
-        self._log(plan, 'answered', status=status)
+        late_ms = get_monotonic_ms() - self.job.get_goal_ms()
+        self._log(plan, 'answered', status=status, late_ms=round(late_ms))
 
     def note_error_answer(
         self,
--- a/packages/ragworthollow/src/ragworthollow/platform/store_client.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_client.py
@@ -1,178 +1,26 @@
-"""Call the platform's store."""
+"""Write to the platform's store."""
 
 import base64
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import Sequence
 from http import HTTPStatus
 
-import aiohttp
 import msgspec
-from result import Err, Ok, Result
+from result import Result
 
-from ragworthollow.conf import global_settings
 from ragworthollow.platform.exceptions import PlatformError
-from ragworthollow.platform.store_changes import StoreChanges
-from ragworthollow.platform.store_snapshot import StoreSnapshot
-from ragworthollow.platform.store_transport import (
-    UNLIMITED_BYTES,
-    StoreTransport,
-)
+from ragworthollow.platform.store_reader import StoreReader
 from ragworthollow.platform.store_wire import (
     ExpectedRevision,
-    Item,
     LeaseAnswer,
     LeaseCall,
-    RangePage,
     TransactionCall,
-    WatchPage,
     Write,
 )
-from ragworthollow.platform.stored import Stored
 from ragworthollow.platform.transaction import Compare, Put
 
 
-class StoreClient:
-    """
-    Read, write and watch keys of the store.
-
-    Parameters
-    ----------
-    session : aiohttp.ClientSession
-        Session to call with.
-    base_url : str
-        Address of the store.
-    prefix : str
-        Put before every key; keys that others write have none.
-    timeout_ms : float
-        Longest time without a byte of an answer.
-    """
-
-    def __init__(
-        self,
-        *,
-        session: aiohttp.ClientSession,
-        base_url: str,
-        prefix: str = '',
-        timeout_ms: float = global_settings.STORE_TIMEOUT_MS,
-    ) -> None:
-        self._transport = StoreTransport(
-            session=session,
-            base_url=base_url,
-            timeout_ms=timeout_ms,
-        )
-        self._prefix = prefix
-
-    @property
-    def calls(self) -> int:
-        """Return the number of calls made."""
-        return self._transport.calls
-
-    async def read(self, key: str) -> Result[Stored, PlatformError]:
-        """
-        Read one key, linearizably.
-
-        Returns
-        -------
-        Result
-            What is stored, absent keys included, or the store's failure.
-        """
-        answer = await self._transport.call(
-            'GET',
-            '/api/kv-key',
-            query={'key': f'{self._prefix}{key}'},
-            absent_status=HTTPStatus.NOT_FOUND,
-        )
-        return answer.map(
-            lambda body: (
-                Stored()
-                if body is None
-                else _to_stored(msgspec.json.decode(body, type=Item))
-            ),
-        )
-
-    async def read_prefix(
-        self,
-        prefix: str,
-    ) -> Result[StoreSnapshot, PlatformError]:
-        """
-        Read all keys that begin with `prefix`.
-
-        Pages are no snapshot by themselves; an error on any of them is an
-        error of all, so that a part of a list never passes for the whole.
-        """
-        found: dict[str, Stored] = {}
-        revision = 0
-        size_bytes = 0
-        query = {'path_prefix': f'{self._prefix}{prefix}'}
-        while True:
-            answer = await self._transport.call(
-                'GET',
-                '/api/kv-range',
-                query=query,
-            )
-            if isinstance(answer, Err):
-                return answer
-            page = msgspec.json.decode(answer.ok_value, type=RangePage)
-            revision = revision or page.as_of
-            size_bytes += len(answer.ok_value)
-            found.update(
-                (one.key.removeprefix(self._prefix), _to_stored(one))
-                for one in page.items
-            )
-            if not page.has_more or not page.items:
-                return Ok(
-                    StoreSnapshot(
-                        found=found,
-                        revision=revision,
-                        size_bytes=size_bytes,
-                    ),
-                )
-            query['after'] = page.items[-1].key
-
-    async def read_changes(
-        self,
-        prefix: str,
-        *,
-        after_revision: int,
-        longest_bytes: int,
-    ) -> Result[StoreChanges | None, PlatformError]:
-        """
-        Read what became of the keys under a prefix after a revision.
-
-        A watch that does not wait answers at once.  It may hear nothing while
-        changes are made; the store drops their history before it says of
-        anything later.  So the revision of the last change that was heard is
-        where the next question has to start: the revision that the answer
-        gives for the whole store would step over what was not heard.
-
-        Parameters
-        ----------
-        prefix : str
-            Of the keys.
-        after_revision : int
-            Of the last change that is known.
-        longest_bytes : int
-            Size from which reading everything is shorter: each change
-            comes with its whole value.
-
-        Returns
-        -------
-        Result
-            The changes; None where everything has to be read, since the
-            history is no longer kept or is too long.
-        """
-        answer = await self._call_watch(
-            prefix,
-            after_revision=after_revision,
-            wait_ms=0,
-            longest_bytes=longest_bytes,
-        )
-        return answer.map(
-            lambda page: (
-                None
-                if page is None or page.as_of < after_revision
-                else self._to_changes(page, after_revision)
-            ),
-        )
+class StoreClient(StoreReader):
+    """Write keys and hold leases, beside all that a reader does."""
 
     async def commit(
         self,
@@ -244,123 +92,3 @@
             absent_status=HTTPStatus.NOT_FOUND,
         )
         return answer.map(lambda _: True)
-
-    async def watch(
-        self,
-        prefix: str,
-        *,
-        after_revision: int,
-        wait_ms: int,
-    ) -> Result[WatchPage | None, PlatformError]:
-        """
-        Wait for changes of keys that begin with `prefix`.
-
-        Returns
-        -------
-        Result
-            The changes, perhaps none; None when the history after
-            `after_revision` is no longer kept and the keys must be read.
-        """
-        return await self._call_watch(
-            prefix,
-            after_revision=after_revision,
-            wait_ms=wait_ms,
-        )
-
-    async def follow(
-        self,
-        key: str,
-        *,
-        after_revision: int,
-        idle_ms: float,
-    ) -> AsyncIterator[Stored]:
-        """
-        Yield each change of one key until the store or its history is away.
-
-        Parameters
-        ----------
-        key : str
-            The key.
-        after_revision : int
-            Last revision that is known, so that no change falls between a
-            read and the watch.
-        idle_ms : float
-            Silence after which the watch ends; the caller reads the key
-            then, since watches may be silent while changes are made.
-        """
-        wait_ms = int(min(idle_ms, global_settings.WATCH_WAIT_MS))
-        idle_left_ms = idle_ms
-        while idle_left_ms > 0:
-            answer = await self.watch(
-                key,
-                after_revision=after_revision,
-                wait_ms=wait_ms,
-            )
-            if isinstance(answer, Err) or answer.ok_value is None:
-                return
-            page = answer.ok_value
-            after_revision = max(after_revision, page.as_of)
-            idle_left_ms = idle_ms if page.events else idle_left_ms - wait_ms
-            for event in page.events:
-                if not event.tombstone:
-                    yield _to_stored(event)
-
-    async def _call_watch(
-        self,
-        prefix: str,
-        *,
-        after_revision: int,
-        wait_ms: int,
-        longest_bytes: float = UNLIMITED_BYTES,
-    ) -> Result[WatchPage | None, PlatformError]:
-        answer = await self._transport.call(
-            'GET',
-            '/api/kv-watch',
-            query={
-                'path_prefix': f'{self._prefix}{prefix}',
-                'after': str(after_revision),
-                'wait_ms': str(wait_ms),
-            },
-            absent_status=HTTPStatus.GONE,
-            extra_ms=wait_ms,
-            longest_bytes=longest_bytes,
-        )
-        return answer.map(
-            lambda body: (
-                None
-                if body is None
-                else msgspec.json.decode(body, type=WatchPage)
-            ),
-        )
-
-    def _to_changes(self, page: WatchPage, after_revision: int) -> StoreChanges:
-        last = {
-            event.key.removeprefix(self._prefix): event for event in page.events
-        }
-        revision = max(
-            (event.rev for event in page.events),
-            default=after_revision,
-        )
-        return StoreChanges(
-            written={
-                key: _to_stored(event)
-                for key, event in last.items()
-                if not event.tombstone
-            },
-            removed={
-                key: event.rev for key, event in last.items() if event.tombstone
-            },
-            revision=revision,
-            is_whole=page.as_of <= revision,
-        )
-
-
-def _to_stored(item: Item) -> Stored:
-    return Stored(
-        # Values are any bytes; one that is no text belongs to somebody else,
-        # and must not spoil a read of everything.
-        text=base64.b64decode(item.encoded).decode(errors='replace'),
-        mod_revision=item.rev,
-        create_revision=item.create_revision,
-        read_revision=item.as_of,
-    )
--- a/tests/features/losses.feature
+++ b/tests/features/losses.feature
@@ -32,6 +32,12 @@
     When an operator asks for the losses
     Then the pool has 3 calls of 3.0 pieces, 33.3% of them full
 
+  Scenario: An answer after the objective is late, and not lost
+    Given log lines of an answer 20 ms late and one 300 ms in time
+    When an operator asks for the losses
+    Then 0 of 2 requests were not served
+    And 1 was late
+
   Scenario: Lines of others, and names before a line, do no harm
     Given a log line behind a time and a name, and lines that are no JSON
     When an operator asks for the losses
--- a/tests/features/steps/losses.py
+++ b/tests/features/steps/losses.py
@@ -41,6 +41,22 @@
     ]
 
 
+@given('log lines of an answer 20 ms late and one 300 ms in time')
+def write_answers(context):
+    context.log = []
+    for name, late_ms in (('a', 20), ('b', -300)):
+        context.log += [
+            _render(event='answered', request_id=name, late_ms=late_ms),
+            _render(event='request_ended', request_id=name, status=200),
+        ]
+
+
+@then('{late:d} was late')
+def check_late(context, late):
+    first = context.shown.stdout.splitlines()[0]
+    assert f', {late} late' in first, first
+
+
 @given('a log line behind a time and a name, and lines that are no JSON')
 def write_noise(context):
     served = _render(event='request_ended', request_id='a', status=200)
