--- a/tests/features/steps/upstreams.py
+++ b/tests/features/steps/upstreams.py
@@ -80,6 +80,30 @@
         context.directory.replace([_make_instance(0)], now_ms)
 
 
+@when('lists come every {pace:d} from {first:d} on and i1 has left at {left:d}')
+def show_leaving(context, pace, first, left):
+    context.left_ms = left
+    lists_ms = range(first, _LAST_LIST_MS, pace)
+    # It gets work until the first list after which it is not found.
+    context.until_ms = next(
+        now_ms
+        for now_ms in lists_ms
+        if not _replace_and_find(context.directory, now_ms, left)
+    )
+
+
+def _replace_and_find(directory, now_ms: int, left_ms: int) -> bool:
+    """Show a list, and tell whether i1 gets work after it."""
+    numbers = (0, 1) if now_ms < left_ms else (0,)
+    directory.replace([_make_instance(one) for one in numbers], now_ms)
+    return 'i1' in _get_names(directory)
+
+
+@then('i1 gets no work later than {bound_ms:d} after that')
+def check_bound(context, bound_ms):
+    assert context.until_ms - context.left_ms <= bound_ms, context.until_ms
+
+
 @then('i1 still gets work')
 def check_kept(context):
     assert _get_names(context.directory) == {'i0', 'i1'}
@@ -185,6 +209,7 @@
     )
 
 
+_LAST_LIST_MS = 9000
 _SEGMENTS = st.lists(st.sampled_from('ab'), max_size=4)
 
 
--- a/tests/features/upstreams.feature
+++ b/tests/features/upstreams.feature
@@ -16,6 +16,21 @@
     Then i1 still gets work
     And a list at 2700 that shows it no longer ends that
 
+  Scenario Outline: An instance leaves soon after the store was away
+    # A gateway had been cut off from the store.  Its list was whole again when
+    # an instance left a second later; it got requests for 2.3 s more, since any
+    # entry that went missing soon after an outage was taken for a lapsed one,
+    # for 1.4 s from then and up to the next list.
+    Given the store could not be read until 1000
+    When lists come every 600 from 1200 on and i1 has left at <left>
+    Then i1 gets no work later than 2000 after that
+
+    Examples:
+      | left |
+      | 1300 |
+      | 1900 |
+      | 2500 |
+
   Scenario: Requests that share a prompt go to the same instance
     # An engine keeps prompts that it has read; reading one again delays every
     # request that runs beside it.
