Let hosts of gates read the store for all, and hear from them what is in force

Cause: each gateway followed the store for itself, 1.67 reads and 0.67 renewals a second, at a pace derived once from a bound of 2 s.

Change: a read proves that its state was the newest when it began; the proof is handed on with the answers to pings, with its age counted from before the question, on the clock that counts suspended time. A gateway reads for itself as soon as its youngest proof is too old. Paces follow from the bounds in the settings. Where the store does not answer, two others are asked. Leases last 12 s and are renewed every 4 s. New: ragworthollow/replica; in virtual time measure/replica_fleet; store_news.feature with a model check and four variants that it catches.

Ruled out: each gateway for itself at the pace that the bound allows (38 reads a second with 68 gateways in the model, 169 with 300); two readers a failure domain (5 a second, but pings of their own); kept: 1 a second at any size.

store_bounds.feature keeps its scenarios and bounds; its steps now run the follower itself, since the loop that they ran is gone.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/configuration_follower.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/configuration_follower.py
@@ -32,9 +32,8 @@
     def __init__(self, *, context: GatewayContext) -> None:
         self._context = context
         self._revision = 0
-        self._is_reachable = True
 
-    def take(self, found: Mapping[str, Stored], asked_ms: float) -> None:
+    def take(self, found: Mapping[str, Stored], _asked_ms: float) -> None:
         """
         Take what the store holds; a failure keeps the version in force.
 
@@ -42,18 +41,13 @@
         ----------
         found : mapping of str to Stored
             All keys.
-        asked_ms : float
-            When they were asked for, on the monotonic clock.
         """
-        self._note_reachable(reachable=True, detail='')
-        self._context.table_read_ms = asked_ms
         stored = found.get(CONFIGURATION_KEY, Stored())
         if stored.mod_revision > self._revision:
             self._take(stored)
 
-    def note_lost(self, detail: str) -> None:
-        """Note that the store could not be read."""
-        self._note_reachable(reachable=False, detail=detail)
+    def note_lost(self, _detail: str) -> None:
+        """Keep the version in force."""
 
     def _take(self, stored: Stored) -> None:
         decoded = decode_configuration(stored.text.encode())
@@ -92,15 +86,3 @@
             revision=stored.mod_revision,
             earlier=None if current is None else current.version,
         )
-
-    def _note_reachable(self, *, reachable: bool, detail: str) -> None:
-        if reachable == self._is_reachable:
-            return
-        self._is_reachable = reachable
-        event = 'dependency_regained' if reachable else 'dependency_lost'
-        log_event(
-            event,
-            step=_STEP,
-            peer=self._context.settings.store_url,
-            error=detail,
-        )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -11,6 +11,7 @@
 from ragworthollow.logs.events import log_error
 from ragworthollow.metrics import InvariantMonitor, Metrics
 from ragworthollow.platform.store_client import StoreClient
+from ragworthollow.replica import Replica
 from ragworthollow.retries import RetryBudget
 from ragworthollow.routes import RequestLimits, RouteTable
 from ragworthollow.transport.checked_connector import make_upstream_session
@@ -52,10 +53,9 @@
             session=self.session,
             base_url=settings.store_url,
         )
+        self.replica = Replica()
         self.table: RouteTable | None = None
         self._table_came = asyncio.Event()
-        # When the store was asked that last said which table is in force.
-        self.table_read_ms = float('-inf')
         self.directory = Directory()
         self.book = LoadBook()
         self._answer_times: dict[str, AnswerTime] = {}
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
@@ -8,7 +8,7 @@
 from ragworthollow.logs.events import log_event
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.platform.request_wire import read_terms
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.admission import Admission
 from ragworthollow_daemon.gateway.answer_progress import AnswerProgress
 from ragworthollow_daemon.gateway.context import GatewayContext
@@ -135,7 +135,9 @@
             version_age_ms=(
                 None
                 if table is None
-                else round(get_monotonic_ms() - self._context.table_read_ms)
+                else round(
+                    self._context.replica.evidence.get_age_ms(get_boottime_ms())
+                )
             ),
             status=response.status,
             outcome=outcome,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
@@ -1,7 +1,7 @@
 """Register this gateway and follow the others."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import aiohttp
 import msgspec
@@ -14,11 +14,13 @@
 from ragworthollow.pieces import AnnouncedWork
 from ragworthollow.platform.stored import Stored
 from ragworthollow.platform.transaction import Put
+from ragworthollow.replica import StoreNews
 from ragworthollow.transport.host_messages import (
     GatewayPing,
     HostState,
     MemberChange,
 )
+from ragworthollow.utils import get_boottime_ms
 from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
 from ragworthollow_daemon.gateway.peer_notes import tell_peer
 
@@ -44,6 +46,8 @@
         Where the others are kept.
     announced : AnnouncedWork
         Work that hosts are told of.
+    take_news : callable
+        Takes what a host tells of the store, and when it was asked.
     """
 
     def __init__(
@@ -52,8 +56,10 @@
         context: GatewayContext,
         members: GatewayMembers,
         announced: AnnouncedWork,
+        take_news: Callable[[StoreNews, float], bool],
     ) -> None:
         self._context = context
+        self._take_news = take_news
         self._members = members
         self._announced = announced
         self._lease = 0
@@ -64,12 +70,17 @@
         """Register and follow until cancelled."""
         announced_lease = 0
         while True:
-            await self._keep_entry()
+            is_kept = await self._keep_entry()
             # Those to be told are known from the first read of the store.
             if self._is_listed and self._lease != announced_lease:
                 announced_lease = self._lease
                 await self._announce()
-            await asyncio.sleep(global_settings.MEMBER_POLL_MS / 1000)
+            pause_ms = (
+                global_settings.MEMBER_RENEWAL_MS
+                if is_kept and self._is_listed
+                else global_settings.MEMBER_RETRY_MS
+            )
+            await asyncio.sleep(pause_ms / 1000)
 
     async def watch_hosts(self) -> None:
         """Ask the hosts of gates whether they live, until cancelled."""
@@ -103,24 +114,27 @@
         except TimeoutError:
             log_event('entry_left', step=_STEP, lease=self._lease)
 
-    async def _keep_entry(self) -> None:
+    async def _keep_entry(self) -> bool:
+        """Renew or write the entry, and tell whether that has worked."""
         if self._lease:
             renewed = await self._context.store.renew_lease(self._lease)
             # A renewal without an answer may have worked; only a plain no
             # calls for a new lease.
             if isinstance(renewed, Err) or renewed.ok_value:
-                return
+                return not isinstance(renewed, Err)
             log_event('lease_lapsed', step=_STEP, lease=self._lease)
         self._lease = 0
         granted = await self._context.store.grant_lease(
             global_settings.MEMBER_LEASE_MS,
         )
         if isinstance(granted, Err):
-            return
+            return False
         lease = granted.ok_value
-        if await self._write_entry(lease):
-            self._lease = lease
-            log_event('registered', step=_STEP, lease=lease)
+        if not await self._write_entry(lease):
+            return False
+        self._lease = lease
+        log_event('registered', step=_STEP, lease=lease)
+        return True
 
     async def _write_entry(self, lease: int) -> bool:
         entry = self._make_member()
@@ -204,7 +218,9 @@
             instance=self._context.settings.instance,
             incarnation=self._context.incarnation,
             announced=self._announced.get_counts(),
+            store_revision=self._context.replica.view.revision,
         )
+        asked_ms = get_boottime_ms()
         try:
             async with self._context.session.post(
                 f'http://{host.peer_address}{PING_PATH}',
@@ -226,6 +242,8 @@
         ) as error:
             self._note_silent(host, repr(error))
             return
+        if state.instance == host.instance and state.store is not None:
+            self._take_news(state.store, asked_ms)
         self.take_state(host, state)
 
     def take_state(self, host: GatewayMember, state: HostState) -> None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -6,6 +6,7 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.membership.gateway_members import GatewayMembers
+from ragworthollow.replica import NewsQuestion, encode_news
 from ragworthollow.transport.host_messages import (
     GatewayPing,
     HostState,
@@ -19,13 +20,14 @@
     encode_results,
 )
 from ragworthollow.transport.responses import Problem, respond
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.gate_handover import (
     TRANSFER_PATH,
     GateHandover,
 )
 from ragworthollow_daemon.gateway.membership import CHANGE_PATH, PING_PATH
+from ragworthollow_daemon.gateway.news_client import NEWS_PATH
 from ragworthollow_daemon.gateway.piece_exchange import FREE_PATH, RUN_PATH
 from ragworthollow_daemon.gateway.piece_service import PieceService
 
@@ -68,6 +70,7 @@
         )
         application.router.add_post(PING_PATH, self.answer_ping)
         application.router.add_post(CHANGE_PATH, self.learn_change)
+        application.router.add_post(NEWS_PATH, self.tell_news)
         application.router.add_post(RUN_PATH, self.run_pieces)
         application.router.add_post(FREE_PATH, self.free_results)
         application.router.add_post(TRANSFER_PATH, self.take_gate)
@@ -93,9 +96,30 @@
                 can_host=self._context.can_host(),
                 is_leaving=self._context.drain.is_draining,
                 waits_ms=self._service.get_waits_ms(),
+                store=self._context.replica.make_news(
+                    after_revision=ping.store_revision,
+                    now_ms=get_boottime_ms(),
+                    longest_bytes=global_settings.NEWS_BYTES,
+                ),
             ),
         )
 
+    async def tell_news(self, request: web.Request) -> web.Response:
+        """Tell a gateway that cannot read the store what it holds."""
+        body = await request.read()
+        try:
+            question = msgspec.json.decode(body, type=NewsQuestion)
+        except msgspec.DecodeError as error:
+            return respond(Problem(error=str(error)), status=_BAD_REQUEST)
+        self._context.metrics.count_event('store_news_told')
+        news = self._context.replica.make_news(
+            after_revision=question.after_revision,
+            now_ms=get_boottime_ms(),
+            longest_bytes=float('inf'),
+            may_be_snapshot=True,
+        )
+        return web.Response(body=encode_news(news))
+
     async def learn_change(self, request: web.Request) -> web.Response:
         """Take what another gateway says of itself."""
         body = await request.read()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/poll_pace.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/poll_pace.py
@@ -1,20 +1,13 @@
 """Decide when the store is asked again."""
 
-import asyncio
-from collections.abc import Awaitable, Callable
-
 from ragworthollow.conf import global_settings
 
-_DOUBLINGS = 3
-_MILLISECONDS = 1000
+_DOUBLINGS = 8
 
 
-async def poll_forever(
-    poll: Callable[[], Awaitable[bool]],
-    interval_ms: float,
-) -> None:
+def get_retry_ms(failures: int, longest_ms: float) -> float:
     """
-    Poll until cancelled.
+    Return the pause before the next try of a call that has failed.
 
     The first failure is followed by another try at once, since a call that
     was lost right before a change would delay that change by a whole
@@ -22,22 +15,10 @@
 
     Parameters
     ----------
-    poll : callable
-        Asks once and tells whether the store answered.
-    interval_ms : float
-        Time between the beginnings of polls that are answered.  An answer
-        may take seconds to come; a pause after it would delay a change by
-        both.
+    failures : int
+        Tries that have failed in a row, one at least.
+    longest_ms : float
+        Longest pause: the end of an outage has to be noticed in time.
     """
-    loop = asyncio.get_running_loop()
-    failures = 0
-    while True:
-        began_s = loop.time()
-        has_answered = await poll()
-        failures = 0 if has_answered else failures + 1
-        took_ms = (loop.time() - began_s) * _MILLISECONDS
-        pause_ms = max(0, interval_ms - took_ms)
-        if failures:
-            doublings = min(failures - 1, _DOUBLINGS)
-            pause_ms = global_settings.STORE_RETRY_MS * 2**doublings
-        await asyncio.sleep(pause_ms / _MILLISECONDS)
+    doublings = min(failures - 1, _DOUBLINGS)
+    return min(longest_ms, global_settings.STORE_RETRY_MS * 2**doublings)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -13,6 +13,7 @@
     ConfigurationFollower,
 )
 from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.following import make_store_follower
 from ragworthollow_daemon.gateway.front import Front
 from ragworthollow_daemon.gateway.gate_handover import GateHandover
 from ragworthollow_daemon.gateway.instances_follower import InstancesFollower
@@ -22,7 +23,6 @@
 from ragworthollow_daemon.gateway.piece_service import PieceService
 from ragworthollow_daemon.gateway.readiness import Readiness
 from ragworthollow_daemon.gateway.status_routes import StatusRoutes
-from ragworthollow_daemon.gateway.store_follower import StoreFollower
 
 # The drain has waited for requests already; this closes what is idle.
 _SHUTDOWN_S = 0.1
@@ -47,6 +47,10 @@
             context=self.context,
             members=self.members,
             announced=self._service.get_gates().announced,
+            take_news=lambda news, asked_ms: self._follower.take_news(
+                news,
+                asked_ms,
+            ),
         )
         self._pieces = PieceClient(
             context=self.context,
@@ -58,8 +62,9 @@
             members=self.members,
             gates=self._service.get_gates(),
         )
-        self._follower = StoreFollower(
+        self._follower = make_store_follower(
             context=self.context,
+            members=self.members,
             followers=(
                 InstancesFollower(
                     context=self.context,
--- a/packages/ragworthollow/src/ragworthollow/conf/gateway_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/gateway_settings.py
@@ -33,6 +33,11 @@
         a share of requests and as a number beside it.
     cpu_share : float
         Share of a core that this process has.
+    configuration_bound_ms, leaving_bound_ms : float
+        Time from the store's acceptance in which a configuration has to be
+        in force, and in which an instance that leaves gets its last request.
+    instance_heartbeat_ms : float
+        Pace at which instances renew their entries in the store.
     """
 
     role: Literal['gateway']
@@ -47,3 +52,6 @@
     retry_ratio: float = global_settings.GATEWAY_RETRY_RATIO
     retry_slack: float = global_settings.GATEWAY_RETRY_SLACK
     cpu_share: float = 1.0
+    configuration_bound_ms: float = global_settings.CONFIGURATION_BOUND_MS
+    leaving_bound_ms: float = global_settings.LEAVING_BOUND_MS
+    instance_heartbeat_ms: float = global_settings.INSTANCE_HEARTBEAT_MS
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -247,11 +247,43 @@
 # The store answers in milliseconds; a call that hears nothing for this long
 # runs on a silent connection.
 STORE_TIMEOUT_MS = 450
-# Configuration and instances must be in force within 2 s.  A poll that is
-# lost right before a change is noticed after 450 ms and made again at once,
-# so that the change is seen after 600 + 450 + 50 ms and a read.
-STORE_POLL_MS = 600
+# Pause before the second try of a call that was lost.
 STORE_RETRY_MS = 50
+# What the store and another gateway take for an answer, the way included.
+STORE_ANSWER_MS = 50
+PEER_ANSWER_MS = 50
+# Part of the bound of a change in which it is seen although one call is lost;
+# the rest is for a core that is taken away and for putting it in force.
+CHANGE_SEEN_SHARE = 0.65
+# Part of the longest age of evidence at which the first gateway reads, at
+# least: earlier ones buy nothing where the bound is tight.
+READ_LEAST_SHARE = 0.4
+# Longest pause between tries while the store is away, as a part of the bound.
+STORE_RETRY_SHARE = 0.2
+# How far gateways that hear from nobody spread their reads, as a part of the
+# longest age: they would all read at the same moment otherwise.
+TRUST_SPREAD = 0.15
+# What the installation allows where the settings do not say.
+CONFIGURATION_BOUND_MS = 2_000
+LEAVING_BOUND_MS = 2_000
+INSTANCE_HEARTBEAT_MS = 1_200
+# Longest time for which a gateway takes the word of others for the store: one
+# that is wrong would be believed for ever.
+STORE_SELF_CHECK_MS = 30_000
+# How often followers are told that nothing has changed; entries that lapsed in
+# an outage end by that.
+FOLLOWERS_TOLD_MS = 500
+# Removed keys that are remembered for other gateways; one that knows less
+# reads everything.
+REMOVED_KEYS_KEPT = 1_000
+# Size of changes up to which the answer to a ping carries them: hundreds of
+# gateways ask the same host, whose link may be thin.
+NEWS_BYTES = 4_096
+# Longest news that are unpacked: a few times what the store's largest value and
+# the entries of a thousand instances take.
+NEWS_LONGEST_BYTES = 8_000_000
+# Gateways that are asked when the store does not answer.
+NEWS_PEERS_ASKED = 2
 # How often all keys are read although their changes are followed, as a guard
 # against a change that no watch tells of.
 STORE_REREAD_MS = 5_000
@@ -265,9 +297,12 @@
 # 1 MB (1.4 MB as sent), takes 2.2 s at 5 Mbit/s, and four times that beside
 # callers' traffic and another read.
 EXCHANGE_LIMIT_MS = 10_000
-# Membership of gateways: a lease outlives two lost renewals.
-MEMBER_LEASE_MS = 4_000
-MEMBER_POLL_MS = 1_500
+# Membership of gateways.  The entry of one that is gone costs pings that are
+# not answered; one that lapses while its gateway lives costs it its gates and
+# the others a part of the retry budget.  So it outlives two lost renewals.
+MEMBER_LEASE_MS = 12_000
+MEMBER_RENEWAL_MS = 4_000
+MEMBER_RETRY_MS = 1_500
 # How long a process that ends waits for the store to drop its entry; part of
 # `GATEWAY_STOP_MARGIN_MS`, and the lease ends by itself.
 MEMBER_END_TIMEOUT_MS = 100
--- a/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
+++ b/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
@@ -7,6 +7,7 @@
 from ragworthollow.utils.hashing import get_rank
 
 WaitsByPool = Mapping[str, list[float]]
+_READERS = 'readers of the store'
 
 
 class GatewayMembers:
@@ -97,6 +98,21 @@
         }
         return list(hosts.values())
 
+    def get_reader_place(self) -> int | None:
+        """
+        Return the place of this gateway among the hosts, which all others ask.
+
+        Returns
+        -------
+        int or None
+            0 for the first; None when it hosts no gate.
+        """
+        hosts = {one.instance for one in self.get_hosts()}
+        if not any(self.find_host(pool) is None for pool in self._pools):
+            return None
+        own_rank = get_rank(_READERS, self._instance)
+        return sum(get_rank(_READERS, one) > own_rank for one in hosts)
+
     def count(self) -> int:
         """Return the number of gateways, this one included."""
         return len(self._members.keys() | {self._instance})
--- a/packages/ragworthollow/src/ragworthollow/transport/host_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/host_messages.py
@@ -1,6 +1,7 @@
 """Define what gateways say to each other about themselves."""
 
 from ragworthollow.membership.gateway_member import GatewayMember
+from ragworthollow.replica.store_news import StoreNews
 from ragworthollow.utils.message import Message
 
 
@@ -16,11 +17,14 @@
         Which of its processes.
     announced : dict
         Pieces that its requests will need later, by pool and priority.
+    store_revision : int
+        Up to which it knows what the store holds.
     """
 
     instance: str
     incarnation: str
     announced: dict[str, list[int]] = {}
+    store_revision: int = 0
 
 
 class HostState(Message):
@@ -38,12 +42,15 @@
         Whether it is stopping: it finishes what it has, and takes no more.
     waits_ms : dict
         Expected waits of a new piece, by pool and priority.
+    store : StoreNews, optional
+        What it knows of the store; nothing before its first read.
     """
 
     instance: str
     can_host: bool = True
     is_leaving: bool = False
     waits_ms: dict[str, list[float]] = {}
+    store: StoreNews | None = None
 
 
 class MemberChange(Message):
--- a/packages/ragworthollow/src/ragworthollow/utils/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/utils/__init__.py
@@ -1,6 +1,7 @@
 """Hold small parts that belong to no subject: clocks, identifiers, YAML."""
 
 from ragworthollow.utils.clock import (
+    get_boottime_ms,
     get_monotonic_ms,
     get_wall_ms,
     use_monotonic,
@@ -13,6 +14,7 @@
     'Message',
     'StrictMessage',
     'get_birth_ms',
+    'get_boottime_ms',
     'get_monotonic_ms',
     'get_rank',
     'get_wall_ms',
--- a/packages/ragworthollow/src/ragworthollow/utils/clock.py
+++ b/packages/ragworthollow/src/ragworthollow/utils/clock.py
@@ -12,14 +12,23 @@
     return time.monotonic_ns() / _NANOSECONDS_PER_MILLISECOND
 
 
+def _read_boottime_ms() -> float:
+    ticks = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+    return ticks / _NANOSECONDS_PER_MILLISECOND
+
+
 @dataclass(kw_only=True, slots=True)
 class _Clock:
-    """Hold what the monotonic clock is read from."""
+    """Hold what the clocks are read from."""
 
     read_ms: Callable[[], float]
+    read_boottime_ms: Callable[[], float]
 
 
-_clock = _Clock(read_ms=_read_steady_ms)
+_clock = _Clock(
+    read_ms=_read_steady_ms,
+    read_boottime_ms=_read_boottime_ms,
+)
 
 
 def get_monotonic_ms() -> float:
@@ -34,6 +43,19 @@
     return _clock.read_ms()
 
 
+def get_boottime_ms() -> float:
+    """
+    Return a clock that never goes back and counts suspended time.
+
+    Returns
+    -------
+    float
+        Milliseconds since an arbitrary start of this machine.  The monotonic
+        clock stands still while the machine is suspended.
+    """
+    return _clock.read_boottime_ms()
+
+
 @contextmanager
 def use_monotonic(read_ms: Callable[[], float]) -> Iterator[None]:
     """
@@ -42,14 +64,17 @@
     Parameters
     ----------
     read_ms : callable
-        Returns milliseconds and never goes back.
+        Returns milliseconds and never goes back; nothing is suspended.
     """
-    earlier = _clock.read_ms
+    earlier_ms = _clock.read_ms
+    earlier_boottime_ms = _clock.read_boottime_ms
     _clock.read_ms = read_ms
+    _clock.read_boottime_ms = read_ms
     try:
         yield
     finally:
-        _clock.read_ms = earlier
+        _clock.read_ms = earlier_ms
+        _clock.read_boottime_ms = earlier_boottime_ms
 
 
 def get_wall_ms() -> float:
--- a/tests/features/steps/lost_calls.py
+++ b/tests/features/steps/lost_calls.py
@@ -280,6 +280,7 @@
         context=SimpleNamespace(),
         members=context.members,
         announced=None,
+        take_news=lambda _news, _asked_ms: False,
     )
 
 
--- a/tests/features/steps/store_bounds.py
+++ b/tests/features/steps/store_bounds.py
@@ -1,7 +1,6 @@
 """Steps of the time in which a change of the store is noticed."""
 
 import asyncio
-import contextlib
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -10,13 +9,10 @@
 from hypothesis import strategies as st
 
 from measure.fleet_model.virtual_time import run_virtually
+from measure.replica_fleet.store_session import StoreSession
 from ragworthollow.conf import global_settings
-from ragworthollow.metrics import Metrics
-from ragworthollow.platform import StoreClient
 from ragworthollow.utils import use_monotonic
-from ragworthollow_daemon.gateway.poll_pace import poll_forever
-from ragworthollow_daemon.gateway.store_follower import StoreFollower
-from tests.fixtures.store_session import StoreSession
+from tests.fixtures.store_followers import make_follower
 from tests.standins.thin_link import BYTES_PER_MBIT
 
 _END_S = 30
@@ -25,48 +21,13 @@
 _EXAMPLES = settings(max_examples=300, deadline=None, derandomize=True)
 
 
-class _Store:
-    """Answer polls, but for a while; note when each answered one was asked."""
-
-    def __init__(self, answer_ms: int, away_from_ms: int, away_to_ms: int):
-        self._answer_ms = answer_ms
-        self._away_from_ms = away_from_ms
-        self._away_to_ms = away_to_ms
-        # When the answer was made at the store, and when it was here.
-        self.answers: list[tuple[float, float]] = []
-
-    async def poll(self) -> bool:
-        loop = asyncio.get_running_loop()
-        asked_ms = loop.time() * 1000
-        if self._away_from_ms <= asked_ms < self._away_to_ms:
-            await asyncio.sleep(global_settings.STORE_TIMEOUT_MS / 1000)
-            return False
-        await asyncio.sleep(self._answer_ms / 1000)
-        self.answers.append((asked_ms, loop.time() * 1000))
-        return True
-
-    def find_seen_ms(self, changed_ms: float) -> float:
-        """Return when a change was first seen."""
-        return next(
-            here_ms
-            for asked_ms, here_ms in self.answers
-            if asked_ms >= changed_ms
-        )
-
-
-def _run(answer_ms: int, away_from_ms: int, away_to_ms: int) -> _Store:
-    store = _Store(answer_ms, away_from_ms, away_to_ms)
-
-    async def poll_for_a_while():
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_END_S):
-                await poll_forever(
-                    store.poll,
-                    global_settings.STORE_POLL_MS,
-                )
-
-    run_virtually(poll_for_a_while())
-    return store
+def _run(answer_ms: int, away_ms: range, changed_ms: int) -> float:
+    """Return how long it took until a change was seen."""
+    session = StoreSession()
+    session.answer_ms = answer_ms
+    session.lost_ms = away_ms
+    case = SimpleNamespace(size_bytes=1, is_mute=False, later_ms=0)
+    return run_virtually(_change(case, session, changed_ms))
 
 
 @given('polls that are answered in {answer_ms:d} ms and one of which is lost')
@@ -92,8 +53,9 @@
     @given_any(_MOMENTS_MS, st.integers(1, context.longest_ms), _MOMENTS_MS)
     def explore(away_from_ms, away_ms, changed_ms):
         away_to_ms = away_from_ms + away_ms
-        store = _run(context.answer_ms, away_from_ms, away_to_ms)
-        seen_ms = store.find_seen_ms(changed_ms)
+        away = range(away_from_ms, away_to_ms)
+        waited_ms = _run(context.answer_ms, away, changed_ms)
+        seen_ms = changed_ms + waited_ms
         context.cases.append((changed_ms, away_to_ms, seen_ms))
 
     explore()
@@ -133,20 +95,20 @@
 
 async def _change_once(case, changed_ms: int, lost_from_ms: int) -> float:
     """Return how long it took until a change was seen."""
-    loop = asyncio.get_running_loop()
-    watcher = _Watcher()
     session = StoreSession(case.bytes_per_s)
     # Any span shorter than the timeout contains the start of one call at most.
     session.lost_ms = range(
         lost_from_ms,
         lost_from_ms + global_settings.STORE_TIMEOUT_MS,
     )
+    return await _change(case, session, changed_ms)
+
+
+async def _change(case, session: StoreSession, changed_ms: int) -> float:
+    loop = asyncio.get_running_loop()
+    watcher = _Watcher()
     session.put(_CONFIGURATION, case.size_bytes)
-    client = StoreClient(session=session, base_url='http://store')
-    follower = StoreFollower(
-        context=SimpleNamespace(store=client, metrics=Metrics()),
-        followers=(watcher,),
-    )
+    follower = make_follower(session, watcher)
     with use_monotonic(loop.get_ms):
         polling = asyncio.ensure_future(follower.run())
         await asyncio.sleep(changed_ms / 1000)
--- a/tests/features/steps/store_view.py
+++ b/tests/features/steps/store_view.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from dataclasses import replace
-from types import SimpleNamespace
 
 from behave import then, when
 from hypothesis import given as given_any
@@ -10,11 +9,10 @@
 from hypothesis import strategies as st
 
 from measure.fleet_model.virtual_time import run_virtually
-from ragworthollow.metrics import Metrics
+from measure.replica_fleet.store_session import StoreSession
 from ragworthollow.platform import StoreClient
 from ragworthollow.utils import use_monotonic
-from ragworthollow_daemon.gateway.store_follower import StoreFollower
-from tests.fixtures.store_session import StoreSession
+from tests.fixtures.store_followers import make_follower
 
 _KEYS = st.sampled_from(('op/config', 'servers/a', 'servers/b'))
 _MOVES = st.lists(
@@ -53,10 +51,11 @@
 
     def __init__(self, make_client) -> None:
         self.session = StoreSession()
-        client = make_client(session=self.session, base_url='http://store')
-        client.session = self.session
-        context = SimpleNamespace(store=client, metrics=Metrics())
-        self._follower = StoreFollower(context=context, followers=(self,))
+        self._follower = make_follower(
+            self.session,
+            self,
+            make_client=make_client,
+        )
         self.is_same = True
 
     def take(self, found, _asked_ms) -> None:
--- /dev/null
+++ b/tests/features/store_news.feature
@@ -0,0 +1,88 @@
+Feature: Gateways tell each other what the store holds
+
+  Scenario Outline: Reads of the store do not grow with the fleet
+    # Every gateway asked the store for itself, 1.7 times a second; hundreds of
+    # them spent more on that than on all else that is paid for.
+    Given <gateways> gateways that ask the same three, and a bound of 4000 ms
+    When keys of the store change while nothing else happens
+    Then the fleet reads the store at most 2 times a second
+    And every gateway sees each change within 2600 ms
+
+    Examples:
+      | gateways |
+      | 4        |
+      | 68       |
+      | 300      |
+
+  Scenario Outline: Those that the others ask are in trouble
+    # An instance left while the gateways that read for all others were killed,
+    # stood still or were turned away by the store.  The others had heard
+    # nothing new since, and must not go on with what they knew.
+    Given 25 gateways that ask the same three, and a bound of <bound> ms
+    And the first <count> of them are <trouble> for 6 s
+    When keys of the store change all the while
+    Then every other gateway sees each change within <seen> ms
+    And no gateway ever goes back to an older state
+
+    Examples:
+      | bound | count | trouble | seen |
+      | 4000  | 1     | cut     | 2600 |
+      | 4000  | 3     | cut     | 2600 |
+      | 4000  | 1     | frozen  | 2600 |
+      | 4000  | 3     | frozen  | 2600 |
+      | 4000  | 1     | refused | 2600 |
+      | 4000  | 3     | refused | 2600 |
+      | 4000  | 3     | slow    | 2600 |
+      | 2000  | 1     | cut     | 1300 |
+      | 2000  | 3     | frozen  | 1300 |
+      | 2000  | 3     | refused | 1300 |
+
+  Scenario: The store turns a gateway away
+    # Keys were taken away from callers while the store turned a third of the
+    # gateways away: these served the old keys for nine seconds.
+    Given 25 gateways that ask the same three, and a bound of 4000 ms
+    And the last 8 of them are refused for 6 s
+    When keys of the store change all the while
+    Then every gateway sees each change within 2600 ms
+    And no gateway ever goes back to an older state
+
+  Scenario: Watches are silent and their history is dropped
+    Given 25 gateways that ask the same three, and a bound of 4000 ms
+    And the store's watches hear nothing for 2 s and lose their history
+    When keys of the store change all the while
+    Then every gateway sees each change within 2600 ms
+    And no gateway ever goes back to an older state
+
+  Scenario: A large value behind thin links
+    # The answer to a ping carries no large value: the link of the gateway that
+    # all ask would carry it once for each of them.
+    Given 25 gateways that ask the same three, and a bound of 4000 ms
+    And values of 290 kB behind links of 5 Mbit/s
+    When one key of the store changes
+    Then every gateway sees each change within 2600 ms
+    And no answer to a ping is larger than 8192 bytes
+
+  Scenario: Paces follow from the bound
+    # A deployment that allows two seconds and one that allows ten are both
+    # read as rarely as their bound allows.
+    When the paces for bounds from 1000 to 10000 ms are derived
+    Then a lost call and its repeat fit into 0.65 of each from 2000 ms on
+    And no outage that lets entries lapse goes unnoticed
+
+  Scenario: News in any order never take a copy back
+    # A key that was taken away came back to life: what a slow gateway had said
+    # of it arrived after the store's own answer.
+    When gateways read, ask and hear in any order, also late
+    Then each copy is a state that the store had, and its evidence is true
+
+  Scenario Outline: Variants that are wrong are found out
+    # Keeps the scenario above honest: the same orders have to show them.
+    When gateways that <fault> read, ask and hear in any order, also late
+    Then a copy is no state that the store had, or its evidence is false
+
+    Examples:
+      | fault                             |
+      | take what was overtaken           |
+      | count the age from the arrival    |
+      | have a clock that stands still    |
+      | believe a revision without content |
