Keep members that spoke since the list, and stop when a loop has ended

Cause of the first: copies of the store are now up to 1.3 s old on a calm large fleet, and followers are told four times a second; a gateway that had just announced itself was forgotten until the copy had it, and its gates moved twice. A list drops a member only where it is younger than what the member said.

It now stops in the regular way.

Both scenarios failed without their guard and pass with it.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -3,7 +3,8 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Coroutine
+import signal
+from collections.abc import Callable, Coroutine
 
 import aiohttp
 
@@ -27,6 +28,10 @@
 from ragworthollow_daemon.gateway.stop_state import StopState
 
 
+def _terminate() -> None:
+    signal.raise_signal(signal.SIGTERM)
+
+
 class GatewayContext:
     """
     Own the sessions, the metrics and the state of one gateway.
@@ -37,9 +42,17 @@
     ----------
     settings : GatewaySettings
         Checked settings.
+    ask_to_stop : callable
+        Has this process stop in the regular way.
     """
 
-    def __init__(self, *, settings: GatewaySettings) -> None:
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        ask_to_stop: Callable[[], None] = _terminate,
+    ) -> None:
+        self._ask_to_stop = ask_to_stop
         self.settings = settings
         self.incarnation = make_identifier()
         self.metrics = Metrics()
@@ -122,11 +135,25 @@
         for pool, budget in self._budgets.items():
             budget.set_burst(self._get_burst(pool))
 
-    def spawn(self, coroutine: Coroutine[None, None, None]) -> None:
-        """Run a loop or a task of this process until it closes."""
+    def spawn(
+        self,
+        coroutine: Coroutine[None, None, None],
+    ) -> asyncio.Task[None]:
+        """Run a task of this process until it ends or the process closes."""
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._end_task)
+        return task
+
+    def spawn_loop(self, coroutine: Coroutine[None, None, None]) -> None:
+        """
+        Run a loop that this process cannot do without.
+
+        A gateway whose loop has ended by an error goes on serving what it
+        knew then, keys that were taken away included.  So it stops, and is
+        started again.
+        """
+        self.spawn(coroutine).add_done_callback(self._end_loop)
 
     async def close(self) -> None:
         """End the loops and the sessions."""
@@ -143,6 +170,10 @@
             return max(1, used * global_settings.HOST_RETRY_SHARE)
         return max(1, used / max(self._members, 4))
 
+    def _end_loop(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._ask_to_stop()
+
     def _end_task(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if task.cancelled():
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
@@ -181,10 +181,10 @@
             ),
         )
 
-    def take(self, found: Mapping[str, Stored], _asked_ms: float) -> None:
-        """Take the members from a read of the store."""
+    def take(self, found: Mapping[str, Stored], proved_ms: float) -> None:
+        """Take the members, known to be the newest as of `proved_ms`."""
         earlier = self._members.get_members().keys()
-        self._members.replace(_decode(found))
+        self._members.replace(_decode(found), proved_ms)
         self._is_listed = True
         present = self._members.get_members().keys()
         self._context.set_members(self._members.count())
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -127,7 +127,7 @@
             change = msgspec.json.decode(body, type=MemberChange)
         except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=_BAD_REQUEST)
-        self._members.learn(change)
+        self._members.learn(change, get_monotonic_ms())
         self._context.set_members(self._members.count())
         log_event(
             'member_announced',
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -120,10 +120,10 @@
                 self._settings.metrics_address,
                 status.make_application(),
             )
-        self.context.spawn(self._follower.run())
-        self.context.spawn(self._tick(front))
-        self.context.spawn(self.membership.run())
-        self.context.spawn(self.membership.watch_hosts())
+        self.context.spawn_loop(self._follower.run())
+        self.context.spawn_loop(self._tick(front))
+        self.context.spawn_loop(self.membership.run())
+        self.context.spawn_loop(self.membership.watch_hosts())
 
     def begin_stop(self) -> None:
         """Turn readiness off, and refuse what cannot be finished here."""
--- a/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
+++ b/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
@@ -1,5 +1,6 @@
 """Know the gateways and choose which of them hosts a gate."""
 
+import math
 from collections.abc import Iterable, Mapping
 
 from ragworthollow.membership.gateway_member import GatewayMember
@@ -35,6 +36,8 @@
         self._ranked: dict[str, list[str]] = {}
         self._members: dict[str, GatewayMember] = {}
         self._silent: set[str] = set()
+        # Members that spoke for themselves, and when; by name.
+        self._learned: dict[str, tuple[GatewayMember, float]] = {}
         # By name, which process of that name is leaving.
         self._leaving: dict[str, str] = {}
         self._pools: tuple[str, ...] = ()
@@ -45,19 +48,44 @@
         """Host no gate any more, as long as another member can."""
         self._is_leaving = True
 
-    def replace(self, members: Iterable[GatewayMember]) -> None:
-        """Take a whole list of members."""
+    def replace(
+        self,
+        members: Iterable[GatewayMember],
+        proved_ms: float = math.inf,
+    ) -> None:
+        """
+        Take a whole list of members.
+
+        A list that is known to be the newest as of a moment says nothing of
+        those that have spoken for themselves since.  One that joins would be
+        forgotten again until the list has it, and its gates go to and fro.
+
+        Parameters
+        ----------
+        members : iterable of GatewayMember
+            All that are listed.
+        proved_ms : float
+            When nothing newer was there, on the monotonic clock.
+        """
         earlier = self._members
+        self._learned = {
+            name: (one, learned_ms)
+            for name, (one, learned_ms) in self._learned.items()
+            if learned_ms > proved_ms
+        }
         self._members = {one.instance: one for one in members}
+        self._members.update(
+            (name, one) for name, (one, _) in self._learned.items()
+        )
         if _get_capacities(earlier) != _get_capacities(self._members):
             self._ranked.clear()
         self._silent &= self._members.keys()
         for one in self._members.values():
             self._note_leaving(one)
 
-    def learn(self, change: MemberChange) -> None:
+    def learn(self, change: MemberChange, now_ms: float) -> None:
         """
-        Take what a member says of itself.
+        Take what a member says of itself, at a time on the monotonic clock.
 
         It comes before the next read of the list, so that all change hosts
         at the same time: two hosts fill the same instances without knowing
@@ -65,6 +93,7 @@
         """
         member = change.member
         self._members[member.instance] = member
+        self._learned[member.instance] = (member, now_ms)
         self._ranked.clear()
         self._silent.discard(member.instance)
         self._note_leaving(member)
--- a/tests/features/host_choice.feature
+++ b/tests/features/host_choice.feature
@@ -26,6 +26,15 @@
     When the hosts of 30 pools are chosen by each of them
     Then all have chosen the same
 
+  Scenario: A gateway joins before the list of members has it
+    # A gate went to the gateway that had just joined, back to its earlier host
+    # and to the new one again: lists that are as old as a second each left out
+    # what it had said of itself.  Calls were sent from two hosts meanwhile.
+    Given 3 gateways of 0.4 cores and 20 Mbit/s, and 1 of 2.2 and 200
+    When a large one says at 1000 ms that it joins
+    Then it stays a member after a list of 900 ms that lacks it
+    And it is none after a list of 1100 ms that lacks it
+
   Scenario: Many pieces come while the members stay the same
     # A gateway of a large fleet ranked every member of it for each piece and
     # for each answer to a ping.
--- a/tests/features/lost_calls.feature
+++ b/tests/features/lost_calls.feature
@@ -56,6 +56,13 @@
     When the near instance is busy and a piece for it is due at once
     Then the other instance makes it first
 
+  Scenario: A loop that the gateway cannot do without ends by an error
+    # A gateway whose loop that follows the store had ended served an old
+    # configuration for ten seconds, and would have for ever: its log had one
+    # line of it, and all else went on.
+    When the loop of a gateway that follows the store ends by an error
+    Then the gateway asks to be stopped
+
   Scenario: A gateway that knows no instances hosts no gate
     # A gateway is back while the store is away.  It answered pings, so that
     # the others gave it their gates: pieces waited there for two seconds, 114
--- a/tests/features/steps/host_choice.py
+++ b/tests/features/steps/host_choice.py
@@ -99,6 +99,24 @@
 @then('each member was ranked once more after another has joined')
 def check_ranked_again(context):
     joined = _make_member('small-new', 0.4, 20)
-    context.members.learn(MemberChange(member=joined))
+    context.members.learn(MemberChange(member=joined), 0)
     ask_often(context, 10)
     assert context.ranked == len(context.listed) + 1, context.ranked
+
+
+@when('a large one says at {now_ms:d} ms that it joins')
+def join(context, now_ms):
+    context.joined = _make_member('large-new', 2.2, 200)
+    context.members.learn(MemberChange(member=context.joined), now_ms)
+
+
+@then('it stays a member after a list of {proved_ms:d} ms that lacks it')
+def check_stays(context, proved_ms):
+    context.members.replace(context.listed, proved_ms)
+    assert 'large-new' in context.members.get_members()
+
+
+@then('it is none after a list of {proved_ms:d} ms that lacks it')
+def check_dropped(context, proved_ms):
+    context.members.replace(context.listed, proved_ms)
+    assert 'large-new' not in context.members.get_members()
--- a/tests/features/steps/lost_calls.py
+++ b/tests/features/steps/lost_calls.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from measure.fleet_model.virtual_time import VirtualLoop
+from ragworthollow.conf import GatewaySettings
 from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.membership.gateway_members import GatewayMembers
 from ragworthollow.metrics import Metrics
@@ -16,6 +17,7 @@
 from ragworthollow_daemon.gateway.asker_book import AskerBook
 from ragworthollow_daemon.gateway.call_outcomes import CallOutcomes
 from ragworthollow_daemon.gateway.call_watch import CallWatch
+from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.held_results import HeldResults
 from ragworthollow_daemon.gateway.membership import Membership
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
@@ -310,3 +312,38 @@
 def check_again(context):
     _answer(context, can_host=True)
     assert _find_host(context) == context.first.instance
+
+
+@when('the loop of a gateway that follows the store ends by an error')
+def end_loop(context):
+    context.stops = []
+    asyncio.run(_end_loop(context.stops))
+
+
+async def _end_loop(stops: list[bool]) -> None:
+    settings = GatewaySettings(
+        role='gateway',
+        instance='g1',
+        failure_domain='one',
+        front_address='',
+        ready_address='',
+        peer_address='',
+        store_url='http://127.0.0.1:1',
+    )
+    gateway = GatewayContext(
+        settings=settings,
+        ask_to_stop=lambda: stops.append(True),
+    )
+    gateway.spawn_loop(_fail())
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    await gateway.close()
+
+
+async def _fail() -> None:
+    raise ValueError
+
+
+@then('the gateway asks to be stopped')
+def check_stopped(context):
+    assert context.stops == [True]
