Prove that entries which lapse are kept, and those that leave later are not

In virtual time with the follower and the directory, bounds of 2 and 4 s (10 s for the first). Without the time for which lapsed entries are kept the one fails; without the cap of the longest age by two heartbeats it fails for a bound of 10 s, since the outage is noticed after the entries have lapsed.

--- a/tests/features/store_bounds.feature
+++ b/tests/features/store_bounds.feature
@@ -40,3 +40,29 @@
     Given a store whose watches fall silent at any moment
     When a change is accepted at any moment after that
     Then it is in force within 1300 ms
+
+  Scenario Outline: An instance leaves some time after an outage
+    # Entries that lapsed in an outage are kept for a while after its end.  One
+    # that leaves later must not be taken for one of them: it would get requests
+    # until that time is over again.
+    Given a bound of <bound> ms and an outage of any length
+    When an instance leaves at any moment from 3000 ms after its end on
+    Then it gets nothing <seen> ms later
+
+    Examples:
+      | bound | seen |
+      | 2000  | 1300 |
+      | 4000  | 2600 |
+
+  Scenario Outline: Entries lapse in an outage and come back
+    # The store's leases had run out while it was away.  Instances that lived
+    # were dropped, and requests refused, until they had written themselves anew.
+    Given a bound of <bound> ms and an outage of any length
+    When the entries of live instances lapse in it and are back 1000 ms after its end
+    Then none is ever dropped
+
+    Examples:
+      | bound |
+      | 2000  |
+      | 4000  |
+      | 10000 |
