Name in logs the work that a request asks for, whoever sends it again

Logs named a request by the identifier of one try of its caller, so that the same request sent twice looked like two. The fingerprint is a digest of the organisation, method, host, target and body; headers differ between tries.

--- a/measure/fleet_model/gateway.py
+++ b/measure/fleet_model/gateway.py
@@ -118,6 +118,7 @@
             pool=ENGINES,
             table=self.context.table,
             waited_ms=self._usual_limits.note(route.name, time_limit_ms),
+            fingerprint=terms.request_id,
             received_ms=now_ms,
             deadline_ms=now_ms + time_limit_ms,
         )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
@@ -9,6 +9,7 @@
 from ragworthollow.exchange import RequestTerms, UsualLimits
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.platform.request_wire import read_terms
+from ragworthollow.quarantine import make_fingerprint
 from ragworthollow.routes import KeyHolder, Route, RouteTable
 from ragworthollow.utils.hashing import hash_secret
 from ragworthollow_daemon.gateway.context import GatewayContext
@@ -80,6 +81,11 @@
                 pool=self._choose_pool(route),
                 table=table,
                 waited_ms=self._find_waited_ms(route, terms),
+                fingerprint=_identify_work(
+                    request,
+                    identified.ok_value,
+                    received.ok_value,
+                ),
                 received_ms=received_ms,
                 deadline_ms=received_ms + limit_ms,
             ),
@@ -164,6 +170,20 @@
     return Ok(holder)
 
 
+def _identify_work(
+    request: web.BaseRequest,
+    holder: KeyHolder | None,
+    body: bytes,
+) -> str:
+    return make_fingerprint(
+        organisation='' if holder is None else holder.organisation,
+        method=request.method,
+        host=request.headers.get('Host', ''),
+        target=request.raw_path,
+        body=body,
+    )
+
+
 async def _read_body(
     request: web.BaseRequest,
     limit_bytes: int,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
@@ -243,6 +243,7 @@
             event,
             step=_STEP,
             request_id=self.job.terms.request_id,
+            fingerprint=self.job.fingerprint,
             peer=plan.instance.instance,
             failure_domain=plan.instance.failure_domain,
             pool=self.job.pool,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/front.py
@@ -129,6 +129,7 @@
             'request_ended',
             step=_STEP if failure is None else failure.step,
             request_id=terms.request_id,
+            fingerprint='' if job is None else job.fingerprint,
             route=route,
             pool='' if job is None else job.pool,
             version=None if table is None else table.version,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
@@ -33,6 +33,8 @@
     waited_ms : float
         How long its caller has waited before it came back; 0 for a first
         request.
+    fingerprint : str
+        The same for each try of the same work.
     received_ms, deadline_ms : float
         On the monotonic clock; after the deadline nobody waits any more.
     """
@@ -45,6 +47,7 @@
     pool: str
     table: RouteTable
     waited_ms: float
+    fingerprint: str
     received_ms: float
     deadline_ms: float
 
--- a/tests/features/steps/overload.py
+++ b/tests/features/steps/overload.py
@@ -200,6 +200,7 @@
             limits=RequestLimits(),
         ),
         waited_ms=0,
+        fingerprint='1',
         received_ms=now_ms,
         deadline_ms=now_ms + 1000,
     )
