--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -38,6 +38,8 @@
         self.may_go_on = asyncio.Event()
         self._server: asyncio.Server | None = None
         self.address = ''
+        self.has_crashed = False
+        self._open: set[asyncio.StreamWriter] = set()
 
     async def start(self, port: int) -> None:
         self._server = await asyncio.start_server(
@@ -48,17 +50,26 @@
     async def stop(self) -> None:
         self._server.close()
 
+    def crash(self) -> None:
+        """End as a process does that is killed: nothing listens any more."""
+        self.has_crashed = True
+        self._server.close()
+        for writer in tuple(self._open):
+            writer.transport.abort()
+
     def count_runs(self, request_id: str) -> int:
         return sum(run.request_id == request_id for run in self.runs)
 
     async def _serve(self, reader, writer) -> None:
         self.connections += 1
+        self._open.add(writer)
         try:
             while await self._serve_one(reader, writer):
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             return
         finally:
+            self._open.discard(writer)
             writer.close()
 
     async def _serve_one(self, reader, writer) -> bool:
@@ -226,6 +237,15 @@
     return False
 
 
+async def _crash(standin, request, _reader, writer):
+    _start_stream(standin, request, writer)
+    await writer.drain()
+    # The head of the answer is under way when the process ends.
+    await asyncio.sleep(0.02)
+    standin.crash()
+    return False
+
+
 async def _stream(standin, request, _reader, writer):
     first = int(request.headers.get(_LAST_EVENT, '0')) + 1
     _start_stream(standin, request, writer)
@@ -287,6 +307,7 @@
     'reset': _reset_unframed,
     'twice': _answer_twice,
     'wait': _wait,
+    'crash': _crash,
     'stream': _stream,
     'break': _break_stream,
     'pause': _pause_stream,
