Keep requests away that crash the instances that run them

Callers saw whole kinds of request unserved for seconds: one request, sent again and again at any gateway, ended 10 and 12 engines in two waves, with every stream that they served.

Cause: what a failed attempt shows was believed of the instance only. Nothing was remembered of the request beyond its own attempts, so that each try of its caller was a new one.

Each gateway holds requests, by a digest of organisation, method, host, target and body, against the crashes in which they were running. A crash is a broken connection at whose address nothing listens any more, of an instance that is listed and does not leave. Two crashes since the last good end keep a request away: 503 with the time that is left, before any stage work, and no further attempt. A good end absolves; a quarantine ends after five minutes, and one crash more makes it twice as long. Evidence travels with the pings to the hosts and their answers, each told what it has not heard, at once after a crash; a gateway is ready once it has asked.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
@@ -133,6 +133,7 @@
     reason: Reason,
     peer: str | None,
     detail: str = '',
+    retry_after_ms: float | None = None,
 ) -> UpstreamFailure:
     """Make the failure of a request for which nothing was sent."""
     return UpstreamFailure(
@@ -141,6 +142,7 @@
         step=_STEP,
         peer=peer or '',
         detail=detail,
+        retry_after_ms=retry_after_ms,
     )
 
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
@@ -36,6 +36,10 @@
     )
 )
 
+# Failures that a crash of the instance would cause.
+_BREAKS = frozenset((Reason.connection_lost, Reason.truncated))
+_SUCCESS = range(200, 300)
+
 Forwarded = Result[web.StreamResponse, UpstreamFailure]
 
 
@@ -89,7 +93,7 @@
         last_event_id: str = '',
     ) -> Result[AttemptPlan, UpstreamFailure]:
         """Choose the next attempt, or say why there is none."""
-        stop = self._find_stop()
+        stop = self._find_quarantine() or self._find_stop()
         if stop is not None:
             return Err(stop)
         context = self._context
@@ -136,6 +140,8 @@
     def note_answer(self, plan: AttemptPlan, status: int) -> None:
         """Note an answer that is passed on."""
         self._context.book.note_success(plan.instance.instance)
+        if status in _SUCCESS:
+            self._context.quarantine.absolve(self.job.fingerprint)
         late_ms = get_monotonic_ms() - self.job.get_goal_ms()
         self._log(plan, 'answered', status=status, late_ms=round(late_ms))
 
@@ -166,6 +172,11 @@
         )
         if failure.reason in _SUSPICIOUS:
             self._context.suspect(plan.instance)
+        if failure.reason in _BREAKS:
+            self._context.quarantine.note_break(
+                plan.instance,
+                (self.job.fingerprint,),
+            )
         if failure.reason is Reason.connect_failed:
             # Nothing was sent, so the upstream does not count it.
             self._sent -= 1
@@ -180,6 +191,11 @@
             detail=failure.detail,
         )
 
+    async def settle(self, plan: AttemptPlan) -> None:
+        """Wait for what an attempt has shown, where another may follow."""
+        if self._find_stop() is None:
+            await self._context.quarantine.settle(plan.instance)
+
     def give_up(self, failure: UpstreamFailure) -> Forwarded:
         """
         End without a success.
@@ -191,6 +207,12 @@
             return Err(failure)
         return Ok(render_answer(self._error_answer))
 
+    def _find_quarantine(self) -> UpstreamFailure | None:
+        left_ms = self._context.quarantine.get_left_ms(self.job.fingerprint)
+        if not left_ms:
+            return None
+        return self._make_failure(Reason.quarantined, left_ms)
+
     def _find_stop(self) -> UpstreamFailure | None:
         job = self.job
         if job.get_remaining_ms() <= 0:
@@ -227,7 +249,11 @@
             detail=failure.detail,
         )
 
-    def _make_failure(self, reason: Reason) -> UpstreamFailure:
+    def _make_failure(
+        self,
+        reason: Reason,
+        retry_after_ms: float | None = None,
+    ) -> UpstreamFailure:
         return UpstreamFailure(
             outcome=(
                 Outcome.unknown if self._may_have_run else Outcome.not_run
@@ -235,6 +261,7 @@
             reason=reason,
             step=_STEP,
             peer=self.job.pool,
+            retry_after_ms=retry_after_ms,
         )
 
     def _log(self, plan: AttemptPlan, event: str, **fields: object) -> None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -25,6 +25,7 @@
 )
 from ragworthollow.utils import get_monotonic_ms, make_identifier
 from ragworthollow_daemon.drain import DrainState
+from ragworthollow_daemon.gateway.quarantine import Quarantine
 from ragworthollow_daemon.gateway.stop_state import StopState
 
 
@@ -71,6 +72,13 @@
         self._table_came = asyncio.Event()
         self.directory = Directory()
         self.book = LoadBook()
+        self._quarantine = Quarantine(
+            settings=settings,
+            incarnation=self.incarnation,
+            directory=self.directory,
+            metrics=self.metrics,
+            spawn=self.spawn,
+        )
         self._answer_times: dict[str, AnswerTime] = {}
         self._members = 1
         self._budgets: dict[str, RetryBudget] = {}
@@ -81,6 +89,11 @@
         """Return the number of gateways, this one included."""
         return self._members
 
+    @property
+    def quarantine(self) -> Quarantine:
+        """Return what is known of requests that crash instances."""
+        return self._quarantine
+
     def get_budget(self, pool: str) -> RetryBudget:
         """Return this gateway's part of the retry budget of a pool."""
         budget = self._budgets.get(pool)
@@ -112,6 +125,9 @@
         """Put a table in force."""
         self.table = table
         self._table_came.set()
+        if not self._quarantine.has_asked:
+            # The hosts to be asked are known from now on.
+            self._quarantine.has_urgent_news.set()
 
     async def wait_table(self, timeout_ms: float) -> None:
         """Wait until a first table is in force, or for so long."""
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/crash_watch.py
@@ -0,0 +1,133 @@
+"""Find out which broken connections mean that an instance has crashed."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable
+
+from ragworthollow.conf import global_settings
+from ragworthollow.logs.events import log_event
+from ragworthollow.metrics import Metrics
+from ragworthollow.upstreams import Directory, UpstreamInstance
+from ragworthollow.utils import get_boottime_ms
+
+_STEP = 'quarantine'
+_MILLISECONDS = 1000
+
+Spawn = Callable[[Coroutine[None, None, None]], asyncio.Task[None]]
+
+
+class CrashWatch:
+    """
+    Hold every request against itself that was running in a crash.
+
+    A connection may break because its instance crashed, or because one answer
+    was cut, a link was reset or an instance ended as planned.  Only after a
+    crash does nothing listen at the address of an instance that is listed and
+    has not said that it leaves.
+
+    Parameters
+    ----------
+    directory : Directory
+        The instances that may get work.
+    metrics : Metrics
+        Of this process.
+    spawn : callable
+        Runs a task that outlives the request that caused it.
+    on_crash : callable
+        Called with the incarnation that crashed and what was running there;
+        again when more of it becomes known.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: Directory,
+        metrics: Metrics,
+        spawn: Spawn,
+        on_crash: Callable[[str, Iterable[str]], None],
+    ) -> None:
+        self._directory = directory
+        self._metrics = metrics
+        self._spawn = spawn
+        self._on_crash = on_crash
+        self._running: dict[str, set[str]] = {}
+        self._probes: dict[str, asyncio.Task[None]] = {}
+        self._crashed: dict[str, float] = {}
+
+    def note_break(
+        self,
+        instance: UpstreamInstance,
+        fingerprints: Iterable[str],
+    ) -> None:
+        """
+        Take it that the connection of a request to an instance broke.
+
+        Parameters
+        ----------
+        instance : UpstreamInstance
+            Where it was running.
+        fingerprints : iterable of str
+            What was running on that connection.
+        """
+        listed = self._directory.get(instance.instance)
+        if listed is None or not listed.is_same_incarnation(instance):
+            return
+        incarnation = instance.get_incarnation()
+        if incarnation in self._crashed:
+            self._on_crash(incarnation, fingerprints)
+            return
+        self._running.setdefault(incarnation, set()).update(fingerprints)
+        if incarnation not in self._probes:
+            self._probes[incarnation] = self._spawn(self._probe(instance))
+
+    async def settle(self, instance: UpstreamInstance) -> None:
+        """Wait until it is known whether an instance has crashed."""
+        probe = self._probes.get(instance.get_incarnation())
+        if probe is not None:
+            await asyncio.wait((probe,))
+
+    async def _probe(self, instance: UpstreamInstance) -> None:
+        incarnation = instance.get_incarnation()
+        try:
+            has_crashed = await _is_refused(instance.address)
+        finally:
+            running = self._running.pop(incarnation)
+            self._probes.pop(incarnation)
+        if not has_crashed:
+            self._metrics.count_event('connection_broken')
+            return
+        now_ms = get_boottime_ms()
+        self._crashed = {
+            earlier: at_ms
+            for earlier, at_ms in self._crashed.items()
+            if at_ms > now_ms - global_settings.CRASH_MEMORY_MS
+        }
+        self._crashed[incarnation] = now_ms
+        self._metrics.count_event('upstream_crashed')
+        log_event(
+            'upstream_crashed',
+            step=_STEP,
+            peer=instance.instance,
+            started_unix_ms=instance.started_unix_ms,
+            pool=instance.pool,
+            running=sorted(running),
+        )
+        self._on_crash(incarnation, running)
+
+
+async def _is_refused(address: str) -> bool:
+    """
+    Tell whether nothing listens at an address.
+
+    One that does not answer may be frozen or cut off, and says nothing.
+    """
+    host, _, port = address.rpartition(':')
+    timeout_s = global_settings.UPSTREAM_CONNECT_TIMEOUT_MS / _MILLISECONDS
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionError:
+        return True
+    except (TimeoutError, OSError):
+        return False
+    writer.close()
+    return False
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
@@ -105,6 +105,7 @@
                 return Ok(render_answer(answered.ok_value))
             else:
                 series.note_error_answer(plan, answered.ok_value)
+            await series.settle(plan)
 
     async def _relay(
         self,
@@ -132,6 +133,7 @@
                 )
             if done is not None:
                 return Ok(done)
+            await series.settle(plan)
 
     async def _relay_once(
         self,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
@@ -1,6 +1,7 @@
 """Register this gateway and follow the others."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Mapping
 
 import aiohttp
@@ -25,6 +26,7 @@
 from ragworthollow_daemon.gateway.peer_notes import tell_peer
 
 _PREFIX = 'gateways/'
+_NO_GATE = ''
 _STEP = 'membership'
 PING_PATH = '/v1/ping'
 CHANGE_PATH = '/v1/members/change'
@@ -85,8 +87,14 @@
     async def watch_hosts(self) -> None:
         """Ask the hosts of gates whether they live, until cancelled."""
         while True:
-            await asyncio.sleep(global_settings.HOST_PING_MS / 1000)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(global_settings.HOST_PING_MS / 1000):
+                    await self._context.quarantine.has_urgent_news.wait()
+            self._context.quarantine.has_urgent_news.clear()
             await asyncio.gather(*map(self._ping, self._get_hosts()))
+            if self._context.table is not None:
+                # Where no host answers, there is nobody to hear from.
+                self._context.quarantine.has_asked = True
 
     async def leave(self) -> None:
         """
@@ -208,7 +216,9 @@
         pools = [one.name for one in table.pools.values() if one.pieces]
         self._members.set_pools(pools)
         hosts = {one.instance: one for one in self._members.get_hosts()}
-        for first in map(self._members.find_first, pools):
+        # Without a gate, one member is asked for what others tell it.
+        for pool in pools or (_NO_GATE,):
+            first = self._members.find_first(pool)
             if first is not None:
                 hosts[first.instance] = first
         hosts.pop(self._context.settings.instance, None)
@@ -220,6 +230,7 @@
             incarnation=self._context.incarnation,
             announced=self._announced.get_counts(),
             store_revision=self._context.replica.view.revision,
+            evidence=self._context.quarantine.make_news(host.instance),
         )
         asked_ms = get_boottime_ms()
         try:
@@ -243,10 +254,15 @@
         ) as error:
             self._note_silent(host, repr(error))
             return
-        if state.instance == host.instance and state.store is not None:
-            self._take_news(state.store, asked_ms)
+        if state.instance == host.instance:
+            self._take_told(state, asked_ms)
         self.take_state(host, state)
 
+    def _take_told(self, state: HostState, asked_ms: float) -> None:
+        if state.store is not None:
+            self._take_news(state.store, asked_ms)
+        self._context.quarantine.take_news(state.instance, state.evidence)
+
     def take_state(self, host: GatewayMember, state: HostState) -> None:
         """
         Take the answer to a ping.
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -90,6 +90,8 @@
             ping.announced,
             now_ms,
         )
+        quarantine = self._context.quarantine
+        quarantine.take_news(ping.instance, ping.evidence)
         return respond(
             HostState(
                 instance=self._context.settings.instance,
@@ -101,6 +103,7 @@
                     now_ms=get_boottime_ms(),
                     longest_bytes=global_settings.NEWS_BYTES,
                 ),
+                evidence=quarantine.make_news(ping.instance),
             ),
         )
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/readiness.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/readiness.py
@@ -25,7 +25,8 @@
     def is_ready(self) -> bool:
         """Tell whether a request could be served now."""
         context = self._context
-        return context.table is not None and not context.drain.is_draining
+        is_informed = context.table is not None and context.quarantine.has_asked
+        return is_informed and not context.drain.is_draining
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one check."""
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
@@ -70,6 +70,15 @@
         Result
             The answer, or why there is none.
         """
+        left_ms = self._context.quarantine.get_left_ms(job.fingerprint)
+        if left_ms:
+            return Err(
+                make_refusal(
+                    Reason.quarantined,
+                    job.pool,
+                    retry_after_ms=left_ms,
+                ),
+            )
         way = StageWay(
             job=job,
             answer_ms=self._context.get_answer_time(job.pool).estimate_ms(
--- a/packages/ragworthollow/src/ragworthollow/conf/gateway_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/gateway_settings.py
@@ -1,6 +1,8 @@
 """Define the settings of a gateway."""
 
-from typing import Literal
+from typing import Annotated, Literal
+
+from msgspec import Meta
 
 from ragworthollow.conf import global_settings
 from ragworthollow.membership.host_capacity import measure_capacity
@@ -43,6 +45,11 @@
         in force, and in which an instance that leaves gets its last request.
     instance_heartbeat_ms : float
         Pace at which instances renew their entries in the store.
+    quarantine_crashes : int
+        Crashes of instances with a request running, and no good end since,
+        from which the request is kept away.
+    quarantine_ms : float
+        For how long after the last of them.
     """
 
     role: Literal['gateway']
@@ -62,6 +69,10 @@
     configuration_bound_ms: float = global_settings.CONFIGURATION_BOUND_MS
     leaving_bound_ms: float = global_settings.LEAVING_BOUND_MS
     instance_heartbeat_ms: float = global_settings.INSTANCE_HEARTBEAT_MS
+    quarantine_crashes: Annotated[int, Meta(ge=1)] = (
+        global_settings.QUARANTINE_CRASHES
+    )
+    quarantine_ms: Annotated[float, Meta(gt=0)] = global_settings.QUARANTINE_MS
 
     def get_capacity(self) -> float:
         """Return the cores that this gateway can use for gates."""
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -357,6 +357,24 @@
 # two points of answers in time for one of traffic between domains.
 NEAR_WAIT_SHARE = 0.3
 
+# Gateway: requests that crash instances.
+# Crashes with a request running, and no good end since, from which the request
+# is kept away.
+QUARANTINE_CRASHES = 2
+# For how long after the last of them, doubled with each further one.
+QUARANTINE_MS = 300_000
+QUARANTINE_DOUBLINGS_LIMIT = 3
+# Requests that are remembered: several crashes of instances with every slot in
+# use.
+SUSPECTS_KEPT = 4_096
+# How often old evidence is looked for.
+EVIDENCE_FORGET_MS = 10_000
+# Reports in one message between gateways; the rest follows with the next ping.
+EVIDENCE_REPORTS = 256
+# How long a crashed incarnation is remembered: longer than the entries of an
+# instance that is gone stay listed.
+CRASH_MEMORY_MS = 30_000
+
 # Logs: a process serves some tens of requests a second with two or three
 # lines each; what is over this rate is counted instead of written.
 LOG_LINES_PER_S = 400.0
--- a/packages/ragworthollow/src/ragworthollow/outcomes/reason.py
+++ b/packages/ragworthollow/src/ragworthollow/outcomes/reason.py
@@ -22,6 +22,7 @@
     ceiling_reached = 'ceiling_reached'
     overloaded = 'overloaded'
     shed = 'shed'
+    quarantined = 'quarantined'
     draining = 'draining'
     leaving = 'leaving'
     no_instance = 'no_instance'
--- a/packages/ragworthollow/src/ragworthollow/quarantine/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/__init__.py
@@ -1,5 +1,16 @@
 """Keep requests that crash upstream instances away from the others."""
 
+from ragworthollow.quarantine.evidence_exchange import EvidenceExchange
+from ragworthollow.quarantine.evidence_news import CrashReport, EvidenceNews
 from ragworthollow.quarantine.fingerprint import make_fingerprint
+from ragworthollow.quarantine.ledger import CrashLedger
+from ragworthollow.quarantine.suspect import Suspect
 
-__all__ = ('make_fingerprint',)
+__all__ = (
+    'CrashLedger',
+    'CrashReport',
+    'EvidenceExchange',
+    'EvidenceNews',
+    'Suspect',
+    'make_fingerprint',
+)
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/evidence_exchange.py
@@ -0,0 +1,123 @@
+"""Exchange evidence with other gateways."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ragworthollow.conf import global_settings
+from ragworthollow.quarantine.evidence_news import CrashReport, EvidenceNews
+from ragworthollow.quarantine.ledger import CrashLedger
+from ragworthollow.quarantine.suspect import Suspect
+
+
+@dataclass(kw_only=True, slots=True)
+class _Peer:
+    """Hold what another gateway knows, and what is known of it."""
+
+    told: int = 0
+    teller: str = ''
+    heard: int = 0
+
+
+class EvidenceExchange:
+    """
+    Tell each gateway only what it has not heard yet.
+
+    What was told counts once the other side says that it has heard it, so
+    that a lost message is told again.  One that starts anew is told all.
+
+    Parameters
+    ----------
+    incarnation : str
+        Of this process.
+    ledger : CrashLedger
+        The evidence.
+    on_quarantine : callable
+        Called with each request that is kept away by what was heard.
+    """
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        ledger: CrashLedger,
+        on_quarantine: Callable[[str], None],
+    ) -> None:
+        self._incarnation = incarnation
+        self._ledger = ledger
+        self._on_quarantine = on_quarantine
+        self._peers: dict[str, _Peer] = {}
+
+    def make_news(self, peer_name: str, now_ms: float) -> EvidenceNews:
+        """
+        Make what a gateway is to be told.
+
+        Parameters
+        ----------
+        peer_name : str
+            The gateway.
+        now_ms : float
+            Time on the clock of the ledger.
+        """
+        peer = self._peers.setdefault(peer_name, _Peer())
+        changes = self._ledger.list_changes(peer.told)
+        changes = changes[: global_settings.EVIDENCE_REPORTS]
+        return EvidenceNews(
+            teller=self._incarnation,
+            number=changes[-1][0] if changes else self._ledger.number,
+            heard_teller=peer.teller,
+            heard_number=peer.heard,
+            reports=tuple(
+                _report(fingerprint, suspect, now_ms)
+                for _, fingerprint, suspect in changes
+            ),
+        )
+
+    def take_news(
+        self,
+        peer_name: str,
+        news: EvidenceNews,
+        now_ms: float,
+    ) -> None:
+        """
+        Take what a gateway tells.
+
+        Parameters
+        ----------
+        peer_name : str
+            The gateway.
+        news : EvidenceNews
+            What it tells.
+        now_ms : float
+            Time on the clock of the ledger.
+        """
+        peer = self._peers.setdefault(peer_name, _Peer())
+        peer.teller = news.teller
+        peer.heard = news.number
+        is_known = news.heard_teller == self._incarnation
+        peer.told = news.heard_number if is_known else 0
+        for report in news.reports:
+            self._take(report, now_ms)
+
+    def _take(self, report: CrashReport, now_ms: float) -> None:
+        is_new = self._ledger.add(
+            report.fingerprint,
+            {
+                incarnation: now_ms - age_ms
+                for incarnation, age_ms in report.crash_ages_ms.items()
+            },
+            report.absolved,
+            now_ms,
+        )
+        if is_new:
+            self._on_quarantine(report.fingerprint)
+
+
+def _report(fingerprint: str, suspect: Suspect, now_ms: float) -> CrashReport:
+    return CrashReport(
+        fingerprint=fingerprint,
+        crash_ages_ms={
+            incarnation: now_ms - at_ms
+            for incarnation, at_ms in suspect.crashes.items()
+        },
+        absolved=tuple(suspect.absolved),
+    )
--- a/packages/ragworthollow/src/ragworthollow/transport/host_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/host_messages.py
@@ -1,6 +1,7 @@
 """Define what gateways say to each other about themselves."""
 
 from ragworthollow.membership.gateway_member import GatewayMember
+from ragworthollow.quarantine.evidence_news import EvidenceNews
 from ragworthollow.replica.store_news import StoreNews
 from ragworthollow.utils.message import Message
 
@@ -19,12 +20,15 @@
         Pieces that its requests will need later, by pool and priority.
     store_revision : int
         Up to which it knows what the store holds.
+    evidence : EvidenceNews, optional
+        What it knows of crashes.
     """
 
     instance: str
     incarnation: str
     announced: dict[str, list[int]] = {}
     store_revision: int = 0
+    evidence: EvidenceNews | None = None
 
 
 class HostState(Message):
@@ -44,6 +48,8 @@
         Expected waits of a new piece, by pool and priority.
     store : StoreNews, optional
         What it knows of the store; nothing before its first read.
+    evidence : EvidenceNews, optional
+        What it knows of crashes.
     """
 
     instance: str
@@ -51,6 +57,7 @@
     is_leaving: bool = False
     waits_ms: dict[str, list[float]] = {}
     store: StoreNews | None = None
+    evidence: EvidenceNews | None = None
 
 
 class MemberChange(Message):
--- a/packages/ragworthollow/src/ragworthollow/upstreams/upstream_instance.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/upstream_instance.py
@@ -35,6 +35,10 @@
     is_leaving: bool = False
     started_unix_ms: int = 0
 
+    def get_incarnation(self) -> str:
+        """Return a name that no other start of any instance has."""
+        return f'{self.instance}@{self.started_unix_ms}'
+
     def is_same_incarnation(self, other: 'UpstreamInstance') -> bool:
         """Tell whether another entry shows the same start of an instance."""
         return (self.instance, self.started_unix_ms) == (
