Keep requests away whose stage work crashes instances

The same cause elsewhere: a piece that ended its instance was tried at two others, and again with each try of its caller. Pieces carry the digest of their request; a call that breaks is held against all requests in it, and no piece is queued again before it is known whether the instance crashed.

No record showed this at stage instances.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_outcomes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_outcomes.py
@@ -77,6 +77,24 @@
         if took_ms <= patience_ms:
             self._context.book.note_success(call.instance.instance)
 
+    async def settle(self, call: PieceCall, failure: UpstreamFailure) -> None:
+        """
+        Wait until it is known whether an instance crashed in a call.
+
+        Pieces that are queued again before would reach the next instance.
+        """
+        if failure.reason is not Reason.connection_lost:
+            return
+        self._context.quarantine.note_break(
+            call.instance,
+            {
+                waiting.piece.fingerprint
+                for waiting in call.waiting
+                if waiting.piece.fingerprint
+            },
+        )
+        await self._context.quarantine.settle(call.instance)
+
     def note_failure(
         self,
         pool: str,
@@ -185,6 +203,8 @@
         waiting.settle(last)
 
     def _may_be_made_again(self, waiting: WaitingPiece) -> bool:
+        if self._context.quarantine.get_left_ms(waiting.piece.fingerprint):
+            return False
         return waiting.attempts + 1 < global_settings.PIECE_ATTEMPTS
 
     def _note_attempt(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
@@ -205,6 +205,8 @@
             call,
             on_slow=lambda: self._note_slow(pool, gate, call),
         )
+        if isinstance(answered, Err):
+            await self._outcomes.settle(call, answered.err_value)
         gate.finish(call)
         if isinstance(answered, Err):
             self._outcomes.note_failure(pool, gate, call, answered.err_value)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
@@ -208,6 +208,7 @@
                 failure_domain=failure_domain,
                 priority=self._job.get_priority(),
                 asker=self._client.asker,
+                fingerprint=self._job.fingerprint,
             )
             for number in range(counts[position])
         )
--- a/packages/ragworthollow/src/ragworthollow/pieces/piece.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/piece.py
@@ -37,6 +37,8 @@
         Rank of the request, 0 first.
     asker : str
         Incarnation of the gateway that has the request.
+    fingerprint : str
+        The same for each try of the same work; empty when that is not known.
     """
 
     request_id: str
@@ -51,6 +53,7 @@
     failure_domain: str = ''
     priority: int = 0
     asker: str = ''
+    fingerprint: str = ''
 
 
 class PieceOutcome(enum.StrEnum):
--- a/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
@@ -24,6 +24,8 @@
         Where the result will be read.
     priority : int
         Rank of the request, 0 first.
+    fingerprint : str
+        The same for each try of the same work.
     """
 
     request_id: str
@@ -37,6 +39,7 @@
     result_bytes: int = 0
     failure_domain: str = ''
     priority: int = 0
+    fingerprint: str = ''
 
 
 class PieceResultMessage(Message):
@@ -142,6 +145,7 @@
                     result_bytes=piece.result_bytes,
                     failure_domain=piece.failure_domain,
                     priority=piece.priority,
+                    fingerprint=piece.fingerprint,
                 )
                 for piece in pieces
             ),
@@ -164,6 +168,7 @@
             result_bytes=one.result_bytes,
             failure_domain=one.failure_domain,
             priority=one.priority,
+            fingerprint=one.fingerprint,
             asker=order.asker,
         )
         for one in order.orders
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -18,6 +18,15 @@
       | plain     | safe/crash      |
       | streaming | resumable/crash |
 
+  Scenario: The same request comes again whose stage work crashes instances
+    # Guards against the same fault before a request runs: each piece that ended
+    # its instance was tried at two others, and again with each try of its
+    # caller.
+    Given two more gateways and an instance for stage work
+    And instances for stage work that crash come back under another name
+    When a caller posts 8 times to /staged/answer with pieces that crash
+    Then no more than 3 instances have crashed
+
   Scenario: Requests that ran beside it are served again
     # Guards against a judgement by crashes alone: whatever runs on an instance
     # when it crashes has been in a crash, and most of it is harmless.
--- a/tests/features/steps/lost_calls.py
+++ b/tests/features/steps/lost_calls.py
@@ -101,6 +101,7 @@
             directory=SimpleNamespace(get_pool=lambda _: pool.instances),
             get_budget=lambda _: SimpleNamespace(spend=lambda: True),
             suspect=lambda one: pool.book.note_failure(one.instance, 0),
+            quarantine=SimpleNamespace(get_left_ms=lambda _: 0),
         ),
         free=lambda *_: None,
     )
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -1,8 +1,11 @@
 """Steps of requests that crash the instances that run them."""
 
+from dataclasses import dataclass
+
 from behave import given, then, when
 
 from tests.fixtures.staged import NAMES
+from tests.standins.upstream import CRASHING_KEY
 
 _LEAST_INSTANCES = 4
 # Reads of the store by all gateways between two tries: longer than what one
@@ -12,43 +15,75 @@
 _MUCH_LATER_S = 10
 
 
+@dataclass(kw_only=True)
+class _Crashing:
+    """Hold the pool whose instances crash, and those that are listed."""
+
+    pool: str
+    present: set[str]
+
+
 @given('instances that crash come back under another name')
 def prepare_instances(context):
     stage = context.gateway_stage
-    stage.run(_restore(stage))
+    context.crashing = _Crashing(pool='plain', present={'u1', 'u2'})
+    stage.run(_restore(stage, context.crashing))
+
+
+@given('instances for stage work that crash come back under another name')
+def prepare_stage_instances(context):
+    stage = context.gateway_stage
+    context.crashing = _Crashing(pool='stage', present={'s1'})
+    stage.run(_restore(stage, context.crashing))
 
 
-async def _restore(stage) -> None:
+async def _restore(stage, crashing) -> None:
     """Replace instances that have crashed, as the platform does."""
     for name, upstream in list(stage.upstreams.items()):
-        if upstream.has_crashed and name in stage.present:
+        if upstream.has_crashed and name in crashing.present:
             await stage.hide(name)
-            stage.present.discard(name)
-    while len(stage.present) < _LEAST_INSTANCES:
+            crashing.present.discard(name)
+    while len(crashing.present) < _LEAST_INSTANCES:
         name = f'u{len(stage.upstreams) + 1}'
-        await stage.add_upstream(name, 'plain')
-        stage.present.add(name)
-    await stage.wait_for(lambda: all(_knows(stage, name) for name in NAMES))
+        await stage.add_upstream(name, crashing.pool)
+        crashing.present.add(name)
+    await stage.wait_for(
+        lambda: all(_knows(stage, name, crashing) for name in NAMES),
+    )
 
 
-def _knows(stage, gateway: str) -> bool:
-    pool = stage.get_context(gateway).directory.get_pool('plain')
-    return {one.instance for one in pool} == stage.present
+def _knows(stage, gateway: str, crashing) -> bool:
+    pool = stage.get_context(gateway).directory.get_pool(crashing.pool)
+    return {one.instance for one in pool} == crashing.present
 
 
 @when('a caller posts to {path:S} {count:d} times, at each gateway in turn')
 def send_in_turn(context, path, count):
     stage = context.gateway_stage
-    context.answers = stage.run(_send_in_turn(stage, path, count))
+    context.answers = stage.run(
+        _send_in_turn(stage, context.crashing, path, count),
+    )
+
+
+@when('a caller posts {count:d} times to {path:S} with pieces that crash')
+def send_pieces_in_turn(context, count, path):
+    stage = context.gateway_stage
+    headers = {
+        'X-Ragworthollow-Pieces': '2,1',
+        'X-Ragworthollow-Piece-Key': CRASHING_KEY,
+    }
+    stage.run(_send_in_turn(stage, context.crashing, path, count, headers))
 
 
-async def _send_in_turn(stage, path, count) -> list:
+async def _send_in_turn(stage, crashing, path, count, headers=None) -> list:
     answers = []
     for number in range(count):
         gateway = NAMES[number % len(NAMES)]
-        answers.append(await stage.send(path, gateway=gateway))
+        answers.append(
+            await stage.send(path, gateway=gateway, headers=headers),
+        )
         await stage.wait_reads(_READS_BETWEEN)
-        await _restore(stage)
+        await _restore(stage, crashing)
     return answers
 
 
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -10,6 +10,8 @@
 _ID = 'x-ragworthollow-request-id'
 _LAST_EVENT = 'last-event-id'
 _EVENTS = 5
+# An instance that is asked for a piece of this key ends.
+CRASHING_KEY = 'crash'
 
 
 class UpstreamStandin:
@@ -100,6 +102,9 @@
     async def _make_pieces(self, request, writer) -> bool:
         items = msgspec.json.decode(request.body)['items']
         self.calls.append(items)
+        if any(item.get('key') == CRASHING_KEY for item in items):
+            self.crash()
+            return False
         self.busy += 1
         self.most_busy = max(self.most_busy, self.busy)
         await asyncio.sleep(self.piece_ms / 1000)
