Show operators the requests that are kept away, and let them release one

ragworthctl quarantine and release ask any gateway at its metrics address; a release travels like a good end. Gauges crash_suspects and quarantined, counters upstream_crashed, request_quarantined, request_absolved, request_released.

--- /dev/null
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/quarantine.py
@@ -0,0 +1,31 @@
+"""List the requests that are kept away."""
+
+import asyncio
+import sys
+
+from ragworthollow.quarantine.operator_messages import (
+    QUARANTINE_PATH,
+    KeptAwayRequest,
+)
+from ragworthollow_ctl.gateway_client import ask_gateway
+
+_SECOND_MS = 1000
+
+
+def quarantine(gateway: str) -> None:
+    """
+    List requests that are kept away since they crash what runs them.
+
+    Parameters
+    ----------
+    gateway
+        Metrics address of any gateway, IP:PORT.
+    """
+    found = asyncio.run(
+        ask_gateway(gateway, QUARANTINE_PATH, tuple[KeptAwayRequest, ...]),
+    )
+    sys.stdout.writelines(
+        f'{one.fingerprint}  {one.left_ms / _SECOND_MS:.0f} s'
+        f'  {" ".join(one.crashes)}\n'
+        for one in found
+    )
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/main.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/main.py
@@ -10,6 +10,8 @@
 from ragworthollow_ctl.commands.history import history
 from ragworthollow_ctl.commands.losses import losses
 from ragworthollow_ctl.commands.pull import pull
+from ragworthollow_ctl.commands.quarantine import quarantine
+from ragworthollow_ctl.commands.release import release
 from ragworthollow_ctl.commands.show import show
 from ragworthollow_ctl.commands.status import status
 
@@ -29,6 +31,8 @@
 app.command(status)
 app.command(hash_key)
 app.command(losses)
+app.command(quarantine)
+app.command(release)
 
 
 def main() -> None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
@@ -141,7 +141,7 @@
         """Note an answer that is passed on."""
         self._context.book.note_success(plan.instance.instance)
         if status in _SUCCESS:
-            self._context.quarantine.absolve(self.job.fingerprint)
+            self._context.quarantine.note_good_end(self.job.fingerprint)
         late_ms = get_monotonic_ms() - self.job.get_goal_ms()
         self._log(plan, 'answered', status=status, late_ms=round(late_ms))
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine.py
@@ -11,6 +11,7 @@
     EvidenceExchange,
     EvidenceNews,
 )
+from ragworthollow.quarantine.operator_messages import KeptAwayRequest
 from ragworthollow.upstreams import Directory, UpstreamInstance
 from ragworthollow.utils import get_boottime_ms
 from ragworthollow_daemon.gateway.crash_watch import CrashWatch, Spawn
@@ -73,9 +74,17 @@
         """Return for how long a request is kept away; 0 if it is not."""
         return self._ledger.get_left_ms(fingerprint, get_boottime_ms())
 
-    def list_kept_away(self) -> dict[str, float]:
-        """Return how long each request that is kept away still is."""
-        return self._ledger.list_kept_away(get_boottime_ms())
+    def list_kept_away(self) -> list[KeptAwayRequest]:
+        """Return the requests that are kept away."""
+        kept_away = self._ledger.list_kept_away(get_boottime_ms())
+        return [
+            KeptAwayRequest(
+                fingerprint=fingerprint,
+                crashes=self._list_crashes(fingerprint),
+                left_ms=left_ms,
+            )
+            for fingerprint, left_ms in kept_away.items()
+        ]
 
     def note_break(
         self,
@@ -89,20 +98,21 @@
         """Wait until it is known whether an instance has crashed."""
         await self._crashes.settle(instance)
 
-    def absolve(self, fingerprint: str) -> bool:
+    def note_good_end(self, fingerprint: str) -> None:
+        """Take back all evidence against a request that has ended well."""
+        self._absolve(fingerprint, 'request_absolved')
+
+    def release(self, fingerprint: str) -> bool:
         """
-        Take back all evidence against a request, which has ended well.
+        Take back all evidence against a request, as an operator asks.
 
         Returns
         -------
         bool
             Whether there was any.
         """
-        is_new = self._ledger.absolve(fingerprint, get_boottime_ms())
-        if is_new:
-            self._metrics.count_event('request_absolved')
-            log_event('request_absolved', step=_STEP, fingerprint=fingerprint)
-        return is_new
+        self.has_urgent_news.set()
+        return self._absolve(fingerprint, 'request_released')
 
     def make_news(self, peer: str) -> EvidenceNews:
         """Make what another gateway has not heard."""
@@ -124,13 +134,23 @@
             if self._ledger.note_crash(fingerprint, incarnation, now_ms):
                 self._note_quarantine(fingerprint)
 
+    def _absolve(self, fingerprint: str, event: str) -> bool:
+        is_new = self._ledger.absolve(fingerprint, get_boottime_ms())
+        if is_new:
+            self._metrics.count_event(event)
+            log_event(event, step=_STEP, fingerprint=fingerprint)
+        return is_new
+
+    def _list_crashes(self, fingerprint: str) -> tuple[str, ...]:
+        suspect = self._ledger.get_suspect(fingerprint)
+        return () if suspect is None else tuple(sorted(suspect.crashes))
+
     def _note_quarantine(self, fingerprint: str) -> None:
         self._metrics.count_event('request_quarantined')
-        suspect = self._ledger.get_suspect(fingerprint)
         log_event(
             'request_quarantined',
             step=_STEP,
             fingerprint=fingerprint,
-            crashes=sorted(suspect.crashes),
+            crashes=self._list_crashes(fingerprint),
             left_ms=round(self.get_left_ms(fingerprint)),
         )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/status_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/status_routes.py
@@ -1,13 +1,22 @@
 """Serve the metrics and the state of a gateway."""
 
+import msgspec
 from aiohttp import web
 
-from ragworthollow.transport.responses import respond
+from ragworthollow.quarantine.operator_messages import (
+    QUARANTINE_PATH,
+    RELEASE_PATH,
+    ReleaseAnswer,
+    ReleaseOrder,
+)
+from ragworthollow.transport.responses import Problem, respond
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow.utils.message import Message
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.piece_client import PieceClient
 
+_BAD_REQUEST = 400
+
 
 class GatewayStatus(Message, omit_defaults=False):
     """
@@ -76,6 +85,8 @@
         application = web.Application()
         application.router.add_get('/metrics', self.get_metrics)
         application.router.add_get('/status', self.get_status)
+        application.router.add_get(QUARANTINE_PATH, self.list_kept_away)
+        application.router.add_post(RELEASE_PATH, self.release)
         return application
 
     async def get_metrics(self, _request: web.Request) -> web.Response:
@@ -86,6 +97,12 @@
         context.metrics.set_state('in_flight', context.drain.in_flight)
         context.metrics.set_state('store_calls', context.store.calls)
         context.metrics.set_state('members', context.members)
+        quarantine = context.quarantine
+        context.metrics.set_state('crash_suspects', quarantine.count())
+        context.metrics.set_state(
+            'quarantined',
+            len(quarantine.list_kept_away()),
+        )
         return web.Response(
             body=context.metrics.render(),
             headers={'Content-Type': 'text/plain; version=0.0.4'},
@@ -113,6 +130,20 @@
             ),
         )
 
+    async def list_kept_away(self, _request: web.Request) -> web.Response:
+        """List the requests that are kept away, as JSON."""
+        return respond(self._context.quarantine.list_kept_away())
+
+    async def release(self, request: web.Request) -> web.Response:
+        """Let a request in again, here and at the other gateways."""
+        body = await request.read()
+        try:
+            order = msgspec.json.decode(body, type=ReleaseOrder)
+        except msgspec.DecodeError as error:
+            return respond(Problem(error=str(error)), status=_BAD_REQUEST)
+        is_released = self._context.quarantine.release(order.fingerprint)
+        return respond(ReleaseAnswer(is_released=is_released))
+
     def _list_instances(self, pool: str) -> list[str]:
         found = self._context.directory.get_pool(pool)
         return [one.instance for one in found]
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -27,6 +27,17 @@
     When a caller posts 8 times to /staged/answer with pieces that crash
     Then no more than 3 instances have crashed
 
+  Scenario: An operator lets a request in again
+    # Guards against a harmless caller who is refused for minutes while the
+    # operators can only watch.
+    Given two more gateways and an instance for stage work
+    And instances that crash come back under another name
+    And a gateway that operators can ask
+    When a caller posts to /safe/crash 3 times, at each gateway in turn
+    Then operators are shown the request and 2 crashes
+    When they have it released
+    Then it is kept away at no gateway
+
   Scenario: Requests that ran beside it are served again
     # Guards against a judgement by crashes alone: whatever runs on an instance
     # when it crashes has been in a crash, and most of it is harmless.
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -1,9 +1,15 @@
 """Steps of requests that crash the instances that run them."""
 
+import asyncio
+import contextlib
+import io
 from dataclasses import dataclass
 
 from behave import given, then, when
 
+from ragworthollow_ctl.commands.quarantine import quarantine
+from ragworthollow_ctl.commands.release import release
+from tests.fixtures.gateways import HOST
 from tests.fixtures.staged import NAMES
 from tests.standins.upstream import CRASHING_KEY
 
@@ -110,3 +116,48 @@
     for gateway in NAMES:
         answer = stage.run(stage.send(path, gateway=gateway))
         assert answer.status == 200, answer
+
+
+@given('a gateway that operators can ask')
+def add_asked_gateway(context):
+    stage = context.gateway_stage
+    context.asked = f'{HOST}:{stage.ports.take()}'
+    stage.run(stage.add_gateway('asked', metrics_address=context.asked))
+    stage.run(stage.wait_configured('asked'))
+
+
+async def _run_command(command, *arguments) -> str:
+    """Run a command as its own process would, beside the gateways."""
+    written = io.StringIO()
+    with contextlib.redirect_stdout(written):
+        await asyncio.to_thread(command, *arguments)
+    return written.getvalue()
+
+
+@then('operators are shown the request and {count:d} crashes')
+def check_shown(context, count):
+    stage = context.gateway_stage
+    shown = stage.run(_run_command(quarantine, context.asked))
+    context.fingerprint, left, unit, *crashes = shown.split()
+    assert int(left) > _MUCH_LATER_S, shown
+    assert unit == 's', shown
+    assert len(crashes) == count, shown
+
+
+@when('they have it released')
+def release_request(context):
+    stage = context.gateway_stage
+    stage.run(_run_command(release, context.fingerprint, context.asked))
+
+
+@then('it is kept away at no gateway')
+def check_released(context):
+    stage = context.gateway_stage
+    contexts = [stage.get_context(name) for name in (*NAMES, 'asked')]
+    stage.run(
+        stage.wait_for(
+            lambda: (
+                not any(one.quarantine.list_kept_away() for one in contexts)
+            ),
+        ),
+    )
