Add failing tests of what instances say of themselves in their answers

Reproduced: with the store away, work goes on after a whole answer, an error, a refusal and the head of a stream have said that their instance leaves, by the gateway that heard it, by the others and for pieces; and an instance that refused with Retry-After gets requests before that time is over.

--- /dev/null
+++ b/tests/features/steps/answer_notices.py
@@ -0,0 +1,193 @@
+"""Steps of what instances say of themselves in their answers."""
+
+from behave import given, then, when
+
+from ragworthollow.utils import get_monotonic_ms
+from tests.fixtures.staged import NAMES, send_staged
+from tests.standins.upstream import UpstreamStandin
+
+_MOST_TRIES = 40
+_OTHER_PATHS = frozenset(('/api/stage-free', '/api/report'))
+# Reads of the store, whether it answers or not, by all gateways: longer than
+# what one gateway needs to hear from another.
+_READS = 2 * len(NAMES)
+_STARTED_AGAIN_MS = 1_900_000_000_000
+
+
+def _count_work(upstream: UpstreamStandin) -> int:
+    """Count arrivals; results may be given up at an instance that leaves."""
+    return sum(one.path not in _OTHER_PATHS for one in upstream.arrivals)
+
+
+def _get_upstream(context, name: str) -> UpstreamStandin:
+    return context.gateway_stage.upstreams[name]
+
+
+@given('the store is away')
+def take_store_away(context):
+    context.gateway_stage.store.faults.active = {'down': 1}
+
+
+@when('the store is back and was read')
+def bring_store_back(context):
+    stage = context.gateway_stage
+    stage.store.faults.active = {}
+    stage.run(stage.wait_reads(_READS))
+
+
+@given('{name:w} leaves, which only its answers say')
+def leave(context, name):
+    _get_upstream(context, name).notices = {'Server-Leaving': '1'}
+
+
+@given('u1 and u2 leave, which only their answers say')
+def leave_both(context):
+    leave(context, 'u1')
+    leave(context, 'u2')
+
+
+@given('{name:w} refuses and wants nothing for {seconds:g} seconds')
+def want_nothing(context, name, seconds):
+    upstream = _get_upstream(context, name)
+    upstream.notices = {'Retry-After': f'{seconds:g}'}
+    upstream.is_refusing = True
+
+
+@given('another instance for stage work')
+def add_instance(context):
+    stage = context.gateway_stage
+    stage.run(stage.add_upstream('s2', 'stage'))
+    directories = [stage.get_context(name).directory for name in NAMES]
+    stage.run(
+        stage.wait_for(
+            lambda: all(len(one.get_pool('stage')) == 2 for one in directories),
+        ),
+    )
+
+
+@when('callers post to {path:S} until {name:w} has answered')
+def send_until_answered(context, path, name):
+    upstream = _get_upstream(context, name)
+    before = _count_work(upstream)
+    for _ in range(_MOST_TRIES):
+        _send(context, path, 1)
+        if _count_work(upstream) > before:
+            break
+    context.count_answered = _count_work(upstream)
+    assert context.count_answered > before
+
+
+@when('callers post stage work until {name:w} has answered')
+def send_pieces_until_answered(context, name):
+    upstream = _get_upstream(context, name)
+    stage = context.gateway_stage
+    for _ in range(_MOST_TRIES):
+        stage.run(send_staged(stage, 1, '/staged/answer'))
+        if upstream.calls:
+            break
+    context.count_answered = _count_work(upstream)
+    assert upstream.calls
+
+
+@when('{count:d} more callers post stage work through all gateways')
+def send_pieces(context, count):
+    stage = context.gateway_stage
+    stage.run(send_staged(stage, count, '/staged/answer'))
+
+
+@when('{count:d} more callers post to {path:S}')
+def send(context, count, path):
+    _send(context, path, count)
+
+
+@when('{count:d} more callers post to {path:S} at each gateway')
+def send_everywhere(context, count, path):
+    for gateway in NAMES:
+        _send(context, path, count, gateway)
+
+
+def _send(context, path, count, gateway='g1') -> None:
+    stage = context.gateway_stage
+    context.answers = [
+        stage.run(stage.send(path, gateway=gateway)) for _ in range(count)
+    ]
+
+
+@when('the gateways have told each other')
+def wait_told(context):
+    stage = context.gateway_stage
+    stage.run(stage.wait_reads(_READS))
+
+
+@when('it is under suspicion no more')
+def wait_trusted(context):
+    stage = context.gateway_stage
+    record = stage.get_context().book.get('u1')
+    stage.run(
+        stage.wait_for(lambda: record.suspect_until_ms <= get_monotonic_ms()),
+    )
+
+
+@when('{name:w} has started again and is listed')
+def start_again(context, name):
+    stage = context.gateway_stage
+    stage.store.faults.active = {}
+    _get_upstream(context, name).notices = {}
+    stage.run(stage.show(name, 'plain', born=_STARTED_AGAIN_MS))
+    directory = stage.get_context().directory
+
+    def is_listed():
+        listed = directory.get(name)
+        return listed is not None and listed.started_unix_ms
+
+    stage.run(stage.wait_for(is_listed))
+
+
+@when('{name:w} takes requests again and its time is over')
+def take_again(context, name):
+    stage = context.gateway_stage
+    upstream = _get_upstream(context, name)
+    upstream.notices = {}
+    upstream.is_refusing = False
+    directory = stage.get_context().directory
+    stage.run(
+        stage.wait_for(
+            lambda: any(
+                one.instance == name for one in directory.get_pool('plain')
+            ),
+        ),
+    )
+
+
+@then('{name:w} has got nothing since its answer')
+def check_nothing(context, name):
+    assert _count_work(_get_upstream(context, name)) == context.count_answered
+
+
+@then('{name:w} has got work since its answer')
+def check_work(context, name):
+    assert _count_work(_get_upstream(context, name)) > context.count_answered
+
+
+@then('all were served')
+def check_served(context):
+    assert all(answer.status == 200 for answer in context.answers)
+
+
+@then('the last one was served')
+def check_last_served(context):
+    assert context.answers[-1].status == 200
+
+
+@then('all were refused as not run')
+def check_refused(context):
+    for answer in context.answers:
+        assert answer.status == 503, answer
+        assert 'Retry-After' in answer.headers, answer
+
+
+@then('all were refused as not run, for {least:d} to {most:d} seconds')
+def check_refused_for(context, least, most):
+    check_refused(context)
+    for answer in context.answers:
+        assert least <= float(answer.headers['Retry-After']) <= most, answer
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -41,6 +41,9 @@
         self._server: asyncio.Server | None = None
         self.address = ''
         self.has_crashed = False
+        # Headers of all answers.
+        self.notices: dict[str, str] = {}
+        self.is_refusing = False
         self._open: set[asyncio.StreamWriter] = set()
 
     async def start(self, port: int) -> None:
@@ -87,6 +90,8 @@
             self.freed += msgspec.json.decode(request.body)['handles']
             _write(writer, '200 OK', {}, b'')
             return True
+        if self.is_refusing:
+            return await _refuse(self, request, reader, writer)
         behave = _BEHAVIOURS[request.path.partition('?')[0].split('/')[-1]]
         return await behave(self, request, reader, writer)
 
@@ -97,6 +102,7 @@
             'X-Ragworthollow-Request-Id': request.request_id,
             'X-Ragworthollow-Response-Signature': f'{self.name}.signed',
             'X-Ragworthollow-Server-Load': '1,0,4',
+            **self.notices,
         }
 
     async def _make_pieces(self, request, writer) -> bool:
@@ -110,7 +116,7 @@
         await asyncio.sleep(self.piece_ms / 1000)
         self.busy -= 1
         body = msgspec.json.encode({'items': list(map(self._make, items))})
-        _write(writer, '200 OK', {}, body)
+        _write(writer, '200 OK', self.notices, body)
         return True
 
     def _make(self, item: dict) -> dict[str, str]:
@@ -165,8 +171,8 @@
     return False
 
 
-async def _refuse(_standin, _request, _reader, writer):
-    headers = {'X-Ragworthollow-Not-Executed': '1'}
+async def _refuse(standin, _request, _reader, writer):
+    headers = {'X-Ragworthollow-Not-Executed': '1', **standin.notices}
     _write(writer, '503 Service Unavailable', headers, b'')
     return True
 
