Keep in the store which requests are kept away

Evidence ended with the gateways: after the loss of all of them at once a harmful request would have ended two more instances. The gateway whose evidence decides writes one record under a lease of at most ten minutes, and removes it when the request is let in again; all read it with the rest of the store.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine.py
@@ -3,13 +3,18 @@
 import asyncio
 from collections.abc import Iterable
 
+import msgspec
+
 from ragworthollow.conf import GatewaySettings
 from ragworthollow.logs.events import log_event
 from ragworthollow.metrics import Metrics
 from ragworthollow.quarantine import (
     CrashLedger,
+    CrashReport,
     EvidenceExchange,
     EvidenceNews,
+    Suspect,
+    make_report,
 )
 from ragworthollow.quarantine.operator_messages import KeptAwayRequest
 from ragworthollow.upstreams import Directory, UpstreamInstance
@@ -66,6 +71,9 @@
             spawn=spawn,
             on_crash=self._note_crash,
         )
+        # Requests that are kept away since evidence of this process, or let in
+        # again by it.
+        self.changed_verdicts: asyncio.Queue[str] = asyncio.Queue()
         # Set when other gateways should be told without delay.
         self.has_urgent_news = asyncio.Event()
         self.has_asked = False
@@ -123,6 +131,16 @@
         if news is not None:
             self._exchange.take_news(peer, news, get_boottime_ms())
 
+    def take_report(self, report: CrashReport) -> None:
+        """Take what the store holds against a request."""
+        self._exchange.take_report(report, get_boottime_ms())
+
+    def encode_record(self, fingerprint: str) -> str:
+        """Encode what the store is to hold against a request."""
+        suspect = self._ledger.get_suspect(fingerprint) or Suspect()
+        report = make_report(fingerprint, suspect, get_boottime_ms())
+        return msgspec.json.encode(report).decode()
+
     def count(self) -> int:
         """Return the number of requests against which there is evidence."""
         return self._ledger.count()
@@ -133,9 +151,13 @@
         for fingerprint in running:
             if self._ledger.note_crash(fingerprint, incarnation, now_ms):
                 self._note_quarantine(fingerprint)
+                self.changed_verdicts.put_nowait(fingerprint)
 
     def _absolve(self, fingerprint: str, event: str) -> bool:
+        is_kept_away = self.get_left_ms(fingerprint) > 0
         is_new = self._ledger.absolve(fingerprint, get_boottime_ms())
+        if is_kept_away:
+            self.changed_verdicts.put_nowait(fingerprint)
         if is_new:
             self._metrics.count_event(event)
             log_event(event, step=_STEP, fingerprint=fingerprint)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -21,6 +21,9 @@
 from ragworthollow_daemon.gateway.peer_routes import PeerRoutes
 from ragworthollow_daemon.gateway.piece_client import PieceClient
 from ragworthollow_daemon.gateway.piece_service import PieceService
+from ragworthollow_daemon.gateway.quarantine_records import (
+    QuarantineRecords,
+)
 from ragworthollow_daemon.gateway.readiness import Readiness
 from ragworthollow_daemon.gateway.status_routes import StatusRoutes
 
@@ -65,6 +68,7 @@
             members=self.members,
             gates=self._service.get_gates(),
         )
+        self._records = QuarantineRecords(context=self.context)
         self._follower = make_store_follower(
             context=self.context,
             members=self.members,
@@ -75,6 +79,7 @@
                     on_restart=self._service.forget_incarnation,
                 ),
                 self.membership,
+                self._records,
                 ConfigurationFollower(context=self.context),
             ),
         )
@@ -124,6 +129,7 @@
         self.context.spawn_loop(self._tick(front))
         self.context.spawn_loop(self.membership.run())
         self.context.spawn_loop(self.membership.watch_hosts())
+        self.context.spawn_loop(self._records.run())
 
     def begin_stop(self) -> None:
         """Turn readiness off, and refuse what cannot be finished here."""
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -371,6 +371,9 @@
 # For how long after the last of them, doubled with each further one.
 QUARANTINE_MS = 300_000
 QUARANTINE_DOUBLINGS_LIMIT = 3
+# What the store grants at most; a record that ends before its quarantine is
+# missed only if all gateways end at once after that.
+LONGEST_LEASE_MS = 600_000
 # Requests that are remembered: several crashes of instances with every slot in
 # use.
 SUSPECTS_KEPT = 4_096
--- a/packages/ragworthollow/src/ragworthollow/quarantine/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/__init__.py
@@ -1,6 +1,9 @@
 """Keep requests that crash upstream instances away from the others."""
 
-from ragworthollow.quarantine.evidence_exchange import EvidenceExchange
+from ragworthollow.quarantine.evidence_exchange import (
+    EvidenceExchange,
+    make_report,
+)
 from ragworthollow.quarantine.evidence_news import CrashReport, EvidenceNews
 from ragworthollow.quarantine.fingerprint import make_fingerprint
 from ragworthollow.quarantine.ledger import CrashLedger
@@ -13,4 +16,5 @@
     'EvidenceNews',
     'Suspect',
     'make_fingerprint',
+    'make_report',
 )
--- a/packages/ragworthollow/src/ragworthollow/quarantine/evidence_exchange.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/evidence_exchange.py
@@ -67,7 +67,7 @@
             heard_teller=peer.teller,
             heard_number=peer.heard,
             reports=tuple(
-                _report(fingerprint, suspect, now_ms)
+                make_report(fingerprint, suspect, now_ms)
                 for _, fingerprint, suspect in changes
             ),
         )
@@ -96,9 +96,10 @@
         is_known = news.heard_teller == self._incarnation
         peer.told = news.heard_number if is_known else 0
         for report in news.reports:
-            self._take(report, now_ms)
+            self.take_report(report, now_ms)
 
-    def _take(self, report: CrashReport, now_ms: float) -> None:
+    def take_report(self, report: CrashReport, now_ms: float) -> None:
+        """Take the evidence against one request."""
         is_new = self._ledger.add(
             report.fingerprint,
             {
@@ -112,7 +113,12 @@
             self._on_quarantine(report.fingerprint)
 
 
-def _report(fingerprint: str, suspect: Suspect, now_ms: float) -> CrashReport:
+def make_report(
+    fingerprint: str,
+    suspect: Suspect,
+    now_ms: float,
+) -> CrashReport:
+    """Make the report of the evidence against one request."""
     return CrashReport(
         fingerprint=fingerprint,
         crash_ages_ms={
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -38,6 +38,29 @@
     When they have it released
     Then it is kept away at no gateway
 
+  Scenario: All gateways end at once and start again
+    # Guards against evidence that ends with the gateways: a harmful request
+    # would crash as many instances again.
+    Given two more gateways and an instance for stage work
+    And instances that crash come back under another name
+    When a caller posts to /safe/crash 3 times, at each gateway in turn
+    And the store holds 1 records of requests that are kept away
+    And all gateways are killed and started again
+    And a caller posts to /safe/crash 3 times, at each gateway in turn
+    Then no more than 3 instances have crashed
+
+  Scenario: An operator's release reaches the store
+    # Guards against a request that is kept away again after a restart, although
+    # it was let in.
+    Given two more gateways and an instance for stage work
+    And instances that crash come back under another name
+    And a gateway that operators can ask
+    When a caller posts to /safe/crash 3 times, at each gateway in turn
+    Then operators are shown the request and 2 crashes
+    When the store holds 1 records of requests that are kept away
+    And they have it released
+    Then the store holds 0 records of requests that are kept away
+
   Scenario: Requests that ran beside it are served again
     # Guards against a judgement by crashes alone: whatever runs on an instance
     # when it crashes has been in a crash, and most of it is harmless.
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -19,6 +19,7 @@
 _READS_BETWEEN = 2 * len(NAMES)
 _LAST_TRIES = 4
 _MUCH_LATER_S = 10
+_RECORDS = 'quarantine/'
 
 
 @dataclass(kw_only=True)
@@ -161,3 +162,14 @@
             ),
         ),
     )
+
+
+@when('the store holds {count:d} records of requests that are kept away')
+@then('the store holds {count:d} records of requests that are kept away')
+def wait_recorded(context, count):
+    stage = context.gateway_stage
+    stage.run(stage.wait_for(lambda: _count_records(stage) == count))
+
+
+def _count_records(stage) -> int:
+    return sum(key.startswith(_RECORDS) for key in stage.store.entries)
