Forget old crashes of popular requests, and use the field's words

A request that everybody sends collected each crash it was near for as long as it was popular; crashes as old as the longest quarantine are dropped now. Names say quarantined and cleared.

--- a/measure/quarantine_model/__main__.py
+++ b/measure/quarantine_model/__main__.py
@@ -1,4 +1,4 @@
-"""Compare limits of crashes from which a request is kept away."""
+"""Compare limits of crashes from which a request is quarantined."""
 
 import dataclasses
 import sys
--- a/measure/quarantine_model/model.py
+++ b/measure/quarantine_model/model.py
@@ -148,7 +148,7 @@
             run.fingerprint,
             self._now_ms,
         ):
-            self.counts['harmful kept away' if is_harmful else 'refused'] += 1
+            self.counts['harmful quarantined' if is_harmful else 'refused'] += 1
             return
         alive = [one for one in self._engines if one.back_ms <= self._now_ms]
         if not alive:
@@ -175,7 +175,7 @@
         run.is_ended = True
         engine.running.discard(run)
         self.counts['served'] += 1
-        self._ledgers[run.gateway].absolve(run.fingerprint, self._now_ms)
+        self._ledgers[run.gateway].clear(run.fingerprint, self._now_ms)
 
     def _crash_any(self) -> None:
         self._crash(self._rng.choice(self._engines))
--- a/measure/quarantine_model/scenario.py
+++ b/measure/quarantine_model/scenario.py
@@ -25,7 +25,7 @@
     crashes_per_s : float
         Crashes of engines that no request has caused.
     crash_limit : int
-        Crashes from which a request is kept away; 0 to keep none away.
+        Crashes from which a request is quarantined; 0 to keep none away.
     length_s : float
         How long harmful requests come.
     """
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/quarantine.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/quarantine.py
@@ -1,11 +1,11 @@
-"""List the requests that are kept away."""
+"""List the requests that are quarantined."""
 
 import asyncio
 import sys
 
 from ragworthollow.quarantine.operator_messages import (
     QUARANTINE_PATH,
-    KeptAwayRequest,
+    QuarantinedRequest,
 )
 from ragworthollow_ctl.gateway_client import ask_gateway
 
@@ -14,7 +14,7 @@
 
 def quarantine(gateway: str) -> None:
     """
-    List requests that are kept away since they crash what runs them.
+    List requests that are quarantined since they crash what runs them.
 
     Parameters
     ----------
@@ -22,7 +22,7 @@
         Metrics address of any gateway, IP:PORT.
     """
     found = asyncio.run(
-        ask_gateway(gateway, QUARANTINE_PATH, tuple[KeptAwayRequest, ...]),
+        ask_gateway(gateway, QUARANTINE_PATH, tuple[QuarantinedRequest, ...]),
     )
     sys.stdout.writelines(
         f'{one.fingerprint}  {one.left_ms / _SECOND_MS:.0f} s'
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/release.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/commands/release.py
@@ -15,7 +15,7 @@
 
 def release(fingerprint: str, gateway: str) -> None:
     """
-    Let a request in again at every gateway; exit 1 when it was not kept away.
+    Let a request in again at every gateway; exit 1 when it was not quarantined.
 
     Parameters
     ----------
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/answer_notices.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/answer_notices.py
@@ -1,4 +1,4 @@
-"""Believe instances what they say of themselves in their answers."""
+"""Apply what instances say of themselves in their answers."""
 
 from collections.abc import Mapping
 
@@ -18,7 +18,7 @@
     marks: AnswerMarks,
 ) -> None:
     """
-    Take the marks of an answer, as soon as its head is here.
+    Apply the marks of an answer, as soon as its head has been read.
 
     Parameters
     ----------
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
@@ -192,7 +192,7 @@
         )
 
     async def settle(self, plan: AttemptPlan) -> None:
-        """Wait for what an attempt has shown, where another may follow."""
+        """Wait for the crash check of an attempt if another may follow."""
         if self._find_stop() is None:
             await self._context.quarantine.settle(plan.instance)
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_outcomes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_outcomes.py
@@ -79,9 +79,9 @@
 
     async def settle(self, call: PieceCall, failure: UpstreamFailure) -> None:
         """
-        Wait until it is known whether an instance crashed in a call.
+        Wait for the crash check of the instance of a failed call.
 
-        Pieces that are queued again before would reach the next instance.
+        Pieces that are queued again before it could crash the next instance.
         """
         if failure.reason is not Reason.connection_lost:
             return
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/crash_watch.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/crash_watch.py
@@ -1,4 +1,4 @@
-"""Find out which broken connections mean that an instance has crashed."""
+"""Detect crashes of instances behind broken connections."""
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable
@@ -17,7 +17,7 @@
 
 class CrashWatch:
     """
-    Hold every request against itself that was running in a crash.
+    Report which requests were running on an instance when it crashed.
 
     A connection may break because its instance crashed, or because one answer
     was cut, a link was reset or an instance ended as planned.  Only after a
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine.py
@@ -1,4 +1,4 @@
-"""Keep requests away that crash what runs them."""
+"""Quarantine requests that crash the instances that run them."""
 
 import asyncio
 from collections.abc import Iterable
@@ -16,7 +16,7 @@
     Suspect,
     make_report,
 )
-from ragworthollow.quarantine.operator_messages import KeptAwayRequest
+from ragworthollow.quarantine.operator_messages import QuarantinedRequest
 from ragworthollow.upstreams import Directory, UpstreamInstance
 from ragworthollow.utils import get_boottime_ms
 from ragworthollow_daemon.gateway.crash_watch import CrashWatch, Spawn
@@ -26,7 +26,7 @@
 
 class Quarantine:
     """
-    Gather evidence of crashes here and at other gateways, and judge by it.
+    Share evidence of crashes with other gateways, and decide by it.
 
     A caller sends the same request again to any gateway, so that each has to
     know what all have seen.  Evidence travels with the pings between gateways;
@@ -71,27 +71,26 @@
             spawn=spawn,
             on_crash=self._note_crash,
         )
-        # Requests that are kept away since evidence of this process, or let in
-        # again by it.
+        # Requests that this process has quarantined or let in again.
         self.changed_verdicts: asyncio.Queue[str] = asyncio.Queue()
         # Set when other gateways should be told without delay.
         self.has_urgent_news = asyncio.Event()
         self.has_asked = False
 
     def get_left_ms(self, fingerprint: str) -> float:
-        """Return for how long a request is kept away; 0 if it is not."""
+        """Return for how long a request is quarantined; 0 if it is not."""
         return self._ledger.get_left_ms(fingerprint, get_boottime_ms())
 
-    def list_kept_away(self) -> list[KeptAwayRequest]:
-        """Return the requests that are kept away."""
-        kept_away = self._ledger.list_kept_away(get_boottime_ms())
+    def list_quarantined(self) -> list[QuarantinedRequest]:
+        """Return the requests that are quarantined."""
+        quarantined = self._ledger.list_quarantined(get_boottime_ms())
         return [
-            KeptAwayRequest(
+            QuarantinedRequest(
                 fingerprint=fingerprint,
                 crashes=self._list_crashes(fingerprint),
                 left_ms=left_ms,
             )
-            for fingerprint, left_ms in kept_away.items()
+            for fingerprint, left_ms in quarantined.items()
         ]
 
     def note_break(
@@ -108,7 +107,7 @@
 
     def note_good_end(self, fingerprint: str) -> None:
         """Take back all evidence against a request that has ended well."""
-        self._absolve(fingerprint, 'request_absolved')
+        self._clear(fingerprint, 'request_cleared')
 
     def release(self, fingerprint: str) -> bool:
         """
@@ -120,7 +119,7 @@
             Whether there was any.
         """
         self.has_urgent_news.set()
-        return self._absolve(fingerprint, 'request_released')
+        return self._clear(fingerprint, 'request_released')
 
     def make_news(self, peer: str) -> EvidenceNews | None:
         """Make what another gateway has not heard; None for nothing."""
@@ -153,10 +152,10 @@
                 self._note_quarantine(fingerprint)
                 self.changed_verdicts.put_nowait(fingerprint)
 
-    def _absolve(self, fingerprint: str, event: str) -> bool:
-        is_kept_away = self.get_left_ms(fingerprint) > 0
-        is_new = self._ledger.absolve(fingerprint, get_boottime_ms())
-        if is_kept_away:
+    def _clear(self, fingerprint: str, event: str) -> bool:
+        is_quarantined = self.get_left_ms(fingerprint) > 0
+        is_new = self._ledger.clear(fingerprint, get_boottime_ms())
+        if is_quarantined:
             self.changed_verdicts.put_nowait(fingerprint)
         if is_new:
             self._metrics.count_event(event)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine_records.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine_records.py
@@ -1,4 +1,4 @@
-"""Keep in the store which requests are kept away."""
+"""Keep in the store which requests are quarantined."""
 
 import asyncio
 from collections.abc import Mapping
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/status_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/status_routes.py
@@ -85,7 +85,7 @@
         application = web.Application()
         application.router.add_get('/metrics', self.get_metrics)
         application.router.add_get('/status', self.get_status)
-        application.router.add_get(QUARANTINE_PATH, self.list_kept_away)
+        application.router.add_get(QUARANTINE_PATH, self.list_quarantined)
         application.router.add_post(RELEASE_PATH, self.release)
         return application
 
@@ -101,7 +101,7 @@
         context.metrics.set_state('crash_suspects', quarantine.count())
         context.metrics.set_state(
             'quarantined',
-            len(quarantine.list_kept_away()),
+            len(quarantine.list_quarantined()),
         )
         return web.Response(
             body=context.metrics.render(),
@@ -130,9 +130,9 @@
             ),
         )
 
-    async def list_kept_away(self, _request: web.Request) -> web.Response:
-        """List the requests that are kept away, as JSON."""
-        return respond(self._context.quarantine.list_kept_away())
+    async def list_quarantined(self, _request: web.Request) -> web.Response:
+        """List the requests that are quarantined, as JSON."""
+        return respond(self._context.quarantine.list_quarantined())
 
     async def release(self, request: web.Request) -> web.Response:
         """Let a request in again, here and at the other gateways."""
--- a/packages/ragworthollow/src/ragworthollow/conf/gateway_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/gateway_settings.py
@@ -47,7 +47,7 @@
         Pace at which instances renew their entries in the store.
     quarantine_crashes : int
         Crashes of instances with a request running, and no good end since,
-        from which the request is kept away.
+        from which the request is quarantined.
     quarantine_ms : float
         For how long after the last of them.
     """
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -366,7 +366,7 @@
 
 # Gateway: requests that crash instances.
 # Crashes with a request running, and no good end since, from which the request
-# is kept away.
+# is quarantined.
 QUARANTINE_CRASHES = 2
 # For how long after the last of them, doubled with each further one.
 QUARANTINE_MS = 300_000
--- a/packages/ragworthollow/src/ragworthollow/quarantine/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/__init__.py
@@ -1,4 +1,4 @@
-"""Keep requests that crash upstream instances away from the others."""
+"""Quarantine requests that crash the upstream instances that run them."""
 
 from ragworthollow.quarantine.evidence_exchange import (
     EvidenceExchange,
--- a/packages/ragworthollow/src/ragworthollow/quarantine/evidence_exchange.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/evidence_exchange.py
@@ -50,7 +50,7 @@
     ledger : CrashLedger
         The evidence.
     on_quarantine : callable
-        Called with each request that is kept away by what was heard.
+        Called with each request that is quarantined by what was heard.
     """
 
     def __init__(
@@ -130,7 +130,7 @@
                 incarnation: now_ms - age_ms
                 for incarnation, age_ms in report.crash_ages_ms.items()
             },
-            report.absolved,
+            report.cleared,
             now_ms,
         )
         if is_new:
@@ -149,5 +149,5 @@
             incarnation: now_ms - at_ms
             for incarnation, at_ms in suspect.crashes.items()
         },
-        absolved=tuple(suspect.absolved),
+        cleared=tuple(suspect.cleared),
     )
--- a/packages/ragworthollow/src/ragworthollow/quarantine/evidence_news.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/evidence_news.py
@@ -14,13 +14,13 @@
     crash_ages_ms : dict of str to float
         How long ago each incarnation of an instance ended that was running
         it.
-    absolved : tuple of str
+    cleared : tuple of str
         Those that say nothing against it any more.
     """
 
     fingerprint: str
     crash_ages_ms: dict[str, float] = {}
-    absolved: tuple[str, ...] = ()
+    cleared: tuple[str, ...] = ()
 
 
 class EvidenceNews(Message):
--- a/packages/ragworthollow/src/ragworthollow/quarantine/ledger.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/ledger.py
@@ -1,4 +1,4 @@
-"""Decide which requests are kept away."""
+"""Decide which requests are quarantined."""
 
 from collections.abc import Iterable, Mapping
 
@@ -8,7 +8,7 @@
 
 class CrashLedger:
     """
-    Hold the requests that were running in crashes, and judge them.
+    Hold the requests that were running in crashes, and tell which are harmful.
 
     The evidence of several gateways can be added in any order and more than
     once.  Each change gets a number, so that a gateway can tell another what
@@ -17,12 +17,12 @@
     Parameters
     ----------
     crash_limit : int
-        Crashes since its last good end from which a request is kept away.
+        Crashes since its last good end from which a request is quarantined.
     term_ms : float
         For how long after the last crash.
     longest : int
         Most requests that are remembered; those whose evidence is oldest go
-        first, and those that are kept away last.
+        first, and those that are quarantined last.
     """
 
     def __init__(
@@ -53,11 +53,11 @@
         Returns
         -------
         bool
-            Whether the request is kept away from now on and was not before.
+            Whether the request is quarantined from now on and was not before.
         """
         return self.add(fingerprint, {incarnation: now_ms}, (), now_ms)
 
-    def absolve(self, fingerprint: str, now_ms: float) -> bool:
+    def clear(self, fingerprint: str, now_ms: float) -> bool:
         """
         Take all evidence against a request back.
 
@@ -76,7 +76,7 @@
         self,
         fingerprint: str,
         crashes: Mapping[str, float],
-        absolved: Iterable[str],
+        cleared: Iterable[str],
         now_ms: float,
     ) -> bool:
         """
@@ -88,7 +88,7 @@
             The request.
         crashes : mapping of str to float
             When incarnations of instances ended that were running it.
-        absolved : iterable of str
+        cleared : iterable of str
             Those that say nothing against it, since it ended well later.
         now_ms : float
             Time on the clock that all of these are on.
@@ -96,23 +96,23 @@
         Returns
         -------
         bool
-            Whether the request is kept away from now on and was not before.
+            Whether the request is quarantined from now on and was not before.
         """
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             suspect = Suspect()
-        was_kept_away = self.get_left_ms(fingerprint, now_ms) > 0
-        if not suspect.add(crashes, absolved):
+        was_quarantined = self.get_left_ms(fingerprint, now_ms) > 0
+        if not suspect.add(crashes, cleared):
             return False
         self._suspects[fingerprint] = suspect
         self.number += 1
         self._numbers.pop(fingerprint, None)
         self._numbers[fingerprint] = self.number
         self._forget(now_ms)
-        return not was_kept_away and self.get_left_ms(fingerprint, now_ms) > 0
+        return not was_quarantined and self.get_left_ms(fingerprint, now_ms) > 0
 
     def get_left_ms(self, fingerprint: str, now_ms: float) -> float:
-        """Return for how long a request is kept away; 0 if it is not."""
+        """Return for how long a request is quarantined; 0 if it is not."""
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return 0
@@ -122,8 +122,8 @@
         """Return the evidence against a request, or None."""
         return self._suspects.get(fingerprint)
 
-    def list_kept_away(self, now_ms: float) -> dict[str, float]:
-        """Return how long each request that is kept away still is."""
+    def list_quarantined(self, now_ms: float) -> dict[str, float]:
+        """Return how long each request that is quarantined still is."""
         return {
             fingerprint: self._get_release_ms(suspect) - now_ms
             for fingerprint, suspect in self._suspects.items()
@@ -147,30 +147,24 @@
     def _get_release_ms(self, suspect: Suspect) -> float:
         return suspect.get_release_ms(self._crash_limit, self._term_ms)
 
-    def _get_end_ms(self, suspect: Suspect) -> float:
+    def _forget(self, now_ms: float) -> None:
         """
-        Return when evidence is forgotten.
+        Forget crashes that are as old as the longest quarantine.
 
-        It outlives the quarantine: a request that is let in again and crashes
-        an instance is kept away at once.
+        They outlive a shorter one: a request that is let in again and crashes
+        an instance is quarantined at once.
         """
-        longest_ms = (
-            self._term_ms * 2**global_settings.QUARANTINE_DOUBLINGS_LIMIT
-        )
-        return suspect.get_newest_ms() + longest_ms
-
-    def _forget(self, now_ms: float) -> None:
         is_full = len(self._suspects) > self._longest
         if not is_full and now_ms < self._forget_ms:
             return
         self._forget_ms = now_ms + global_settings.EVIDENCE_FORGET_MS
-        ended = [
-            fingerprint
-            for fingerprint, suspect in self._suspects.items()
-            if self._get_end_ms(suspect) <= now_ms
-        ]
-        for fingerprint in ended:
-            self._drop(fingerprint)
+        longest_ms = (
+            self._term_ms * 2**global_settings.QUARANTINE_DOUBLINGS_LIMIT
+        )
+        for fingerprint, suspect in tuple(self._suspects.items()):
+            suspect.forget_before(now_ms - longest_ms)
+            if not suspect.crashes:
+                self._drop(fingerprint)
         while len(self._suspects) > self._longest:
             self._drop(min(self._suspects, key=self._rank))
 
--- a/packages/ragworthollow/src/ragworthollow/quarantine/operator_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/operator_messages.py
@@ -1,4 +1,4 @@
-"""Define what operators and gateways say of requests that are kept away."""
+"""Define what operators and gateways say of requests that are quarantined."""
 
 from ragworthollow.utils.message import Message
 
@@ -6,9 +6,9 @@
 RELEASE_PATH = '/quarantine/release'
 
 
-class KeptAwayRequest(Message):
+class QuarantinedRequest(Message):
     """
-    Show a request that is kept away.
+    Show a request that is quarantined.
 
     Attributes
     ----------
--- a/tests/features/crash_evidence.feature
+++ b/tests/features/crash_evidence.feature
@@ -5,17 +5,17 @@
     # when it crashes has been in a crash, and most of it is harmless.
     Given a request that was running in 1 crashes
     When it ends well and is running in 1 further crashes
-    Then it is not kept away
+    Then it is not quarantined
 
   Scenario: A quarantine ends by itself, and one more crash makes a longer one
     # Guards against a false suspicion that stays, and against an instance lost
     # for each end of a true one.
     Given a request that was running in 2 crashes
-    Then it is kept away for 300 seconds
+    Then it is quarantined for 300 seconds
     When that time has passed
-    Then it is not kept away
+    Then it is not quarantined
     When it is running in 1 further crashes
-    Then it is kept away for 600 seconds
+    Then it is quarantined for 600 seconds
 
   Scenario: Gateways that hear of evidence in any order agree
     # Guards against a gateway that lets a request in which others keep away,
@@ -25,20 +25,28 @@
   Scenario: A gateway that starts again is told everything
     # Guards against a gateway that knows nothing after its start and sends what
     # all others keep away.
-    Given a gateway that knows of 300 requests that are kept away
+    Given a gateway that knows of 300 requests that are quarantined
     When a gateway asks it 3 times, starts again and asks 3 times
-    Then it keeps 300 requests away
+    Then it quarantines 300 requests
 
   Scenario: Memory for evidence is bounded, and a quarantine is dropped last
     # Guards against callers who fill the memory with requests that were near a
     # crash until a harmful one is forgotten.
-    Given a memory for 10 requests, one of which is kept away
+    Given a memory for 10 requests, one of which is quarantined
     When 50 others have been running in a crash
-    Then 10 are remembered, and the one is still kept away
+    Then 10 are remembered, and the one is still quarantined
+
+  Scenario: Old crashes are forgotten
+    # Guards against a memory that grows with each crash that a popular request
+    # was near, for as long as it is popular.
+    Given a request that was running in 1 crashes
+    When it ends well and is running in 1 further crashes
+    And 3 hours have passed and another request was running in a crash
+    Then only that one is remembered
 
   Scenario Outline: A connection breaks at an instance that <state>
     # Guards against taking a cut answer, a reset link or a planned stop for a
-    # crash: harmless requests would be kept away.
+    # crash: harmless requests would be quarantined.
     When a request loses its connection to an instance that <state>
     Then the request has been in <crashes> crashes
 
@@ -49,7 +57,7 @@
       | has ended after leaving | 0       |
 
   Scenario: No organisation has another's requests taken for its own
-    # Guards against a firm whose requests get those of a rival kept away.
+    # Guards against a firm whose requests get those of a rival quarantined.
     Then requests are the same work only with one organisation, target and body
 
   Scenario Outline: Harmful requests come at a fleet, <pattern>
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -1,5 +1,5 @@
 @each.gateway
-Feature: A request that crashes what runs it is kept away from the rest
+Feature: A request that crashes what runs it is quarantined from the rest
 
   Scenario Outline: The same <kind> request comes again at every gateway
     # Guards against a request that crashes each engine which begins to run it:
@@ -36,7 +36,7 @@
     When a caller posts to /safe/crash 3 times, at each gateway in turn
     Then operators are shown the request and 2 crashes
     When they have it released
-    Then it is kept away at no gateway
+    Then it is quarantined at no gateway
 
   Scenario: All gateways end at once and start again
     # Guards against evidence that ends with the gateways: a harmful request
@@ -44,19 +44,19 @@
     Given two more gateways and an instance for stage work
     And instances that crash come back under another name
     When a caller posts to /safe/crash 3 times, at each gateway in turn
-    And the store holds 1 records of requests that are kept away
+    And the store holds 1 records of requests that are quarantined
     And all gateways are killed and started again
     And a caller posts to /safe/crash 3 times, at each gateway in turn
     Then no more than 3 instances have crashed
 
   Scenario: An operator's release reaches the store
-    # Guards against a request that is kept away again after a restart, although
+    # Guards against a request that is quarantined again after a restart, although
     # it was let in.
     Given two more gateways and an instance for stage work
     And instances that crash come back under another name
     And a gateway that operators can ask
     When a caller posts to /safe/crash 3 times, at each gateway in turn
     Then operators are shown the request and 2 crashes
-    When the store holds 1 records of requests that are kept away
+    When the store holds 1 records of requests that are quarantined
     And they have it released
-    Then the store holds 0 records of requests that are kept away
+    Then the store holds 0 records of requests that are quarantined
--- a/tests/features/steps/crash_evidence.py
+++ b/tests/features/steps/crash_evidence.py
@@ -21,6 +21,7 @@
 from ragworthollow_daemon.gateway.crash_watch import CrashWatch
 
 _TERM_MS = 300_000
+_HOUR_MS = 3_600_000
 _WORK = 'work'
 _GATEWAYS = ('g1', 'g2', 'g3')
 _HOST = '127.0.0.1'
@@ -53,7 +54,7 @@
 
 @when('it ends well and is running in {count:d} further crashes')
 def end_well(context, count):
-    context.ledger.absolve(_WORK, context.now_ms)
+    context.ledger.clear(_WORK, context.now_ms)
     _crash(context, count)
 
 
@@ -67,13 +68,25 @@
     context.now_ms += _TERM_MS
 
 
-@then('it is not kept away')
+@when('{hours:d} hours have passed and another request was running in a crash')
+def pass_hours(context, hours):
+    context.now_ms += hours * _HOUR_MS
+    context.ledger.note_crash('another', 'i9', context.now_ms)
+
+
+@then('only that one is remembered')
+def check_forgotten(context):
+    assert context.ledger.count() == 1
+    assert context.ledger.get_suspect('another')
+
+
+@then('it is not quarantined')
 def check_let_in(context):
     assert not context.ledger.get_left_ms(_WORK, context.now_ms)
 
 
-@then('it is kept away for {seconds:d} seconds')
-def check_kept_away(context, seconds):
+@then('it is quarantined for {seconds:d} seconds')
+def check_quarantined(context, seconds):
     left_ms = context.ledger.get_left_ms(_WORK, context.now_ms)
     assert left_ms == seconds * 1000, left_ms
 
@@ -96,7 +109,7 @@
             st.sampled_from(('i1', 'i2', 'i3')),
         ),
         st.tuples(
-            st.just('absolve'),
+            st.just('clear'),
             st.sampled_from(_GATEWAYS),
             st.sampled_from('abc'),
         ),
@@ -134,9 +147,9 @@
             self.ledgers[name].note_crash(work, instance, self._now_ms)
         elif kind == 'restart':
             self._start(rest[0])
-        elif kind == 'absolve':
+        elif kind == 'clear':
             name, work = rest
-            self.ledgers[name].absolve(work, self._now_ms)
+            self.ledgers[name].clear(work, self._now_ms)
         else:
             self.tell(*rest[0], is_lost=kind == 'lose')
             if kind == 'repeat':
@@ -186,7 +199,7 @@
     check()
 
 
-@given('a gateway that knows of {count:d} requests that are kept away')
+@given('a gateway that knows of {count:d} requests that are quarantined')
 def know_many(context, count):
     context.ledger = _make_ledger()
     for number in range(count):
@@ -208,12 +221,12 @@
             exchange.take_news('host', context.host.make_news('asker', 0), 0)
 
 
-@then('it keeps {count:d} requests away')
+@then('it quarantines {count:d} requests')
 def check_told(context, count):
-    assert len(context.asker.list_kept_away(0)) == count
+    assert len(context.asker.list_quarantined(0)) == count
 
 
-@given('a memory for {count:d} requests, one of which is kept away')
+@given('a memory for {count:d} requests, one of which is quarantined')
 def make_small_memory(context, count):
     context.ledger = _make_ledger(longest=count)
     for instance in ('i1', 'i2'):
@@ -226,7 +239,7 @@
         context.ledger.note_crash(f'other-{number}', 'i3', number)
 
 
-@then('{count:d} are remembered, and the one is still kept away')
+@then('{count:d} are remembered, and the one is still quarantined')
 def check_memory(context, count):
     assert context.ledger.count() == count
     assert context.ledger.get_left_ms(_WORK, count)
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -151,21 +151,21 @@
     stage.run(_run_command(release, context.fingerprint, context.asked))
 
 
-@then('it is kept away at no gateway')
+@then('it is quarantined at no gateway')
 def check_released(context):
     stage = context.gateway_stage
     contexts = [stage.get_context(name) for name in (*NAMES, 'asked')]
     stage.run(
         stage.wait_for(
             lambda: (
-                not any(one.quarantine.list_kept_away() for one in contexts)
+                not any(one.quarantine.list_quarantined() for one in contexts)
             ),
         ),
     )
 
 
-@when('the store holds {count:d} records of requests that are kept away')
-@then('the store holds {count:d} records of requests that are kept away')
+@when('the store holds {count:d} records of requests that are quarantined')
+@then('the store holds {count:d} records of requests that are quarantined')
 def wait_recorded(context, count):
     stage = context.gateway_stage
     stage.run(stage.wait_for(lambda: _count_records(stage) == count))
