Play the model of crashing requests in the same order each time

Engines held their runs in a set of objects, whose order differs from one process to the next; the rows without a limit moved by a few requests.

--- a/measure/quarantine_model/model.py
+++ b/measure/quarantine_model/model.py
@@ -35,12 +35,12 @@
 
 @dataclass(kw_only=True)
 class _Engine:
-    """Hold one engine and what runs there."""
+    """Hold one engine and what runs there, in the order of its start."""
 
     number: int
     starts: int = 0
     back_ms: float = 0
-    running: set[_Run] = field(default_factory=set)
+    running: dict[_Run, None] = field(default_factory=dict)
 
     def get_incarnation(self) -> str:
         return f'{self.number}@{self.starts}'
@@ -155,7 +155,7 @@
             self.counts['no engine'] += 1
             return
         engine = self._rng.choice(alive)
-        engine.running.add(run)
+        engine.running[run] = None
         if is_harmful:
             self.counts['harmful runs'] += 1
             self._at(
@@ -173,7 +173,7 @@
         if run.is_ended:
             return
         run.is_ended = True
-        engine.running.discard(run)
+        engine.running.pop(run, None)
         self.counts['served'] += 1
         self._ledgers[run.gateway].clear(run.fingerprint, self._now_ms)
 
