Say that a pool has no instance in a form that can be read

Where no instance of a stage pool takes work, since all leave or want a pause, the expected wait has no end. JSON has no such number: the host's answer to pings could not be decoded, so that it seemed silent to all others and told them nothing, that instances leave included; a refusal of pieces could not be decoded, and its log line raised OverflowError.

Found by reading the code with an empty pool in mind, then red: 'Every instance that makes pieces leaves' (the instance got further calls from gateways that had not heard), green now. None stands for a wait without an end on the wire and in the log.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/gate_book.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/gate_book.py
@@ -1,5 +1,6 @@
 """Keep the gates that are hosted by this process."""
 
+import math
 from collections.abc import Sequence
 
 from ragworthollow.conf import global_settings
@@ -133,8 +134,13 @@
             pool=pool,
             request_id=first.request_id,
             pieces=len(pieces),
-            wait_ms=round(wait_ms),
-            late_ms=round(late_ms),
+            wait_ms=_round(wait_ms),
+            late_ms=_round(late_ms),
         )
         refusal = PieceResult(outcome=PieceOutcome.refused, wait_ms=wait_ms)
         return (refusal,) * len(pieces)
+
+
+def _round(wait_ms: float) -> int | None:
+    """Round for the log; None for a wait without an end."""
+    return round(wait_ms) if math.isfinite(wait_ms) else None
--- a/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
+++ b/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
@@ -110,7 +110,10 @@
         stays there: its entry in the store may outlive it by seconds.
         """
         self._silent.discard(state.instance)
-        self._waits_ms[state.instance] = state.waits_ms
+        self._waits_ms[state.instance] = {
+            pool: [math.inf if one is None else one for one in waits_ms]
+            for pool, waits_ms in state.waits_ms.items()
+        }
         member = self._members.get(state.instance)
         if not state.is_leaving:
             self._leaving.pop(state.instance, None)
--- a/packages/ragworthollow/src/ragworthollow/transport/host_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/host_messages.py
@@ -48,7 +48,8 @@
     is_leaving : bool
         Whether it is stopping: it finishes what it has, and takes no more.
     waits_ms : dict
-        Expected waits of a new piece, by pool and priority.
+        Expected waits of a new piece, by pool and priority; None where no
+        instance of the pool takes work.
     store : StoreNews, optional
         What it knows of the store; nothing before its first read.
     evidence : EvidenceNews, optional
@@ -60,7 +61,7 @@
     instance: str
     can_host: bool = True
     is_leaving: bool = False
-    waits_ms: dict[str, list[float]] = {}
+    waits_ms: dict[str, list[float | None]] = {}
     store: StoreNews | None = None
     evidence: EvidenceNews | None = None
     leaving_ages_ms: dict[str, float] = {}
--- a/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
@@ -1,5 +1,7 @@
 """Define what gateways say to each other about pieces."""
 
+import math
+
 import msgspec
 
 from ragworthollow.pieces import Piece, PieceOutcome, PieceResult
@@ -47,7 +49,7 @@
 
     outcome: PieceOutcome
     handle: str = ''
-    wait_ms: float = 0
+    wait_ms: float | None = 0
 
 
 class PiecesOrder(Message):
@@ -182,7 +184,7 @@
             PieceResultMessage(
                 outcome=one.outcome,
                 handle=one.handle,
-                wait_ms=one.wait_ms,
+                wait_ms=one.wait_ms if math.isfinite(one.wait_ms) else None,
             )
             for one in results
         ),
@@ -203,7 +205,7 @@
         PieceResult(
             outcome=one.outcome,
             handle=one.handle,
-            wait_ms=one.wait_ms,
+            wait_ms=math.inf if one.wait_ms is None else one.wait_ms,
         )
         for one in answer.results
     )
--- a/tests/features/answer_notices.feature
+++ b/tests/features/answer_notices.feature
@@ -69,6 +69,18 @@
     And 12 more callers post stage work through all gateways
     Then s1 has got nothing since its answer
 
+  Scenario: Every instance that makes pieces leaves
+    # Guards against hosts of gates that seem silent and refusals that cannot be
+    # read, since the wait for an empty pool has no end.
+    Given two more gateways and an instance for stage work
+    And s1 leaves, which only its answers say
+    When callers post stage work until s1 has answered
+    And the gateways have told each other
+    And 6 impatient callers post stage work through all gateways
+    Then s1 has got nothing since its answer
+    And all were refused as not run
+    And no gateway takes another for silent
+
   Scenario: An instance asks to be left alone for a while
     # Guards against requests for an instance that has refused one and said when
     # it wants the next.
--- a/tests/features/steps/answer_notices.py
+++ b/tests/features/steps/answer_notices.py
@@ -7,6 +7,7 @@
 from tests.standins.upstream import UpstreamStandin
 
 _MOST_TRIES = 40
+_IMPATIENT_MS = 1_500
 _OTHER_PATHS = frozenset(('/api/stage-free', '/api/report'))
 # Reads of the store, whether it answers or not, by all gateways: longer than
 # what one gateway needs to hear from another.
@@ -107,6 +108,32 @@
     stage.run(send_staged(stage, count, '/staged/answer'))
 
 
+@when('{count:d} impatient callers post stage work through all gateways')
+def send_impatient(context, count):
+    stage = context.gateway_stage
+    headers = {
+        'X-Ragworthollow-Pieces': '1,2',
+        'X-Ragworthollow-Piece-Key': 'key',
+    }
+    context.answers = [
+        stage.run(
+            stage.send(
+                '/staged/answer',
+                gateway=NAMES[number % len(NAMES)],
+                headers=headers,
+                limit_ms=_IMPATIENT_MS,
+            ),
+        )
+        for number in range(count)
+    ]
+
+
+@then('no gateway takes another for silent')
+def check_none_silent(context):
+    for role in context.gateway_stage.gateways.values():
+        assert not any(map(role.members.is_silent, NAMES))
+
+
 @when('{count:d} more callers post to {path:S}')
 def send(context, count, path):
     _send(context, path, count)
@@ -173,7 +200,10 @@
 
 @then('{name:w} has got nothing since its answer')
 def check_nothing(context, name):
-    assert _count_work(_get_upstream(context, name)) == context.answered[name]
+    upstream = _get_upstream(context, name)
+    assert _count_work(upstream) == context.answered[name], [
+        (one.path, one.body) for one in upstream.arrivals
+    ]
 
 
 @then('{name:w} has got work since its answer')
