--- a/tests/features/steps/slow_calls.py
+++ b/tests/features/steps/slow_calls.py
@@ -31,6 +31,7 @@
                 get_pool=lambda _: context.pool.instances,
             ),
             get_budget=lambda _: SimpleNamespace(spend=lambda: True),
+            quarantine=SimpleNamespace(get_left_ms=lambda _: 0),
             suspect=lambda instance: context.pool.book.note_failure(
                 instance.instance,
                 context.now_ms,
