Send nothing to instances in a failure domain that is drained

Cause: no code read the store's keys that ask for it.

The keys are in each gateway's copy of the store, with the same freshness, news from other gateways and fallback as the list of instances. The directory now leaves out what is in a drained domain at the moment of each choice: first attempts, retries, resumed streams, calls for pieces, notes on results and questions whether an instance works. What runs there ends there, and results that lie there can still be read by others; they are given up by their makers after a while. A key counts by its presence, so that a value that cannot be read takes nothing back. A pool that is empty for it refuses at once, truly not run, with a reason of its own; pieces that wait for such a pool end at once. A gateway in a drained domain may go on hosting gates: it is no instance.

The paces of reading follow from the smallest of now three bounds.

Tests: domain_drains.feature.

--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/loss_cause.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/loss_cause.py
@@ -21,6 +21,8 @@
         Pieces of a stage failed or lost their inputs.
     process_unready
         The gateway was starting, stopping or knew no instance.
+    domain_drained
+        Every instance of a pool was in a failure domain that was drained.
     upstream_error
         The upstream answered with an error, or refused.
     upstream_silent
@@ -37,6 +39,7 @@
     refused_in_stages = 'refused in the stages'
     pieces_failed = 'pieces failed'
     process_unready = 'process not ready'
+    domain_drained = 'failure domain drained'
     upstream_error = 'upstream error'
     upstream_silent = 'upstream silent'
     connection_broken = 'connection broken'
@@ -52,6 +55,7 @@
     Reason.not_configured: LossCause.process_unready,
     Reason.draining: LossCause.process_unready,
     Reason.no_instance: LossCause.process_unready,
+    Reason.domain_drained: LossCause.domain_drained,
     Reason.upstream_full: LossCause.upstream_error,
     Reason.upstream_error: LossCause.upstream_error,
     Reason.misdirected: LossCause.upstream_error,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
@@ -211,7 +211,11 @@
         pause_ms = self._context.directory.get_pool_pause_ms(self.job.pool)
         if pause_ms:
             return self._make_failure(Reason.upstream_paused, pause_ms)
-        return self._last or self._make_failure(Reason.no_instance)
+        if self._last is not None:
+            return self._last
+        if self._context.directory.is_pool_drained(self.job.pool):
+            return self._make_failure(Reason.domain_drained)
+        return self._make_failure(Reason.no_instance)
 
     def _find_quarantine(self) -> UpstreamFailure | None:
         left_ms = self._context.quarantine.get_left_ms(self.job.fingerprint)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_watch.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_watch.py
@@ -34,9 +34,13 @@
     Returns
     -------
     bool or None
-        None when it does not say, or has asked to be left alone.
+        None when it does not say, has asked to be left alone, or is in a
+        failure domain that is drained.
     """
-    if context.directory.get_pause_left_ms(instance):
+    directory = context.directory
+    if directory.get_pause_left_ms(instance):
+        return None
+    if directory.drains.is_drained(instance.failure_domain):
         return None
     try:
         async with context.upstream_session.get(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/following.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/following.py
@@ -38,6 +38,7 @@
             bound_ms=min(
                 settings.configuration_bound_ms,
                 settings.leaving_bound_ms,
+                settings.domain_drain_bound_ms,
             ),
             heartbeat_ms=settings.instance_heartbeat_ms,
         ),
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instances_follower.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instances_follower.py
@@ -1,8 +1,9 @@
 """Keep the list of upstream instances in force."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from ragworthollow.logs.events import log_event
+from ragworthollow.platform.drains_wire import read_drained_domains
 from ragworthollow.platform.instances_wire import (
     INSTANCES_PREFIX,
     decode_instance,
@@ -56,7 +57,8 @@
             for key, stored in found.items()
             if key.startswith(INSTANCES_PREFIX)
         }
-        self.take_instances(self._decode(entries), asked_ms)
+        drained = read_drained_domains(found)
+        self.take_instances(self._decode(entries), asked_ms, drained)
 
     def note_lost(self, _detail: str) -> None:
         """Note that the store could not be read; the list is kept."""
@@ -67,6 +69,7 @@
         self,
         listed: Sequence[UpstreamInstance],
         asked_ms: float,
+        drained: Iterable[str] = (),
     ) -> None:
         """
         Take all instances that are listed, and forget what is gone.
@@ -77,8 +80,13 @@
             Leaving ones included.
         asked_ms : float
             When they were asked for, on the monotonic clock.
+        drained : iterable of str
+            Failure domains that are drained, as of the same moment.
         """
-        change = self._context.directory.replace(listed, asked_ms)
+        directory = self._context.directory
+        earlier = frozenset(directory.drains.get_since_ms())
+        change = directory.replace(listed, asked_ms, drained)
+        self._log_drains(earlier, listed)
         if not change:
             return
         for instance in change.left:
@@ -97,6 +105,21 @@
         )
         self._on_change()
 
+    def _log_drains(
+        self,
+        earlier: frozenset[str],
+        listed: Sequence[UpstreamInstance],
+    ) -> None:
+        """Log which failure domains are drained now, and which no longer."""
+        current = self._context.directory.drains.get_since_ms().keys()
+        for domain in earlier ^ current:
+            log_event(
+                'domain_drained' if domain in current else 'domain_restored',
+                step=_STEP,
+                peer=domain,
+                instances=sum(one.failure_domain == domain for one in listed),
+            )
+
     def _decode(self, found: dict[str, Stored]) -> list[UpstreamInstance]:
         """Decode entries, each again only after it has changed."""
         decoded = {}
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
@@ -130,9 +130,12 @@
         if profile is None:
             return
         gate = self._gates.get(pool)
+        directory = self._context.directory
+        if directory.is_pool_drained(pool):
+            gate.refuse_queue()
         calls = gate.plan(
             profile,
-            self._context.directory.get_pool(pool),
+            directory.get_pool(pool),
             self._context.book,
             get_monotonic_ms(),
         )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
@@ -68,6 +68,14 @@
             if position < len(counts) and counts[position] > 0
         )
 
+    def get_pools(self) -> tuple[str, ...]:
+        """Return the pools that have to work on it, its stages' first."""
+        stages = tuple(
+            self.route.stages[position].pool
+            for position in self.get_active_stages()
+        )
+        return (*stages, self.pool)
+
     def get_priority(self) -> int:
         """Return the rank, the organisation's before the route's."""
         if self.holder is not None and self.holder.priority is not None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
@@ -107,13 +107,17 @@
                 job.pool,
                 retry_after_ms=left_ms,
             )
-        pause_ms = self._context.directory.get_pool_pause_ms(job.pool)
+        directory = self._context.directory
+        pause_ms = directory.get_pool_pause_ms(job.pool)
         if pause_ms:
             return make_refusal(
                 Reason.upstream_paused,
                 job.pool,
                 retry_after_ms=pause_ms,
             )
+        for pool in job.get_pools():
+            if directory.is_pool_drained(pool):
+                return make_refusal(Reason.domain_drained, pool)
         return None
 
     def _refuse(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
@@ -18,6 +18,7 @@
     PieceOutcome.not_run: Reason.stage_late,
     PieceOutcome.input_gone: Reason.inputs_gone,
     PieceOutcome.refused: Reason.overloaded,
+    PieceOutcome.drained: Reason.domain_drained,
 }
 
 
--- a/packages/ragworthollow/src/ragworthollow/conf/gateway_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/gateway_settings.py
@@ -43,6 +43,9 @@
     configuration_bound_ms, leaving_bound_ms : float
         Time from the store's acceptance in which a configuration has to be
         in force, and in which an instance that leaves gets its last request.
+    domain_drain_bound_ms : float
+        Time from the store's acceptance of a drain in which the instances of
+        that failure domain get their last request.
     instance_heartbeat_ms : float
         Pace at which instances renew their entries in the store.
     quarantine_crashes : int
@@ -68,6 +71,7 @@
     link_mbps: float = global_settings.LINK_MBPS
     configuration_bound_ms: float = global_settings.CONFIGURATION_BOUND_MS
     leaving_bound_ms: float = global_settings.LEAVING_BOUND_MS
+    domain_drain_bound_ms: float = global_settings.DOMAIN_DRAIN_BOUND_MS
     instance_heartbeat_ms: float = global_settings.INSTANCE_HEARTBEAT_MS
     quarantine_crashes: Annotated[int, Meta(ge=1)] = (
         global_settings.QUARANTINE_CRASHES
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -268,6 +268,7 @@
 # What the installation allows where the settings do not say.
 CONFIGURATION_BOUND_MS = 2_000
 LEAVING_BOUND_MS = 2_000
+DOMAIN_DRAIN_BOUND_MS = 5_000
 INSTANCE_HEARTBEAT_MS = 1_200
 # Longest time for which a gateway takes the word of others for the store: one
 # that is wrong would be believed for ever.
--- a/packages/ragworthollow/src/ragworthollow/outcomes/reason.py
+++ b/packages/ragworthollow/src/ragworthollow/outcomes/reason.py
@@ -26,6 +26,7 @@
     draining = 'draining'
     leaving = 'leaving'
     no_instance = 'no_instance'
+    domain_drained = 'domain_drained'
     not_configured = 'not_configured'
     model_not_loaded = 'model_not_loaded'
     connect_failed = 'connect_failed'
--- a/packages/ragworthollow/src/ragworthollow/pieces/gate.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/gate.py
@@ -90,6 +90,12 @@
             waiting.settle(PieceResult(outcome=PieceOutcome.moved))
         self._queue = []
 
+    def refuse_queue(self) -> None:
+        """Give the pieces that wait up: no instance may make them."""
+        for waiting in self._queue:
+            waiting.settle(PieceResult(outcome=PieceOutcome.drained))
+        self._queue = []
+
     def drop_unwanted(self, now_ms: float) -> None:
         """Take out pieces that nobody waits for any more."""
         staying = []
--- a/packages/ragworthollow/src/ragworthollow/pieces/piece.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/piece.py
@@ -66,6 +66,7 @@
     failed = 'failed'
     not_run = 'not_run'
     refused = 'refused'
+    drained = 'drained'
     moved = 'moved'
 
 
--- a/packages/ragworthollow/src/ragworthollow/upstreams/directory.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/directory.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from ragworthollow.conf import global_settings
+from ragworthollow.upstreams.domain_drains import DomainDrains
 from ragworthollow.upstreams.instance_notices import InstanceNotices
 from ragworthollow.upstreams.upstream_instance import UpstreamInstance
 from ragworthollow.utils import get_monotonic_ms
@@ -52,15 +53,28 @@
 
     What an instance says of itself in an answer goes before any list: while the
     store is away, its list shows what was true before.
+
+    Instances in a drained failure domain get nothing either, until the drain
+    ends.  Where nothing else is left their pool is empty: the operators have
+    said that no work may go there.
+
+    Attributes
+    ----------
+    drains : DomainDrains
+        Failure domains that are drained.
+    updated_ms : float
+        When the list in force was asked for, on the monotonic clock.
     """
 
     def __init__(self) -> None:
         self._by_id: dict[str, UpstreamInstance] = {}
         self._by_pool: dict[str, tuple[UpstreamInstance, ...]] = {}
         self._missing_since_ms: dict[str, float] = {}
+        self._pools_drained: frozenset[str] = frozenset()
         self._notices = InstanceNotices()
         self._is_away = False
         self._returned_ms = float('-inf')
+        self.drains = DomainDrains()
         self.updated_ms = float('-inf')
 
     def note_outage(self) -> None:
@@ -71,6 +85,7 @@
         self,
         listed: Iterable[UpstreamInstance],
         now_ms: float,
+        drained: Iterable[str] = (),
     ) -> DirectoryChange:
         """
         Take a whole list.
@@ -81,12 +96,15 @@
             Every entry, leaving ones included.
         now_ms : float
             When the list was asked for, on the monotonic clock.
+        drained : iterable of str
+            Failure domains that are drained, as of the same moment.
 
         Returns
         -------
         DirectoryChange
             Which instances appeared and which get no further work.
         """
+        self.drains.replace(drained, now_ms)
         if self._is_away:
             self._is_away = False
             self._returned_ms = now_ms
@@ -103,6 +121,7 @@
         for name in self._missing_since_ms:
             if self._is_excused(name, now_ms):
                 fresh[name] = self._by_id[name]
+        fresh = self._leave_drained_out(fresh)
         change = DirectoryChange(
             appeared=tuple(fresh.keys() - self._by_id.keys()),
             left=tuple(self._by_id.keys() - fresh.keys()),
@@ -170,6 +189,10 @@
             return members
         return tuple(one for one in members if not self.get_pause_left_ms(one))
 
+    def is_pool_drained(self, pool: str) -> bool:
+        """Tell whether a pool is empty since its domains are drained."""
+        return pool in self._pools_drained and not self._by_pool.get(pool)
+
     def get(self, instance: str) -> UpstreamInstance | None:
         """Return an instance that may get work, or None."""
         return self._by_id.get(instance)
@@ -184,6 +207,21 @@
     def _has_said_leaving(self, entry: UpstreamInstance) -> bool:
         return self._notices.is_leaving(entry.get_incarnation())
 
+    def _leave_drained_out(
+        self,
+        fresh: Mapping[str, UpstreamInstance],
+    ) -> dict[str, UpstreamInstance]:
+        """Return the instances outside of drained domains."""
+        serving = {
+            name: entry
+            for name, entry in fresh.items()
+            if not self.drains.is_drained(entry.failure_domain)
+        }
+        self._pools_drained = frozenset(
+            fresh[name].pool for name in fresh.keys() - serving.keys()
+        )
+        return serving
+
     def _find_restarted(
         self,
         fresh: dict[str, UpstreamInstance],
--- /dev/null
+++ b/tests/features/domain_drains.feature
@@ -0,0 +1,110 @@
+@each.gateway
+Feature: Instances in a drained failure domain get nothing
+
+  Scenario Outline: The operators drain a failure domain with <value>
+    # Guards against requests for instances of a domain that the operators have
+    # drained, whatever they have written beside its name.
+    Given u3 in failure domain two
+    When domain two is drained with <value>
+    And 30 requests go to /safe/answer
+    Then u3 has got nothing
+    And each caller was served
+
+    Examples:
+      | value             |
+      | an empty mapping  |
+      | nothing           |
+      | broken text       |
+
+  Scenario: The drain ends
+    # Guards against instances that are left out for good.
+    Given u3 in failure domain two
+    When domain two is drained with nothing
+    And domain two is restored
+    And 30 requests go to /safe/answer
+    Then u3 has got work
+
+  Scenario: A domain without instances is drained
+    # Guards against a drain of one domain that is taken for one of all.
+    When domain nowhere is drained with nothing
+    And 10 requests go to /safe/answer
+    Then each caller was served
+
+  Scenario: Every failure domain is drained
+    # Guards against callers who wait for instances that may get nothing, and
+    # against a try at one of them since none else is left.
+    When domain one is drained with nothing
+    And 10 requests go to /safe/answer
+    Then each caller was refused at once as not run
+    And domain_drained was counted for each
+    And nothing reached u1 or u2
+
+  Scenario: An answer is under way when its instance's domain is drained
+    # Guards against answers that are cut off by a drain.
+    When a stream is under way and domain one is drained
+    Then the stream ends whole
+
+  Scenario: A stream breaks off in a drained domain
+    # Guards against streams that are resumed where nothing may be sent.
+    Given u3 in failure domain two
+    And domain one is drained with nothing
+    When 5 requests go to /resumable/break
+    Then nothing reached u1 or u2
+
+  Scenario: A gateway starts while a domain is drained
+    # Guards against gateways that learn of a drain only when it changes.
+    Given u3 in failure domain two
+    When domain two is drained with nothing
+    And another gateway starts
+    And 30 requests go to /safe/answer at the new gateway
+    Then u3 has got nothing
+
+  Scenario: The store goes away after a drain
+    # Guards against drains that end with the store's answers.
+    Given u3 in failure domain two
+    When domain two is drained with nothing
+    And the store falls silent
+    And 30 requests go to /safe/answer
+    Then u3 has got nothing
+
+  Scenario: Stage work in a drained domain
+    # Guards against calls for pieces, and notes on their results, that still
+    # reach instances of a drained domain.
+    Given two more gateways and an instance for stage work
+    And s2 for stage work in failure domain two
+    When domain two is drained with nothing
+    And callers with stage work post 12 requests
+    Then each caller was served
+    And nothing has reached s2
+
+  Scenario: Results lie in a domain that is drained
+    # Guards against notes on results that reach a drained domain: they are
+    # given up by their maker after a while.
+    Given two more gateways and an instance for stage work
+    When domain one is drained at all gateways while its pieces are made
+    Then no result was given up at s1
+
+  Scenario: Every instance for stage work is drained
+    # Guards against requests that wait for pieces which nobody may make.
+    Given two more gateways and an instance for stage work
+    And the only instance for stage work is in failure domain two
+    When domain two is drained with nothing
+    And callers with stage work post 6 requests
+    Then each caller was refused at once as not run
+    And nothing has reached s2
+
+  Scenario: Pieces wait when the domain of their instances is drained
+    # Guards against pieces that stay in a queue until their callers leave.
+    When pieces wait for a pool whose domain is drained
+    Then they end at once as drained
+
+  Scenario: Entries lapsed in an outage, and their domain is drained at its end
+    # Guards against instances that are kept for entries which may come back,
+    # though nothing may be sent to their domain.
+    When an instance lapses in an outage and its domain is drained
+    Then no list gives it work until the drain ends
+
+  Scenario: A gateway that cannot read the store hears of a drain
+    # Guards against drains that only those know whom the store answers.
+    When a gateway tells another of a drain
+    Then the other one gives the domain nothing
