Keep all gateways together within what warming instances bear

A rule that nothing kept: an instance that has just started, or comes back from a drain, may get so many requests in a second, summed over all gateways, in touch or not; well above its rate it crashes.

An instance that warms up looks like the least loaded one in the reports that all gateways share. Now each one is given a few gateways by rank among the members, and each of these a fixed number of requests in any sliding window. Two lists of members that a cut keeps apart choose at most twice as many, which the burst allows. A gateway sends only while it is listed, and after a time in which all have heard of it: when all register at once, or have lost their leases in an outage, the first ones know of nobody. The host of a gate is the only sender to its pool. What warms up is known from the list, from what an instance says in an answer, and from the end of a drain, which its entries show up to a heartbeat later. A pool in which all have got what they bear refuses at once with the time until the next turn; finished stage work waits for its turn if that is in time.

Ranked serves little of a pool that is cold as a whole where gateways are many and instances few: 160 places for 300 gateways.

Tests: warm_up.feature; two wrong variants, an equal share and no limit at all are caught by its check.

--- a/measure/fleet_model/day.py
+++ b/measure/fleet_model/day.py
@@ -137,7 +137,9 @@
             self._network.gateways[gateway.name] = gateway
         connect(self._hosting, self._network)
         self._list_instances()
+        names = self._network.gateways.keys()
         for gateway in self._network.gateways.values():
+            gateway.context.set_members(names, 0)
             gateway.start()
 
     def _make_gateway(self, number: int) -> ModelGateway:
@@ -158,7 +160,6 @@
         )
         rng = random.Random(f'{name}/{self._seed}')  # noqa: S311
         gateway.context.rng = rng
-        gateway.context.set_members(self.sheet.gateways)
         return gateway
 
     def _set_faults(self) -> None:
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/loss_cause.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/loss_cause.py
@@ -23,6 +23,8 @@
         The gateway was starting, stopping or knew no instance.
     domain_drained
         Every instance of a pool was in a failure domain that was drained.
+    warming_up
+        Every instance of a pool was warming up and had got what it bears.
     upstream_error
         The upstream answered with an error, or refused.
     upstream_silent
@@ -40,6 +42,7 @@
     pieces_failed = 'pieces failed'
     process_unready = 'process not ready'
     domain_drained = 'failure domain drained'
+    warming_up = 'instances warming up'
     upstream_error = 'upstream error'
     upstream_silent = 'upstream silent'
     connection_broken = 'connection broken'
@@ -56,6 +59,7 @@
     Reason.draining: LossCause.process_unready,
     Reason.no_instance: LossCause.process_unready,
     Reason.domain_drained: LossCause.domain_drained,
+    Reason.warming_up: LossCause.warming_up,
     Reason.upstream_full: LossCause.upstream_error,
     Reason.upstream_error: LossCause.upstream_error,
     Reason.misdirected: LossCause.upstream_error,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/answer_notices.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/answer_notices.py
@@ -37,6 +37,11 @@
         context.book.note_load(instance.instance, marks.load, now_ms)
     if marks.is_leaving:
         _note_leaving(context, instance, now_ms)
+    if marks.warm_up_left_ms:
+        context.warm_up.warm_ups.note(
+            instance.get_incarnation(),
+            now_ms + marks.warm_up_left_ms,
+        )
     if marks.pause_ms is not None:
         _note_pause(context, instance, now_ms, marks.pause_ms)
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
@@ -13,10 +13,11 @@
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.platform.answer_wire import read_marks
 from ragworthollow.platform.request_wire import make_upstream_headers
+from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.answer_notices import note_marks
-from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
+from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
@@ -1,5 +1,6 @@
 """Decide which attempts of one request are made."""
 
+import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -18,6 +19,7 @@
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.attempt import AttemptPlan, UpstreamAnswer
 from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.pool_warm_up import PoolWarmUp
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
@@ -67,6 +69,7 @@
         self.job = job
         self._context = context
         self._inputs = inputs
+        self._warm_up = PoolWarmUp(context=context, pool=job.pool)
         self._tried: set[str] = set()
         self._sent = 0
         self._may_have_run = False
@@ -77,7 +80,7 @@
         """Choose the instance for the next attempt."""
         context = self._context
         return choose_upstream(
-            context.directory.get_pool(self.job.pool),
+            self._warm_up.get_ready(),
             context.book,
             UpstreamWish(
                 affinity_key=self.job.terms.get_affinity_key(),
@@ -111,6 +114,7 @@
             detail=self.job.terms.request_id,
         )
         self._tried.add(instance.instance)
+        self._warm_up.note_sent(instance)
         return Ok(
             AttemptPlan(
                 instance=instance,
@@ -207,10 +211,29 @@
             return Err(failure)
         return Ok(render_answer(self._error_answer))
 
+    async def wait_warm_up(self) -> None:
+        """
+        Wait for an instance that warms up, after stage work has been done.
+
+        The work would be thrown away otherwise; a caller for whom nothing was
+        done yet is told at once when to come back.
+        """
+        if not self._inputs or self._sent:
+            return
+        while self.choose() is None:
+            wait_ms = self._warm_up.get_pool_wait_ms(self._tried)
+            left_ms = self.job.get_goal_ms() - get_monotonic_ms()
+            if not wait_ms or wait_ms > left_ms:
+                return
+            await asyncio.sleep(wait_ms / 1000)
+
     def _explain_absence(self) -> UpstreamFailure:
         pause_ms = self._context.directory.get_pool_pause_ms(self.job.pool)
         if pause_ms:
             return self._make_failure(Reason.upstream_paused, pause_ms)
+        warm_up_ms = self._warm_up.get_pool_wait_ms(self._tried)
+        if warm_up_ms:
+            return self._make_failure(Reason.warming_up, warm_up_ms)
         if self._last is not None:
             return self._last
         if self._context.directory.is_pool_drained(self.job.pool):
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_watch.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_watch.py
@@ -11,10 +11,11 @@
 from ragworthollow.pieces import PieceCall
 from ragworthollow.platform.answer_wire import read_marks
 from ragworthollow.platform.stage_wire import REPORT_PATH, decode_working
+from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.answer_notices import note_marks
-from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
+from ragworthollow_daemon.gateway.context import GatewayContext
 
 _STEP = 'pieces'
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -4,9 +4,7 @@
 import contextlib
 import random
 import signal
-from collections.abc import Callable, Coroutine
-
-import aiohttp
+from collections.abc import Callable, Collection, Coroutine
 
 from ragworthollow.conf import GatewaySettings, global_settings
 from ragworthollow.logs.events import log_error
@@ -24,6 +22,7 @@
     UpstreamInstance,
 )
 from ragworthollow.utils import get_monotonic_ms, make_identifier
+from ragworthollow.warmup import WarmUpGuard
 from ragworthollow_daemon.drain import DrainState
 from ragworthollow_daemon.gateway.quarantine import Quarantine
 from ragworthollow_daemon.gateway.stop_state import StopState
@@ -72,6 +71,10 @@
         self._table_came = asyncio.Event()
         self.directory = Directory()
         self.book = LoadBook()
+        self._warm_up = WarmUpGuard(
+            gateway=settings.instance,
+            settle_ms=settings.get_shortest_bound_ms(),
+        )
         self._quarantine = Quarantine(
             settings=settings,
             incarnation=self.incarnation,
@@ -94,6 +97,11 @@
         """Return what is known of requests that crash instances."""
         return self._quarantine
 
+    @property
+    def warm_up(self) -> WarmUpGuard:
+        """Return what is known of instances that warm up."""
+        return self._warm_up
+
     def get_budget(self, pool: str) -> RetryBudget:
         """Return this gateway's part of the retry budget of a pool."""
         budget = self._budgets.get(pool)
@@ -143,8 +151,19 @@
         """Return what callers may send by the configuration in force."""
         return RequestLimits() if self.table is None else self.table.limits
 
-    def set_members(self, members: int) -> None:
-        """Share the retry budget among this many gateways."""
+    def set_members(self, names: Collection[str], now_ms: float) -> None:
+        """
+        Take the gateways that share budgets with this one.
+
+        Parameters
+        ----------
+        names : collection of str
+            Members; this gateway among them if it is listed.
+        now_ms : float
+            Time on the monotonic clock.
+        """
+        self._warm_up.senders.set_members(names, now_ms)
+        members = self.warm_up.senders.count()
         if members == self._members:
             return
         self._members = members
@@ -197,20 +216,3 @@
         error = task.exception()
         if error is not None:
             log_error('task_failed', step='lifecycle', error=repr(error))
-
-
-def make_timeout(total_ms: float, connect_ms: float) -> aiohttp.ClientTimeout:
-    """
-    Make a timeout for a whole exchange.
-
-    Parameters
-    ----------
-    total_ms : float
-        Milliseconds from the first byte to the last.
-    connect_ms : float
-        Milliseconds until the connection stands.
-    """
-    return aiohttp.ClientTimeout(
-        total=total_ms / 1000,
-        sock_connect=connect_ms / 1000,
-    )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/following.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/following.py
@@ -35,11 +35,7 @@
         followers=followers,
         replica=context.replica,
         paces=derive_paces(
-            bound_ms=min(
-                settings.configuration_bound_ms,
-                settings.leaving_bound_ms,
-                settings.domain_drain_bound_ms,
-            ),
+            bound_ms=settings.get_shortest_bound_ms(),
             heartbeat_ms=settings.instance_heartbeat_ms,
         ),
         get_place=members.get_reader_place,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instances_follower.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instances_follower.py
@@ -1,6 +1,12 @@
 """Keep the list of upstream instances in force."""
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Mapping,
+    Sequence,
+)
 
 from ragworthollow.logs.events import log_event
 from ragworthollow.platform.drains_wire import read_drained_domains
@@ -10,6 +16,7 @@
 )
 from ragworthollow.platform.stored import Stored
 from ragworthollow.upstreams import UpstreamInstance
+from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 
 _STEP = 'instances'
@@ -87,6 +94,10 @@
         earlier = frozenset(directory.drains.get_since_ms())
         change = directory.replace(listed, asked_ms, drained)
         self._log_drains(earlier, listed)
+        self._begin_warm_ups(
+            change.appeared,
+            earlier - directory.drains.get_since_ms().keys(),
+        )
         if not change:
             return
         for instance in change.left:
@@ -105,6 +116,33 @@
         )
         self._on_change()
 
+    def _begin_warm_ups(
+        self,
+        appeared: Iterable[str],
+        restored: Collection[str],
+    ) -> None:
+        """
+        Take it that instances of a restored domain have to warm up.
+
+        They may have become cold while nothing was sent to them, and their
+        entries tell it up to a heartbeat later: all gateways would turn to the
+        least loaded instances of all at the same moment.
+        """
+        table = self._context.table
+        if not restored or table is None:
+            return
+        now_ms = get_monotonic_ms()
+        for name in appeared:
+            instance = self._context.directory.get(name)
+            if instance is None or instance.failure_domain not in restored:
+                continue
+            pool = table.pools.get(instance.pool)
+            if pool is not None and pool.warm_up_ms:
+                self._context.warm_up.warm_ups.note(
+                    instance.get_incarnation(),
+                    now_ms + pool.warm_up_ms,
+                )
+
     def _log_drains(
         self,
         earlier: frozenset[str],
@@ -120,6 +158,13 @@
                 instances=sum(one.failure_domain == domain for one in listed),
             )
 
+    def _note_warm_up(self, instance: UpstreamInstance | None) -> None:
+        if instance is not None:
+            self._context.warm_up.warm_ups.note_entry(
+                instance.get_incarnation(),
+                get_monotonic_ms() + instance.warm_up_left_ms,
+            )
+
     def _decode(self, found: dict[str, Stored]) -> list[UpstreamInstance]:
         """Decode entries, each again only after it has changed."""
         decoded = {}
@@ -127,6 +172,7 @@
             revision, instance = self._decoded.get(key, (0, None))
             if revision != stored.mod_revision:
                 instance = decode_instance(key, stored.text.encode())
+                self._note_warm_up(instance)
             decoded[key] = (stored.mod_revision, instance)
         self._decoded = decoded
         return [
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
@@ -21,12 +21,13 @@
     HostState,
     MemberChange,
 )
-from ragworthollow.utils import get_boottime_ms
+from ragworthollow.transport.timeouts import make_timeout
+from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.answer_notices import (
     get_leaving_ages_ms,
     take_leaving,
 )
-from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
+from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.peer_notes import tell_peer
 
 _PREFIX = 'gateways/'
@@ -199,7 +200,7 @@
         self._members.replace(_decode(found), proved_ms)
         self._is_listed = True
         present = self._members.get_members().keys()
-        self._context.set_members(self._members.count())
+        self._context.set_members(present, get_monotonic_ms())
         if earlier != present:
             log_event(
                 'members_changed',
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/news_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/news_client.py
@@ -12,8 +12,9 @@
 from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.membership.gateway_members import GatewayMembers
 from ragworthollow.replica import NewsQuestion, decode_news
+from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.utils import get_boottime_ms
-from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
+from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.heard_news import HeardNews
 
 NEWS_PATH = '/v1/store/news'
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_notes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_notes.py
@@ -5,7 +5,8 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.membership.gateway_member import GatewayMember
-from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
+from ragworthollow.transport.timeouts import make_timeout
+from ragworthollow_daemon.gateway.context import GatewayContext
 
 
 async def tell_peer(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -136,8 +136,9 @@
             change = msgspec.json.decode(body, type=MemberChange)
         except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=_BAD_REQUEST)
-        self._members.learn(change, get_monotonic_ms())
-        self._context.set_members(self._members.count())
+        now_ms = get_monotonic_ms()
+        self._members.learn(change, now_ms)
+        self._context.set_members(self._members.get_members(), now_ms)
         log_event(
             'member_announced',
             step='membership',
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_call.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_call.py
@@ -17,9 +17,12 @@
     encode_free,
     encode_run,
 )
+from ragworthollow.transport.timeouts import make_timeout
+from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.answer_notices import note_marks
-from ragworthollow_daemon.gateway.context import GatewayContext, make_timeout
+from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.pool_warm_up import PoolWarmUp
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
 _STEP = 'pieces'
@@ -92,7 +95,7 @@
         Names of the results.
     """
     instance = context.directory.get(maker)
-    if instance is None or context.directory.get_pause_left_ms(instance):
+    if instance is None or not _may_be_told(context, instance):
         # Its space is given up after a while without being told.
         return
     try:
@@ -117,6 +120,21 @@
         log_event('free_failed', step=_STEP, peer=maker, error=repr(error))
 
 
+def _may_be_told(context: GatewayContext, instance: UpstreamInstance) -> bool:
+    """Tell whether an instance may get a note now, and count it if so."""
+    if context.directory.get_pause_left_ms(instance):
+        return False
+    warm_up = PoolWarmUp(
+        context=context,
+        pool=instance.pool,
+        is_only_sender=True,
+    )
+    if warm_up.get_wait_ms(instance):
+        return False
+    warm_up.note_sent(instance)
+    return True
+
+
 def _read(
     context: GatewayContext,
     call: PieceCall,
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/pool_warm_up.py
@@ -0,0 +1,96 @@
+"""Keep to what the instances of one pool bear while they warm up."""
+
+from collections.abc import Collection, Sequence
+
+from ragworthollow.upstreams import UpstreamInstance
+from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.warmup import WarmUpLimits, derive_limits
+from ragworthollow_daemon.gateway.context import GatewayContext
+
+
+class PoolWarmUp:
+    """
+    Say which instances of a pool may get a request from this gateway now.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Of this process.
+    pool : str
+        The pool.
+    is_only_sender : bool
+        Whether no other gateway sends to it, as for the host of a gate.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: GatewayContext,
+        pool: str,
+        is_only_sender: bool = False,
+    ) -> None:
+        self._context = context
+        self._pool = pool
+        self._is_only_sender = is_only_sender
+        self._limits = _find_limits(context, pool)
+
+    def get_ready(self) -> Sequence[UpstreamInstance]:
+        """Return the instances that may get a request now."""
+        instances = self._context.directory.get_pool(self._pool)
+        if self._limits is None or not self._context.warm_up.is_needed():
+            return instances
+        return [one for one in instances if not self.get_wait_ms(one)]
+
+    def get_wait_ms(self, instance: UpstreamInstance) -> float:
+        """Return how long an instance may get nothing from here."""
+        if self._limits is None:
+            return 0
+        return self._context.warm_up.get_wait_ms(
+            instance.get_incarnation(),
+            self._limits,
+            get_monotonic_ms(),
+            is_only_sender=self._is_only_sender,
+        )
+
+    def get_pool_wait_ms(self, tried: Collection[str] = ()) -> float:
+        """
+        Return how long no instance may get anything from here.
+
+        Parameters
+        ----------
+        tried : collection of str
+            Instances that do not count.
+
+        Returns
+        -------
+        float
+            0 if any may now, and for a pool without instances.
+        """
+        instances = self._context.directory.get_pool(self._pool)
+        waits_ms = (
+            self.get_wait_ms(one)
+            for one in instances
+            if one.instance not in tried
+        )
+        return min(waits_ms, default=0)
+
+    def note_sent(self, instance: UpstreamInstance) -> None:
+        """Note a request that is sent to an instance now."""
+        if self._limits is not None:
+            self._context.warm_up.note_sent(
+                instance.get_incarnation(),
+                self._limits,
+                get_monotonic_ms(),
+                is_only_sender=self._is_only_sender,
+            )
+
+
+def _find_limits(context: GatewayContext, pool: str) -> WarmUpLimits | None:
+    described = None if context.table is None else context.table.pools.get(pool)
+    if described is None:
+        return None
+    return derive_limits(
+        requests_per_s=described.warm_up_per_s,
+        burst_ratio=context.settings.warm_up_burst_ratio,
+        burst_slack=context.settings.warm_up_burst_slack,
+    )
--- a/packages/ragworthollow/src/ragworthollow/conf/gateway_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/gateway_settings.py
@@ -46,6 +46,9 @@
     domain_drain_bound_ms : float
         Time from the store's acceptance of a drain in which the instances of
         that failure domain get their last request.
+    warm_up_burst_ratio, warm_up_burst_slack : float
+        Requests that an instance that warms up may get in one second from all
+        gateways, as a multiple of its rate and as a number beside it.
     instance_heartbeat_ms : float
         Pace at which instances renew their entries in the store.
     quarantine_crashes : int
@@ -72,12 +75,26 @@
     configuration_bound_ms: float = global_settings.CONFIGURATION_BOUND_MS
     leaving_bound_ms: float = global_settings.LEAVING_BOUND_MS
     domain_drain_bound_ms: float = global_settings.DOMAIN_DRAIN_BOUND_MS
+    warm_up_burst_ratio: Annotated[float, Meta(ge=0)] = (
+        global_settings.WARM_UP_BURST_RATIO
+    )
+    warm_up_burst_slack: Annotated[float, Meta(ge=0)] = (
+        global_settings.WARM_UP_BURST_SLACK
+    )
     instance_heartbeat_ms: float = global_settings.INSTANCE_HEARTBEAT_MS
     quarantine_crashes: Annotated[int, Meta(ge=1)] = (
         global_settings.QUARANTINE_CRASHES
     )
     quarantine_ms: Annotated[float, Meta(gt=0)] = global_settings.QUARANTINE_MS
 
+    def get_shortest_bound_ms(self) -> float:
+        """Return the time in which any change has to be in force."""
+        return min(
+            self.configuration_bound_ms,
+            self.leaving_bound_ms,
+            self.domain_drain_bound_ms,
+        )
+
     def get_capacity(self) -> float:
         """Return the cores that this gateway can use for gates."""
         return measure_capacity(
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -269,6 +269,13 @@
 CONFIGURATION_BOUND_MS = 2_000
 LEAVING_BOUND_MS = 2_000
 DOMAIN_DRAIN_BOUND_MS = 5_000
+# What an instance that warms up bears in one second where the settings do not
+# say: a multiple of its rate, and a number of requests beside it.
+WARM_UP_BURST_RATIO = 1.0
+WARM_UP_BURST_SLACK = 0
+# A second, and the way of a request from its choice to its instance.
+WARM_UP_WINDOW_MS = 1_100
+WARM_UPS_KEPT = 2_000
 INSTANCE_HEARTBEAT_MS = 1_200
 # Longest time for which a gateway takes the word of others for the store: one
 # that is wrong would be believed for ever.
--- a/packages/ragworthollow/src/ragworthollow/exchange/answer_marks.py
+++ b/packages/ragworthollow/src/ragworthollow/exchange/answer_marks.py
@@ -26,6 +26,8 @@
         Whether the upstream has begun to stop.
     pause_ms : float or None
         For how long the upstream wants nothing from this process.
+    warm_up_left_ms : float
+        How much longer the upstream warms up; 0 where it does not say.
     """
 
     request_id: str
@@ -35,3 +37,4 @@
     load: InstanceLoad | None = None
     is_leaving: bool = False
     pause_ms: float | None = None
+    warm_up_left_ms: float = 0
--- a/packages/ragworthollow/src/ragworthollow/outcomes/reason.py
+++ b/packages/ragworthollow/src/ragworthollow/outcomes/reason.py
@@ -27,6 +27,7 @@
     leaving = 'leaving'
     no_instance = 'no_instance'
     domain_drained = 'domain_drained'
+    warming_up = 'warming_up'
     not_configured = 'not_configured'
     model_not_loaded = 'model_not_loaded'
     connect_failed = 'connect_failed'
--- a/packages/ragworthollow/src/ragworthollow/platform/answer_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/answer_wire.py
@@ -15,6 +15,7 @@
 _INSTANCE = 'X-Ragworthollow-Instance-Id'
 _LEAVING = 'Server-Leaving'
 _PAUSE = 'Retry-After'
+_WARM_UP = 'X-Ragworthollow-Cold-Ms'
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 _MILLISECONDS = 1000
@@ -34,6 +35,7 @@
         'server',
         _LOAD.lower(),
         _INSTANCE.lower(),
+        _WARM_UP.lower(),
     )
 )
 
@@ -57,6 +59,7 @@
         load=read_load(headers),
         is_leaving=headers.get(_LEAVING, '').strip() == '1',
         pause_ms=_read_pause_ms(status, headers),
+        warm_up_left_ms=_read_warm_up_ms(headers),
     )
 
 
@@ -81,6 +84,15 @@
     return pause_ms if math.isfinite(pause_ms) and pause_ms > 0 else None
 
 
+def _read_warm_up_ms(headers: Mapping[str, str]) -> float:
+    """Decode how much longer an upstream warms up; 0 if unsaid."""
+    try:
+        left_ms = float(headers.get(_WARM_UP, ''))
+    except ValueError:
+        return 0
+    return left_ms if math.isfinite(left_ms) and left_ms > 0 else 0
+
+
 def make_caller_headers(
     received: CIMultiDictProxy[str],
 ) -> CIMultiDict[str]:
--- a/packages/ragworthollow/src/ragworthollow/platform/configuration_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/configuration_wire.py
@@ -72,12 +72,19 @@
 
 
 class _Service(Message):
-    """Describe a pool; `engine` is present for model engines only."""
+    """
+    Describe a pool; `engine` is present for model engines only.
+
+    `cold_start_s` is how long an instance warms up after its start, and
+    `cold_per_s` the requests a second that it tolerates until then.
+    """
 
     name: str
     max_conns: int = 0
     pieces: _Pieces | None = None
     engine: dict[str, object] | None = None
+    cold_start_s: float = 0
+    cold_per_s: float = 0
 
 
 class _Limits(Message):
@@ -195,6 +202,8 @@
         max_connections=found.max_conns,
         pieces=pieces,
         is_engine=found.engine is not None,
+        warm_up_ms=found.cold_start_s * 1000,
+        warm_up_per_s=found.cold_per_s,
     )
 
 
--- a/packages/ragworthollow/src/ragworthollow/routes/upstream_pool.py
+++ b/packages/ragworthollow/src/ragworthollow/routes/upstream_pool.py
@@ -51,9 +51,15 @@
         Set when the pool serves stages.
     is_engine : bool
         Whether its instances are model engines.
+    warm_up_ms : float
+        How long an instance warms up after its start; 0 for not at all.
+    warm_up_per_s : float
+        Requests a second that it tolerates meanwhile; 0 for any number.
     """
 
     name: str
     max_connections: int
     pieces: PieceProfile | None = None
     is_engine: bool = False
+    warm_up_ms: float = 0
+    warm_up_per_s: float = 0
--- a/packages/ragworthollow/src/ragworthollow/transport/timeouts.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/timeouts.py
@@ -38,3 +38,20 @@
         sock_connect=silence_ms / _MILLISECONDS,
         sock_read=(silence_ms + wait_ms) / _MILLISECONDS,
     )
+
+
+def make_timeout(total_ms: float, connect_ms: float) -> aiohttp.ClientTimeout:
+    """
+    Make a timeout for a whole exchange.
+
+    Parameters
+    ----------
+    total_ms : float
+        Milliseconds from the first byte to the last.
+    connect_ms : float
+        Milliseconds until the connection stands.
+    """
+    return aiohttp.ClientTimeout(
+        total=total_ms / 1000,
+        sock_connect=connect_ms / 1000,
+    )
--- a/packages/ragworthollow/src/ragworthollow/upstreams/upstream_instance.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/upstream_instance.py
@@ -25,6 +25,8 @@
     started_unix_ms : int
         When it started, which tells its incarnations apart; 0 when its entry
         does not say.
+    warm_up_left_ms : float
+        How much longer it warmed up when its entry was written.
     """
 
     instance: str
@@ -34,6 +36,7 @@
     slots: int
     is_leaving: bool = False
     started_unix_ms: int = 0
+    warm_up_left_ms: float = 0
 
     def get_incarnation(self) -> str:
         """Return a name that no other start of any instance has."""
--- a/tests/features/steps/domain_drains.py
+++ b/tests/features/steps/domain_drains.py
@@ -15,6 +15,7 @@
 from ragworthollow_daemon.gateway.piece_service import PieceService
 from tests.fixtures.piece_pool import make_waiting
 from tests.fixtures.staged import send_staged
+from tests.fixtures.warm_ups import make_guard
 
 _PREFIX = 'op/evacuate/'
 _VALUES = {'an empty mapping': '{}', 'nothing': '', 'broken text': '{"a": '}
@@ -277,6 +278,8 @@
             directory=directory,
             book=LoadBook(),
             metrics=Metrics(),
+            warm_up=make_guard(),
+            table=None,
         ),
         on_change=lambda: None,
         on_restart=lambda _: None,
--- a/tests/features/steps/instance_entries.py
+++ b/tests/features/steps/instance_entries.py
@@ -17,6 +17,7 @@
 from ragworthollow_daemon.gateway.instances_follower import InstancesFollower
 from ragworthollow_daemon.gateway.piece_service import PieceService
 from tests.fixtures.piece_pool import make_waiting
+from tests.fixtures.warm_ups import make_guard
 
 _ENTRY = {
     'backend': 'p',
@@ -72,7 +73,12 @@
 def _make_follower(book=None):
     directory = Directory()
     follower = InstancesFollower(
-        context=SimpleNamespace(directory=directory, book=book or LoadBook()),
+        context=SimpleNamespace(
+            directory=directory,
+            book=book or LoadBook(),
+            warm_up=make_guard(),
+            table=None,
+        ),
         on_change=lambda: None,
         on_restart=lambda _: None,
     )
--- /dev/null
+++ b/tests/features/steps/warm_up.py
@@ -0,0 +1,281 @@
+"""Steps of instances that warm up."""
+
+import asyncio
+import math
+
+from behave import given, then, when
+from hypothesis import given as given_any
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from measure.warm_up_model.model import Fleet, play
+from measure.warm_up_model.pattern import PATTERNS
+from measure.warm_up_model.policies import (
+    POLICIES,
+    SETTLE_MS,
+    WRONG_VARIANTS,
+)
+from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.warmup import WarmUpLimits, derive_limits, derive_share
+from tests.fixtures.staged import send_staged
+from tests.fixtures.warm_ups import make_guard
+
+_LIMITS = WarmUpLimits(requests_per_s=8, burst=17)
+_INSTANCES = 8
+_REQUESTS_PER_S = 160
+_SEEDS = range(3)
+_COLD_MS = 60_000
+_AT_ONCE_S = 3
+_EXAMPLES = settings(max_examples=500, deadline=None, derandomize=True)
+
+
+def _play(gateways: int, pattern: str, way: str) -> list[int]:
+    fleet = Fleet(
+        gateways=gateways,
+        instances=_INSTANCES,
+        requests_per_s=_REQUESTS_PER_S,
+    )
+    make_policy = {**POLICIES, **WRONG_VARIANTS}[way]
+    return [
+        play(fleet, PATTERNS[pattern], make_policy, _LIMITS, seed).most
+        for seed in _SEEDS
+    ]
+
+
+@when('{gateways:d} gateways send to a pool in which {what} warms up')
+def send_to_some(context, gateways, what):
+    context.most = _play(gateways, what, 'ranked')
+
+
+@when(
+    '{gateways:d} gateways send to a pool that warms up, and there are {what}',
+)
+def send_apart(context, gateways, what):
+    context.most = _play(gateways, what, 'ranked')
+
+
+@when('{gateways:d} gateways send {variant} to a pool that warms up')
+def send_wrongly(context, gateways, variant):
+    context.most = [
+        most
+        for pattern in ('the whole pool', 'all gateways new')
+        for most in _play(gateways, pattern, variant)
+    ]
+
+
+@then('no instance gets more than its burst in any second')
+def check_burst(context):
+    assert max(context.most) <= _LIMITS.burst, context.most
+
+
+@then('some instance gets more than its burst')
+def check_caught(context):
+    assert max(context.most) > _LIMITS.burst, context.most
+
+
+@then(
+    'for any of them two choices of senders together keep within the burst',
+)
+def check_shares(context):
+    @_EXAMPLES
+    @given_any(
+        st.floats(0.1, 100),
+        st.floats(0.5, 4),
+        st.floats(0, 20),
+        st.integers(1, 1000),
+    )
+    def explore(requests_per_s, ratio, slack, gateways):
+        limits = derive_limits(
+            requests_per_s=requests_per_s,
+            burst_ratio=ratio,
+            burst_slack=slack,
+        )
+        share = derive_share(limits, gateways)
+        # One request is the least that can be sent.
+        most = max(1, limits.burst // 2)
+        assert share.senders * share.requests <= most, (limits, share)
+        assert share.senders <= gateways
+
+    explore()
+
+
+@then(
+    'a gateway that is no longer listed sends nothing until it has settled',
+)
+def check_settled(context):
+    senders = make_guard('g1').senders
+    everyone = ('g1', 'g2', 'g3')
+    senders.set_members(everyone, 0)
+    assert senders.is_chosen('i1', 3, SETTLE_MS)
+    senders.set_members(('g2',), 10_000)
+    assert not senders.is_chosen('i1', 3, 20_000)
+    senders.set_members(everyone, 30_000)
+    assert not senders.is_chosen('i1', 3, 30_000 + SETTLE_MS - 1)
+    assert senders.is_chosen('i1', 3, 30_000 + SETTLE_MS)
+
+
+@then('the longest of both times holds')
+def check_longest(context):
+    warm_ups = make_guard().warm_ups
+    warm_ups.note('i1@1', 3000)
+    warm_ups.note_entry('i1@1', 1000)
+    assert math.isclose(warm_ups.get_left_ms('i1@1', 500), 2500)
+    warm_ups.note_entry('i1@1', 4000)
+    assert math.isclose(warm_ups.get_left_ms('i1@1', 500), 3500)
+    assert not warm_ups.get_left_ms('i1@2', 500)
+
+
+async def _configure(stage) -> None:
+    plain, *others = stage.configuration['services']
+    cold = {**plain, 'cold_start_s': 60.0, 'cold_per_s': 2.0}
+    version = stage.configuration['version'] + 1
+    await stage.configure(version=version, services=[cold, *others])
+    for name in stage.gateways:
+        await stage.wait_configured(name)
+    senders = [role.context.warm_up.senders for role in stage.gateways.values()]
+    await stage.wait_for(
+        lambda: all(
+            any(one.is_chosen(start, 1, get_monotonic_ms()) for one in senders)
+            for start in ('u1@0', 'u2@0')
+        ),
+    )
+
+
+async def _show(stage, name: str, cold_left_ms: float) -> None:
+    await stage.show(name, 'plain', cold_left_ms=cold_left_ms)
+    contexts = [role.context for role in stage.gateways.values()]
+    await stage.wait_for(
+        lambda: all(
+            bool(
+                one.warm_up.warm_ups.get_left_ms(
+                    f'{name}@0',
+                    get_monotonic_ms(),
+                ),
+            )
+            is bool(cold_left_ms)
+            for one in contexts
+        ),
+    )
+
+
+@given('instances that bear 2 requests a second while they warm up')
+def configure(context):
+    stage = context.gateway_stage
+    stage.run(_configure(stage))
+
+
+@given('u1 and u2 warm up for 60 seconds, and bear 2 requests a second')
+def warm_up_both(context):
+    configure(context)
+    stage = context.gateway_stage
+    for name in ('u1', 'u2'):
+        stage.run(_show(stage, name, _COLD_MS))
+
+
+@given('u1 warms up for 60 seconds, and bears 2 requests a second')
+def warm_up_one(context):
+    configure(context)
+    stage = context.gateway_stage
+    stage.run(_show(stage, 'u1', _COLD_MS))
+
+
+@given('u1 and u2 have become cold, which only their answers say')
+def become_cold(context):
+    for name in ('u1', 'u2'):
+        context.gateway_stage.upstreams[name].notices = {
+            'X-Ragworthollow-Cold-Ms': str(_COLD_MS),
+        }
+
+
+@when('the entries of u1 and u2 say that they are warm')
+def become_warm(context):
+    stage = context.gateway_stage
+    for name in ('u1', 'u2'):
+        stage.run(_show(stage, name, 0))
+
+
+@when('domain one was drained and is restored')
+def drain_and_restore(context):
+    stage = context.gateway_stage
+    stage.run(_drain_and_restore(stage))
+
+
+async def _drain_and_restore(stage) -> None:
+    directory = stage.get_context().directory
+    await stage.write({'op/evacuate/one': '{}'})
+    await stage.wait_for(lambda: not directory.get_pool('plain'))
+    await stage.write({'op/evacuate/one': None})
+    await stage.wait_for(lambda: len(directory.get_pool('plain')) == 2)
+
+
+@when('callers have got an answer of u1 and of u2')
+def ask_both(context):
+    stage = context.gateway_stage
+    both = [stage.upstreams[name] for name in ('u1', 'u2')]
+
+    async def ask() -> None:
+        while not all(one.runs for one in both):
+            await stage.send('/safe/answer')
+
+    stage.run(ask())
+    context.before = {one.name: len(one.runs) for one in both}
+
+
+@when('{count:d} callers post to /safe/answer at the same time')
+def send_together(context, count):
+    stage = context.gateway_stage
+
+    async def send() -> list:
+        return await asyncio.gather(
+            *(stage.send('/safe/answer') for _ in range(count)),
+        )
+
+    began_s = stage.loop.time()
+    context.answers = stage.run(send())
+    context.took_s = stage.loop.time() - began_s
+
+
+@when('{count:d} callers bring stage work to a gateway that may send')
+def send_stage_work(context, count):
+    stage = context.gateway_stage
+    stage.upstreams['s1'].piece_ms = 50
+    chosen = next(
+        name
+        for name, role in stage.gateways.items()
+        if role.context.warm_up.senders.is_chosen(
+            'u1@0',
+            1,
+            get_monotonic_ms(),
+        )
+    )
+    context.answers = stage.run(
+        send_staged(stage, count, '/staged/answer', names=(chosen,)),
+    )
+
+
+@then('some were served, and the others refused at once as not run')
+def check_some(context):
+    statuses = [answer.status for answer in context.answers]
+    assert set(statuses) == {200, 503}, statuses
+    assert context.took_s < _AT_ONCE_S, context.took_s
+    for answer in context.answers:
+        assert answer.status == 200 or 'Retry-After' in answer.headers
+
+
+@then('all of them were served')
+def check_all(context):
+    assert {answer.status for answer in context.answers} == {200}
+
+
+@then('{name:w} got no more than 2 requests')
+def check_few(context, name):
+    runs = len(context.gateway_stage.upstreams[name].runs)
+    before = getattr(context, 'before', {}).get(name, 0)
+    assert runs - before <= 2, runs
+
+
+@then('neither u1 nor u2 got more than 2 requests')
+@then('neither u1 nor u2 got more than 2 requests after that')
+def check_both_few(context):
+    check_few(context, 'u1')
+    check_few(context, 'u2')
