Count the grace time of a stop on the clock that counts suspended time

What callers would see: requests that are cut without a word in a planned stop. Cause: a machine may be suspended while its process stops. The stop was counted on the clock that stands still meanwhile, so that the process went on serving when the platform killed it.

The end of the stop, the time to wait for the balancer and what is still taken follow the clock that counts suspended time, as the platform does. A process that is suspended for longer than it had left ends as soon as it wakes.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/drain.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/drain.py
@@ -5,9 +5,8 @@
 from contextlib import contextmanager
 
 from ragworthollow.conf import global_settings
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
 
-_STEP_MS = 20
 _MILLISECONDS = 1000
 
 
@@ -50,9 +49,10 @@
         bool
             False when work is still being served at the limit.
         """
-        end_ms = get_monotonic_ms() + limit_ms
+        # A process that is suspended meanwhile has no more time than before.
+        end_ms = get_boottime_ms() + limit_ms
         while not self.is_quiet():
-            if get_monotonic_ms() >= end_ms:
+            if get_boottime_ms() >= end_ms:
                 return False
-            await asyncio.sleep(_STEP_MS / _MILLISECONDS)
+            await asyncio.sleep(global_settings.STOP_STEP_MS / _MILLISECONDS)
         return True
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
@@ -11,6 +11,7 @@
 from ragworthollow.platform.request_wire import read_terms
 from ragworthollow.quarantine import make_fingerprint
 from ragworthollow.routes import KeyHolder, Route, RouteTable
+from ragworthollow.utils import get_boottime_ms
 from ragworthollow.utils.hashing import hash_secret
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.request_job import RequestJob
@@ -69,7 +70,7 @@
         )
         if isinstance(received, Err):
             return received
-        if not self._context.stop.accepts(route, limit_ms, received_ms):
+        if not self._context.stop.accepts(route, limit_ms, get_boottime_ms()):
             return Err(make_stopping(route.name, Outcome.not_run))
         return Ok(
             RequestJob(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -8,7 +8,7 @@
 from ragworthollow.logs.events import log_event
 from ragworthollow.membership.gateway_members import GatewayMembers
 from ragworthollow.transport.limited_server import LimitedServer
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.configuration_follower import (
     ConfigurationFollower,
 )
@@ -135,7 +135,7 @@
         """Turn readiness off, and refuse what cannot be finished here."""
         self.context.drain.is_draining = True
         self.context.stop.begin(
-            get_monotonic_ms(),
+            get_boottime_ms(),
             self._settings.grace_s * 1000,
         )
 
@@ -149,8 +149,8 @@
         """
         started_ms = get_monotonic_ms()
         await self.membership.leave()
-        await asyncio.sleep(global_settings.GATEWAY_BALANCER_LAG_MS / 1000)
-        left_ms = self.context.stop.get_left_ms(get_monotonic_ms())
+        await self.context.stop.wait(global_settings.GATEWAY_BALANCER_LAG_MS)
+        left_ms = self.context.stop.get_left_ms(get_boottime_ms())
         if not await self.context.drain.wait_quiet(left_ms):
             self.context.stop.give_up()
             await self.context.drain.wait_quiet(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stop_state.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stop_state.py
@@ -6,8 +6,10 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.routes import Route
+from ragworthollow.utils import get_boottime_ms
 
 Outcome = TypeVar('Outcome')
+_MILLISECONDS = 1000
 
 
 def _may_always_end() -> bool:
@@ -21,6 +23,9 @@
     A request that is taken shortly before the end would be cut, which tells
     its caller nothing.  So a stopping process refuses what it cannot finish,
     and shortly before its end it answers everything that has no answer yet.
+
+    Times are on the clock that counts suspended time, as the platform's grace
+    time does: one that stands still lets a process serve on until it is killed.
     """
 
     def __init__(self) -> None:
@@ -41,6 +46,12 @@
         """Return the time in which requests can still be finished."""
         return self._ends_ms - now_ms
 
+    async def wait(self, longest_ms: float) -> None:
+        """Wait for so long, and no longer than requests can be finished."""
+        end_ms = min(get_boottime_ms() + longest_ms, self._ends_ms)
+        while get_boottime_ms() < end_ms:
+            await asyncio.sleep(global_settings.STOP_STEP_MS / _MILLISECONDS)
+
     def accepts(self, route: Route, limit_ms: float, now_ms: float) -> bool:
         """
         Tell whether a request can still be finished here.
@@ -52,7 +63,7 @@
         limit_ms : float
             Longest time that it may take.
         now_ms : float
-            Time on the monotonic clock.
+            Time on the clock that counts suspended time.
         """
         if self._began_ms is None:
             return True
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -222,6 +222,8 @@
 # Gateway: stop, retries and the store.
 # What the platform grants between TERM and KILL.
 GATEWAY_GRACE_S = 8.0
+# How often a process that stops looks whether it may end.
+STOP_STEP_MS = 20
 # Time before KILL at which the process ends by itself, so that what it cuts
 # is logged; a core may be taken away for a tenth of a second at a time.
 GATEWAY_STOP_MARGIN_MS = 300
--- a/packages/ragworthollow/src/ragworthollow/utils/clock.py
+++ b/packages/ragworthollow/src/ragworthollow/utils/clock.py
@@ -57,19 +57,24 @@
 
 
 @contextmanager
-def use_monotonic(read_ms: Callable[[], float]) -> Iterator[None]:
+def use_monotonic(
+    read_ms: Callable[[], float],
+    read_boottime_ms: Callable[[], float] | None = None,
+) -> Iterator[None]:
     """
-    Read another clock for a while, for models in virtual time.
+    Read other clocks for a while, for models in virtual time.
 
     Parameters
     ----------
     read_ms : callable
-        Returns milliseconds and never goes back; nothing is suspended.
+        Returns milliseconds and never goes back.
+    read_boottime_ms : callable, optional
+        The same with suspended time; without it nothing is suspended.
     """
     earlier_ms = _clock.read_ms
     earlier_boottime_ms = _clock.read_boottime_ms
     _clock.read_ms = read_ms
-    _clock.read_boottime_ms = read_ms
+    _clock.read_boottime_ms = read_boottime_ms or read_ms
     try:
         yield
     finally:
--- a/tests/features/steps/gateway.py
+++ b/tests/features/steps/gateway.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from ragworthollow.conf import global_settings
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.utils import get_boottime_ms
 
 _FORGED = {
     'X-Ragworthollow-Tenant': 'rival',
@@ -372,7 +372,7 @@
     """Tell whether the stop waits for nothing but requests in flight."""
     stop_state = stage.get_context().stop
     grace_ms = stage.get_context().settings.grace_s * 1000
-    elapsed_ms = grace_ms - stop_state.get_left_ms(get_monotonic_ms())
+    elapsed_ms = grace_ms - stop_state.get_left_ms(get_boottime_ms())
     return elapsed_ms > (
         global_settings.GATEWAY_BALANCER_LAG_MS
         + global_settings.GATEWAY_STOP_MARGIN_MS
--- a/tests/features/steps/gateway_fleet.py
+++ b/tests/features/steps/gateway_fleet.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.utils import get_boottime_ms
 from tests.fixtures.staged import NAMES, send_staged
 
 _PLAIN = ('u1', 'u2')
@@ -211,7 +211,7 @@
     stop = stage.get_context('g2').stop
     route = stage.get_context('g2').table.match('service.example', '/stream/')
     await stage.wait_for(
-        lambda: not stop.accepts(route, 1000, get_monotonic_ms()),
+        lambda: not stop.accepts(route, 1000, get_boottime_ms()),
     )
     return await stage.send('/stream/stream', gateway='g2')
 
--- /dev/null
+++ b/tests/features/steps/grace_time.py
@@ -0,0 +1,69 @@
+"""Steps of the time in which a planned stop has to end."""
+
+import asyncio
+from types import SimpleNamespace
+
+from behave import then, when
+
+from measure.fleet_model.virtual_time import run_virtually
+from ragworthollow.conf import GatewaySettings
+from ragworthollow.utils import get_boottime_ms, use_monotonic
+from ragworthollow_daemon.gateway.role import GatewayRole
+
+_GRACE_S = 8.0
+
+
+def _make_role() -> GatewayRole:
+    return GatewayRole(
+        settings=GatewaySettings(
+            role='gateway',
+            instance='g1',
+            failure_domain='one',
+            front_address='',
+            ready_address='',
+            peer_address='g1',
+            store_url='http://store',
+            grace_s=_GRACE_S,
+        ),
+    )
+
+
+async def _stop(suspended_ms: int, after_ms: int) -> SimpleNamespace:
+    loop = asyncio.get_running_loop()
+    began_ms = loop.get_ms()
+
+    def read_boottime_ms() -> float:
+        has_slept = loop.get_ms() >= began_ms + after_ms
+        return loop.get_ms() + (suspended_ms if has_slept else 0)
+
+    found = SimpleNamespace(given_up=None)
+    with use_monotonic(loop.get_ms, read_boottime_ms):
+        role = _make_role()
+        serving = asyncio.ensure_future(_serve(role))
+        await asyncio.sleep(0)
+        asked_ms = get_boottime_ms()
+        role.begin_stop()
+        await role.stop()
+        found.took_ms = get_boottime_ms() - asked_ms
+        found.given_up = serving.done() and serving.result() is None
+        await role.close()
+    return found
+
+
+async def _serve(role: GatewayRole) -> object:
+    with role.context.drain.serving():
+        return await role.context.stop.run(asyncio.Event().wait())
+
+
+@when(
+    'a process that serves a request without end stops and is suspended '
+    'for {suspended_ms:d} ms, {after_ms:d} ms after it was asked to',
+)
+def stop(context, suspended_ms, after_ms):
+    context.found = run_virtually(_stop(suspended_ms, after_ms))
+
+
+@then('it has given the request up before its grace time was over')
+def check_given_up(context):
+    assert context.found.given_up
+    assert context.found.took_ms < _GRACE_S * 1000, context.found.took_ms
