Show operators drained failure domains and instances that warm up

ragworthctl instances tells which domains are drained and since when, which instances warm up and until when, what they may get, whether this gateway is among their senders, and what was refused for either; two gauges beside the counters of refusals.

--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/main.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/main.py
@@ -8,6 +8,7 @@
 from ragworthollow_ctl.commands.diff import diff
 from ragworthollow_ctl.commands.hash_key import hash_key
 from ragworthollow_ctl.commands.history import history
+from ragworthollow_ctl.commands.instances import instances
 from ragworthollow_ctl.commands.losses import losses
 from ragworthollow_ctl.commands.pull import pull
 from ragworthollow_ctl.commands.quarantine import quarantine
@@ -31,6 +32,7 @@
 app.command(status)
 app.command(hash_key)
 app.command(losses)
+app.command(instances)
 app.command(quarantine)
 app.command(release)
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/pool_warm_up.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/pool_warm_up.py
@@ -34,6 +34,10 @@
         self._is_only_sender = is_only_sender
         self._limits = _find_limits(context, pool)
 
+    def get_burst(self) -> int | None:
+        """Return what an instance may get in one second; None for all."""
+        return None if self._limits is None else self._limits.burst
+
     def get_ready(self) -> Sequence[UpstreamInstance]:
         """Return the instances that may get a request now."""
         instances = self._context.directory.get_pool(self._pool)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/status_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/status_routes.py
@@ -10,9 +10,11 @@
     ReleaseOrder,
 )
 from ragworthollow.transport.responses import Problem, respond
+from ragworthollow.upstreams.operator_messages import INSTANCES_PATH
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow.utils.message import Message
 from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.instances_view import describe_instances
 from ragworthollow_daemon.gateway.piece_client import PieceClient
 
 _BAD_REQUEST = 400
@@ -85,6 +87,7 @@
         application = web.Application()
         application.router.add_get('/metrics', self.get_metrics)
         application.router.add_get('/status', self.get_status)
+        application.router.add_get(INSTANCES_PATH, self.show_instances)
         application.router.add_get(QUARANTINE_PATH, self.list_quarantined)
         application.router.add_post(RELEASE_PATH, self.release)
         return application
@@ -97,6 +100,9 @@
         context.metrics.set_state('in_flight', context.drain.in_flight)
         context.metrics.set_state('store_calls', context.store.calls)
         context.metrics.set_state('members', context.members)
+        view = describe_instances(context)
+        context.metrics.set_state('drained_domains', len(view.drained))
+        context.metrics.set_state('warming_instances', len(view.warming))
         quarantine = context.quarantine
         context.metrics.set_state('crash_suspects', quarantine.count())
         context.metrics.set_state(
@@ -130,6 +136,10 @@
             ),
         )
 
+    async def show_instances(self, _request: web.Request) -> web.Response:
+        """Show drained failure domains and instances that warm up."""
+        return respond(describe_instances(self._context))
+
     async def list_quarantined(self, _request: web.Request) -> web.Response:
         """List the requests that are quarantined, as JSON."""
         return respond(self._context.quarantine.list_quarantined())
--- a/packages/ragworthollow/src/ragworthollow/metrics/registry.py
+++ b/packages/ragworthollow/src/ragworthollow/metrics/registry.py
@@ -66,6 +66,16 @@
         """Count the final answer to one request."""
         self._requests.labels(pipeline, outcome, reason or '').inc()
 
+    def get_requests(self, reason: Reason) -> int:
+        """Return how many requests have ended for a reason."""
+        return sum(
+            int(sample.value)
+            for family in self._requests.collect()
+            for sample in family.samples
+            if sample.name.endswith('_total')
+            and sample.labels['reason'] == reason
+        )
+
     def count_attempt(
         self,
         step: str,
--- a/tests/features/domain_drains.feature
+++ b/tests/features/domain_drains.feature
@@ -108,3 +108,12 @@
     # Guards against drains that only those know whom the store answers.
     When a gateway tells another of a drain
     Then the other one gives the domain nothing
+
+  Scenario: Operators see what is drained and what warms up
+    # Guards against operators who cannot tell why a pool gets less work.
+    Given u3 in failure domain two
+    And u1 warms up for 60 seconds, and bears 2 requests a second
+    And a gateway that operators can ask
+    When domain two is drained with nothing
+    And operators ask ragworthctl for the instances of that gateway
+    Then it names domain two, u1 with its limit and what was refused
--- a/tests/features/steps/domain_drains.py
+++ b/tests/features/steps/domain_drains.py
@@ -11,8 +11,10 @@
 from ragworthollow.platform.stored import Stored
 from ragworthollow.replica import Replica
 from ragworthollow.upstreams import Directory, LoadBook
+from ragworthollow_ctl.commands.instances import instances
 from ragworthollow_daemon.gateway.instances_follower import InstancesFollower
 from ragworthollow_daemon.gateway.piece_service import PieceService
+from tests.fixtures.commands import run_command
 from tests.fixtures.piece_pool import make_waiting
 from tests.fixtures.staged import send_staged
 from tests.fixtures.warm_ups import make_guard
@@ -343,3 +345,19 @@
 @then('the other one gives the domain nothing')
 def check_heard(context):
     assert not context.directory.get_pool('p')
+
+
+@when('operators ask ragworthctl for the instances of that gateway')
+def ask_instances(context):
+    shown = run_command(instances, context.asked)
+    context.written = context.gateway_stage.run(shown)
+
+
+@then('it names domain two, u1 with its limit and what was refused')
+def check_instances(context):
+    lines = context.written.splitlines()
+    assert lines[0].startswith('two  drained for '), lines
+    assert lines[1].startswith('u1  plain  warms up for '), lines
+    assert 'gets 2 in any second' in lines[1], lines
+    assert 'domain_drained  0 requests refused' in lines, lines
+    assert 'warming_up  0 requests refused' in lines, lines
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -1,14 +1,12 @@
 """Steps of requests that crash the instances that run them."""
 
-import asyncio
-import contextlib
-import io
 from dataclasses import dataclass
 
 from behave import given, then, when
 
 from ragworthollow_ctl.commands.quarantine import quarantine
 from ragworthollow_ctl.commands.release import release
+from tests.fixtures.commands import run_command
 from tests.fixtures.gateways import HOST
 from tests.fixtures.staged import NAMES
 from tests.standins.upstream import CRASHING_KEY
@@ -127,18 +125,10 @@
     stage.run(stage.wait_configured('asked'))
 
 
-async def _run_command(command, *arguments) -> str:
-    """Run a command as its own process would, beside the gateways."""
-    written = io.StringIO()
-    with contextlib.redirect_stdout(written):
-        await asyncio.to_thread(command, *arguments)
-    return written.getvalue()
-
-
 @then('operators are shown the request and {count:d} crashes')
 def check_shown(context, count):
     stage = context.gateway_stage
-    shown = stage.run(_run_command(quarantine, context.asked))
+    shown = stage.run(run_command(quarantine, context.asked))
     context.fingerprint, left, unit, *crashes = shown.split()
     assert int(left) > _MUCH_LATER_S, shown
     assert unit == 's', shown
@@ -148,7 +138,7 @@
 @when('they have it released')
 def release_request(context):
     stage = context.gateway_stage
-    stage.run(_run_command(release, context.fingerprint, context.asked))
+    stage.run(run_command(release, context.fingerprint, context.asked))
 
 
 @then('it is quarantined at no gateway')
