Pass results that are given up on to the gate that counts them

Cause: a gateway that does not host a gate any more sends its account of results to the one that does. What is given up through it afterwards was freed at the maker, but stayed in the account of the new host until it expired, 4 seconds later.

Such a gateway now passes a release on, once, so that two that take each other for the host do not do so for ever. Where the host cannot be told the maker is told as before.

Test: gateway.feature, failed before (1,000,000 bytes still counted).

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -5,6 +5,7 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
+from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.membership.gateway_members import GatewayMembers
 from ragworthollow.replica import NewsQuestion, encode_news
 from ragworthollow.transport.host_messages import (
@@ -32,7 +33,11 @@
 )
 from ragworthollow_daemon.gateway.membership import CHANGE_PATH, PING_PATH
 from ragworthollow_daemon.gateway.news_client import NEWS_PATH
-from ragworthollow_daemon.gateway.piece_exchange import FREE_PATH, RUN_PATH
+from ragworthollow_daemon.gateway.piece_exchange import (
+    FREE_PATH,
+    RUN_PATH,
+    tell_released,
+)
 from ragworthollow_daemon.gateway.piece_service import PieceService
 
 _BAD_REQUEST = 400
@@ -163,15 +168,34 @@
         return respond(encode_results(found))
 
     async def free_results(self, request: web.Request) -> web.Response:
-        """Give results up."""
+        """
+        Give results up, through the gate that counts their space.
+
+        Whoever asks may not know yet that another gateway hosts the gate: the
+        account of its results has gone there, and would count them as taking
+        space until they expire.
+        """
         body = await request.read()
         try:
             release = msgspec.json.decode(body, type=ResultsRelease)
         except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=_BAD_REQUEST)
-        self._service.free(release.pool, release.handles)
+        host = self._members.find_host(release.pool)
+        if host is None or release.is_forwarded:
+            self._service.free(release.pool, release.handles)
+        else:
+            self._context.spawn(self._forward(host, release))
         return web.Response()
 
+    async def _forward(
+        self,
+        host: GatewayMember,
+        release: ResultsRelease,
+    ) -> None:
+        forwarded = msgspec.structs.replace(release, is_forwarded=True)
+        if not await tell_released(self._context, host, forwarded):
+            self._service.free(release.pool, release.handles)
+
     async def take_gate(self, request: web.Request) -> web.Response:
         """Take what another gateway has in hand."""
         body = await request.read()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -48,11 +48,11 @@
             instance=settings.instance,
             capacity=settings.get_capacity(),
         )
-        self._service = PieceService(context=self.context)
+        self.service = PieceService(context=self.context)
         self.membership = Membership(
             context=self.context,
             members=self.members,
-            announced=self._service.get_gates().announced,
+            announced=self.service.get_gates().announced,
             take_news=lambda news, asked_ms: self._follower.take_news(
                 news,
                 asked_ms,
@@ -61,12 +61,12 @@
         self._pieces = PieceClient(
             context=self.context,
             members=self.members,
-            service=self._service,
+            service=self.service,
         )
         self._handover = GateHandover(
             context=self.context,
             members=self.members,
-            gates=self._service.get_gates(),
+            gates=self.service.get_gates(),
         )
         self._records = QuarantineRecords(context=self.context)
         self._follower = make_store_follower(
@@ -75,8 +75,8 @@
             followers=(
                 InstancesFollower(
                     context=self.context,
-                    on_change=self._service.advance_all,
-                    on_restart=self._service.forget_incarnation,
+                    on_change=self.service.advance_all,
+                    on_restart=self.service.forget_incarnation,
                 ),
                 self.membership,
                 self._records,
@@ -95,7 +95,7 @@
         peers = PeerRoutes(
             context=self.context,
             members=self.members,
-            service=self._service,
+            service=self.service,
             handover=self._handover,
         )
         await self._run(
@@ -176,7 +176,7 @@
             await asyncio.sleep(global_settings.GATE_TICK_MS / 1000)
             self._handover.check()
             self._pieces.tell_new_hosts()
-            self._service.advance_all()
+            self.service.advance_all()
             front.advance()
 
     async def _serve_application(
--- a/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
@@ -78,10 +78,23 @@
 
 
 class ResultsRelease(Message):
-    """Give results of a pool up, whichever gates had them made."""
+    """
+    Give results of a pool up, whichever gates had them made.
+
+    Attributes
+    ----------
+    pool : str
+        Pool that made them.
+    handles : tuple of str
+        Their names.
+    is_forwarded : bool
+        Whether a gateway that does not host the gate has passed it on; two
+        that take each other for the host must not do so for ever.
+    """
 
     pool: str
     handles: tuple[str, ...]
+    is_forwarded: bool = False
 
 
 class KeptResultMessage(Message):
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -204,6 +204,13 @@
     And the instance never had two calls at a time
     And all results are given up
 
+  Scenario: Results are given up through a gateway that hosts their gate no more
+    # Guards against an account of space that counts results as kept which have
+    # been given up: a full account keeps every call back until they expire.
+    Given two more gateways and an instance for stage work
+    When a result in the account of the host is given up through another gateway
+    Then it is given up once, and the host counts it no more
+
   Scenario: A gateway that starts is known to one that is stopping
     # Gateways stop one after the other, and the first is back while the
     # second still serves.  If that one did not know of it, it would host the
--- a/tests/features/steps/gate_hosts.py
+++ b/tests/features/steps/gate_hosts.py
@@ -2,16 +2,21 @@
 
 import asyncio
 
+import msgspec
 from behave import then, when
 
+from ragworthollow.pieces import KeptResult
+from ragworthollow.transport.piece_messages import ResultsRelease
+from ragworthollow_daemon.gateway.piece_exchange import FREE_PATH
 from tests.fixtures.staged import NAMES, send_staged
 
+# Beyond any time of this machine's monotonic clock.
+_NEVER_MS = 1e15
+
 
 def _find_host(stage) -> str:
     """Return who hosts the gate of the stage pool, as g1 sees it."""
-    members = stage.gateways['g1'].members
-    host = members.find_host('stage')
-    return 'g1' if host is None else host.instance
+    return _find_host_seen_by(stage, 'g1')
 
 
 @when('the host of the gate is killed while {count:d} callers wait for pieces')
@@ -82,3 +87,53 @@
     }
     assert len(hosts) == 1, hosts
     assert hosts <= {'g3', 'g4'}, hosts
+
+
+@when(
+    'a result in the account of the host is given up through another gateway',
+)
+def free_elsewhere(context):
+    context.gateway_stage.run(_free_elsewhere(context.gateway_stage))
+
+
+async def _free_elsewhere(stage) -> None:
+    host = _find_host(stage)
+    maker = stage.upstreams['s1']
+    handle = f'{maker.address}/kept'
+    _get_room(stage, host).keep(
+        KeptResult(
+            handle=handle,
+            instance='s1',
+            result_bytes=1_000_000,
+            until_ms=_NEVER_MS,
+        ),
+    )
+    other = next(name for name in NAMES if name != host)
+    await stage.wait_for(
+        lambda: _find_host_seen_by(stage, other) == host,
+    )
+    address = stage.get_context(other).settings.peer_address
+    release = ResultsRelease(pool='stage', handles=(handle,))
+    async with stage.session.post(
+        f'http://{address}{FREE_PATH}',
+        data=msgspec.json.encode(release),
+    ) as response:
+        assert response.status == 200
+    await stage.wait_for(lambda: maker.freed)
+
+
+def _find_host_seen_by(stage, name: str) -> str:
+    host = stage.gateways[name].members.find_host('stage')
+    return name if host is None else host.instance
+
+
+def _get_room(stage, name: str):
+    return stage.gateways[name].service.get_gates().get('stage').room
+
+
+@then('it is given up once, and the host counts it no more')
+def check_freed_once(context):
+    stage = context.gateway_stage
+    assert len(stage.upstreams['s1'].freed) == 1
+    used = _get_room(stage, _find_host(stage)).get_used(0)
+    assert not used, used
