Run requests that have homes in these regions only

A rule that nothing kept: routes and organisations may name regions as homes, and no request of theirs, nor a piece of its stage work, may reach an instance in another region; where both name some, both bind. No deployment so far has more than one region, so that nobody saw it.

The homes go with the request to the choice of its instance and with its pieces to the gate of their pool, whichever gateway hosts it. A pool without an instance at home refuses at once. Bodies never go to another gateway. A region that the settings do not know is no home.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
@@ -11,6 +11,7 @@
 from ragworthollow.logs.events import log_event
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.platform.answer_wire import make_caller_headers
+from ragworthollow.routes.homes import may_run_in
 from ragworthollow.upstreams import (
     UpstreamInstance,
     UpstreamWish,
@@ -70,6 +71,7 @@
         self._context = context
         self._inputs = inputs
         self._warm_up = PoolWarmUp(context=context, pool=job.pool)
+        self._homes = job.get_homes()
         self._tried: set[str] = set()
         self._sent = 0
         self._may_have_run = False
@@ -80,7 +82,11 @@
         """Choose the instance for the next attempt."""
         context = self._context
         return choose_upstream(
-            self._warm_up.get_ready(),
+            [
+                one
+                for one in self._warm_up.get_ready()
+                if may_run_in(one.region, self._homes)
+            ],
             context.book,
             UpstreamWish(
                 affinity_key=self.job.terms.get_affinity_key(),
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instances_follower.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instances_follower.py
@@ -1,5 +1,6 @@
 """Keep the list of upstream instances in force."""
 
+import dataclasses
 from collections.abc import (
     Callable,
     Collection,
@@ -158,6 +159,17 @@
                 instances=sum(one.failure_domain == domain for one in listed),
             )
 
+    def _place(
+        self,
+        instance: UpstreamInstance | None,
+    ) -> UpstreamInstance | None:
+        """Add the region, which entries do not say."""
+        if instance is None:
+            return None
+        settings = self._context.settings
+        region = settings.get_region(instance.failure_domain)
+        return dataclasses.replace(instance, region=region)
+
     def _note_warm_up(self, instance: UpstreamInstance | None) -> None:
         if instance is not None:
             self._context.warm_up.warm_ups.note_entry(
@@ -171,7 +183,9 @@
         for key, stored in found.items():
             revision, instance = self._decoded.get(key, (0, None))
             if revision != stored.mod_revision:
-                instance = decode_instance(key, stored.text.encode())
+                instance = self._place(
+                    decode_instance(key, stored.text.encode()),
+                )
                 self._note_warm_up(instance)
             decoded[key] = (stored.mod_revision, instance)
         self._decoded = decoded
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
@@ -6,6 +6,7 @@
 
 from ragworthollow.exchange import RequestTerms
 from ragworthollow.routes import KeyHolder, Route, RouteTable
+from ragworthollow.routes.homes import Homes, intersect_homes
 from ragworthollow.utils import get_monotonic_ms
 
 
@@ -76,6 +77,11 @@
         )
         return (*stages, self.pool)
 
+    def get_homes(self) -> Homes | None:
+        """Return the regions in which it may run; None for any."""
+        own = None if self.holder is None else self.holder.homes
+        return intersect_homes(self.route.homes, own)
+
     def get_priority(self) -> int:
         """Return the rank, the organisation's before the route's."""
         if self.holder is not None and self.holder.priority is not None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
@@ -7,6 +7,7 @@
 from result import Err, Result
 
 from ragworthollow.outcomes import Outcome, Reason
+from ragworthollow.routes.homes import may_run_in
 from ragworthollow_daemon.gateway.admission import make_refusal, make_stopping
 from ragworthollow_daemon.gateway.answer_progress import AnswerProgress
 from ragworthollow_daemon.gateway.context import GatewayContext
@@ -127,8 +128,20 @@
         for pool in job.get_pools():
             if directory.is_pool_drained(pool):
                 return make_refusal(Reason.domain_drained, pool)
+            if self._is_away_from_home(job, pool):
+                return make_refusal(Reason.no_instance, pool)
         return None
 
+    def _is_away_from_home(self, job: RequestJob, pool: str) -> bool:
+        """Tell whether all instances of a pool are in other regions."""
+        homes = job.get_homes()
+        if homes is None:
+            return False
+        instances = self._context.directory.get_pool(pool)
+        return bool(instances) and not any(
+            may_run_in(one.region, homes) for one in instances
+        )
+
     def _refuse(
         self,
         job: RequestJob,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_work.py
@@ -210,6 +210,7 @@
                 priority=self._job.get_priority(),
                 asker=self._client.asker,
                 fingerprint=self._job.fingerprint,
+                homes=self._job.get_homes(),
             )
             for number in range(counts[position])
         )
--- a/packages/ragworthollow/src/ragworthollow/conf/gateway_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/gateway_settings.py
@@ -21,6 +21,8 @@
         Name of the instance, unique in the deployment.
     failure_domain : str
         Where it runs.
+    regions : dict of str to str
+        Region of each failure domain.
     front_address, ready_address : str
         Where callers and the balancer's readiness checks connect, `IP:PORT`.
     peer_address : str
@@ -66,6 +68,7 @@
     peer_address: str
     store_url: str
     metrics_address: str = ''
+    regions: dict[str, str] | None = None
     grace_s: float = global_settings.GATEWAY_GRACE_S
     retry_ratio: float = global_settings.GATEWAY_RETRY_RATIO
     retry_slack: float = global_settings.GATEWAY_RETRY_SLACK
@@ -87,6 +90,10 @@
     )
     quarantine_ms: Annotated[float, Meta(gt=0)] = global_settings.QUARANTINE_MS
 
+    def get_region(self, failure_domain: str) -> str:
+        """Return the region of a failure domain; empty for an unknown one."""
+        return (self.regions or {}).get(failure_domain, '')
+
     def get_shortest_bound_ms(self) -> float:
         """Return the time in which any change has to be in force."""
         return min(
--- a/packages/ragworthollow/src/ragworthollow/pieces/gate.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/gate.py
@@ -22,6 +22,7 @@
 from ragworthollow.pieces.selection import select_pieces
 from ragworthollow.pieces.waiting_piece import WaitingPiece
 from ragworthollow.pieces.waits import estimate_domain_waits, estimate_wait_ms
+from ragworthollow.routes.homes import may_run_in
 from ragworthollow.routes.upstream_pool import PieceProfile
 from ragworthollow.upstreams import LoadBook, UpstreamInstance
 
@@ -66,7 +67,9 @@
         """
         waiting.attempts += 1
         waiting.avoid.add(failed)
-        if waiting.avoid.issuperset(one.instance for one in instances):
+        homes = waiting.piece.homes
+        allowed = [one for one in instances if may_run_in(one.region, homes)]
+        if waiting.avoid.issuperset(one.instance for one in allowed):
             waiting.avoid.clear()
         self._queue.append(waiting)
 
@@ -299,7 +302,7 @@
         room_bytes = profile.room_bytes / global_settings.ROOM_MARGIN
         free_bytes = room_bytes - used.get(instance.instance, 0)
         taken = select_pieces(
-            [one for one in wanted if instance.instance not in one.avoid],
+            [one for one in wanted if _may_make(instance, one)],
             profile,
             free_bytes,
         )
@@ -321,3 +324,10 @@
         )
         self.running.own.append(call)
         return call
+
+
+def _may_make(instance: UpstreamInstance, waiting: WaitingPiece) -> bool:
+    """Tell whether an instance may make a piece, and has not failed to."""
+    if not may_run_in(instance.region, waiting.piece.homes):
+        return False
+    return instance.instance not in waiting.avoid
--- a/packages/ragworthollow/src/ragworthollow/pieces/piece.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/piece.py
@@ -3,6 +3,8 @@
 import enum
 from dataclasses import dataclass
 
+from ragworthollow.routes.homes import Homes
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Piece:
@@ -39,6 +41,8 @@
         Incarnation of the gateway that has the request.
     fingerprint : str
         The same for each try of the same work; empty when that is not known.
+    homes : frozenset of str or None
+        Regions in which it may be made; None for any.
     """
 
     request_id: str
@@ -54,6 +58,7 @@
     priority: int = 0
     asker: str = ''
     fingerprint: str = ''
+    homes: Homes | None = None
 
 
 class PieceOutcome(enum.StrEnum):
--- a/packages/ragworthollow/src/ragworthollow/platform/configuration_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/configuration_wire.py
@@ -15,6 +15,7 @@
     StageStep,
     UpstreamPool,
 )
+from ragworthollow.routes.homes import Homes
 from ragworthollow.utils.message import Message
 
 CONFIGURATION_KEY = 'op/config'
@@ -42,7 +43,8 @@
     Describe a route.
 
     `slo_ms` is the latency objective (of the first event for a stream);
-    `backend` names the only pool where `backends` does not split.
+    `backend` names the only pool where `backends` does not split, and
+    `allowed_regions` the regions in which its requests may run.
     """
 
     name: str
@@ -58,6 +60,7 @@
     stages: tuple[_Stage, ...] = ()
     public: bool = False
     can_resume: bool = False
+    allowed_regions: tuple[str, ...] | None = None
 
 
 class _Pieces(Message):
@@ -97,11 +100,16 @@
 
 
 class _Tenant(Message):
-    """Describe an organisation (`tenant`) and its keys."""
+    """
+    Describe an organisation (`tenant`) and its keys.
+
+    `allowed_regions` are the regions in which its requests may run.
+    """
 
     name: str
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
+    allowed_regions: tuple[str, ...] | None = None
 
 
 class _Configuration(Message):
@@ -149,7 +157,11 @@
         routes=[_to_route(route) for route in found.routes],
         pools={one.name: _to_pool(one) for one in found.services},
         holders_by_key={
-            key: KeyHolder(organisation=one.name, priority=one.priority)
+            key: KeyHolder(
+                organisation=one.name,
+                priority=one.priority,
+                homes=_to_homes(one.allowed_regions),
+            )
             for one in tenants
             for key in one.api_keys
         },
@@ -183,9 +195,15 @@
         priority=found.priority,
         is_public=found.public,
         can_resume=found.can_resume,
+        homes=_to_homes(found.allowed_regions),
     )
 
 
+def _to_homes(regions: tuple[str, ...] | None) -> Homes | None:
+    """Return the homes that a list names; an empty one names none."""
+    return frozenset(regions) if regions else None
+
+
 def _to_pool(found: _Service) -> UpstreamPool:
     pieces = None
     if found.pieces is not None:
--- a/packages/ragworthollow/src/ragworthollow/routes/route.py
+++ b/packages/ragworthollow/src/ragworthollow/routes/route.py
@@ -3,6 +3,8 @@
 import enum
 from dataclasses import dataclass
 
+from ragworthollow.routes.homes import Homes
+
 
 class RouteKind(enum.StrEnum):
     """Say what a request may suffer and what its answer is."""
@@ -80,6 +82,8 @@
         Whether it is served without a key.
     can_resume : bool
         Whether a stream may go on at another instance.
+    homes : frozenset of str or None
+        Regions in which its requests may run; None for any.
     """
 
     name: str
@@ -94,6 +98,7 @@
     priority: int = 0
     is_public: bool = False
     can_resume: bool = False
+    homes: Homes | None = None
 
     def is_idempotent(self) -> bool:
         """Tell whether a request may run more than once."""
--- a/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
@@ -28,6 +28,8 @@
         Rank of the request, 0 first.
     fingerprint : str
         The same for each try of the same work.
+    homes : tuple of str or None
+        Regions in which it may be made; None for any.
     """
 
     request_id: str
@@ -42,6 +44,7 @@
     failure_domain: str = ''
     priority: int = 0
     fingerprint: str = ''
+    homes: tuple[str, ...] | None = None
 
 
 class PieceResultMessage(Message):
@@ -161,6 +164,7 @@
                     failure_domain=piece.failure_domain,
                     priority=piece.priority,
                     fingerprint=piece.fingerprint,
+                    homes=None if piece.homes is None else tuple(piece.homes),
                 )
                 for piece in pieces
             ),
@@ -184,6 +188,7 @@
             failure_domain=one.failure_domain,
             priority=one.priority,
             fingerprint=one.fingerprint,
+            homes=None if one.homes is None else frozenset(one.homes),
             asker=order.asker,
         )
         for one in order.orders
--- a/packages/ragworthollow/src/ragworthollow/upstreams/upstream_instance.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/upstream_instance.py
@@ -25,6 +25,8 @@
     started_unix_ms : int
         When it started, which tells its incarnations apart; 0 when its entry
         does not say.
+    region : str
+        Region of its failure domain; empty when that is not known.
     warm_up_left_ms : float
         How much longer it warmed up when its entry was written.
     """
@@ -36,6 +38,7 @@
     slots: int
     is_leaving: bool = False
     started_unix_ms: int = 0
+    region: str = ''
     warm_up_left_ms: float = 0
 
     def get_incarnation(self) -> str:
--- a/tests/features/steps/domain_drains.py
+++ b/tests/features/steps/domain_drains.py
@@ -15,6 +15,7 @@
 from ragworthollow_daemon.gateway.instances_follower import InstancesFollower
 from ragworthollow_daemon.gateway.piece_service import PieceService
 from tests.fixtures.commands import run_command
+from tests.fixtures.gateways import make_settings
 from tests.fixtures.piece_pool import make_waiting
 from tests.fixtures.staged import send_staged
 from tests.fixtures.warm_ups import make_guard
@@ -281,6 +282,7 @@
             book=LoadBook(),
             metrics=Metrics(),
             warm_up=make_guard(),
+            settings=make_settings(),
             table=None,
         ),
         on_change=lambda: None,
--- a/tests/features/steps/grace_time.py
+++ b/tests/features/steps/grace_time.py
@@ -6,28 +6,13 @@
 from behave import then, when
 
 from measure.fleet_model.virtual_time import run_virtually
-from ragworthollow.conf import GatewaySettings
 from ragworthollow.utils import get_boottime_ms, use_monotonic
 from ragworthollow_daemon.gateway.role import GatewayRole
+from tests.fixtures.gateways import make_settings
 
 _GRACE_S = 8.0
 
 
-def _make_role() -> GatewayRole:
-    return GatewayRole(
-        settings=GatewaySettings(
-            role='gateway',
-            instance='g1',
-            failure_domain='one',
-            front_address='',
-            ready_address='',
-            peer_address='g1',
-            store_url='http://store',
-            grace_s=_GRACE_S,
-        ),
-    )
-
-
 async def _stop(suspended_ms: int, after_ms: int) -> SimpleNamespace:
     loop = asyncio.get_running_loop()
     began_ms = loop.get_ms()
@@ -38,7 +23,7 @@
 
     found = SimpleNamespace(given_up=None)
     with use_monotonic(loop.get_ms, read_boottime_ms):
-        role = _make_role()
+        role = GatewayRole(settings=make_settings(grace_s=_GRACE_S))
         serving = asyncio.ensure_future(_serve(role))
         await asyncio.sleep(0)
         asked_ms = get_boottime_ms()
--- a/tests/features/steps/instance_entries.py
+++ b/tests/features/steps/instance_entries.py
@@ -16,6 +16,7 @@
 from ragworthollow.upstreams import Directory, LoadBook, UpstreamInstance
 from ragworthollow_daemon.gateway.instances_follower import InstancesFollower
 from ragworthollow_daemon.gateway.piece_service import PieceService
+from tests.fixtures.gateways import make_settings
 from tests.fixtures.piece_pool import make_waiting
 from tests.fixtures.warm_ups import make_guard
 
@@ -77,6 +78,7 @@
             directory=directory,
             book=book or LoadBook(),
             warm_up=make_guard(),
+            settings=make_settings(),
             table=None,
         ),
         on_change=lambda: None,
