Test that a popular request is released by ending well

With Quarantine.note_good_end made to do nothing all scenarios of the quarantine passed: a harmless request that is often sent would have stayed refused after running beside two crashes. Three scenarios through the daemons, a plain, a streaming and a staged request at three gateways beside harmful ones; all three fail with that change.

--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -60,3 +60,19 @@
     When the store holds 1 records of requests that are quarantined
     And they have it released
     Then the store holds 0 records of requests that are quarantined
+
+  Scenario Outline: A popular <kind> request runs beside the harmful one
+    # Guards against callers of a harmless request who are refused for minutes,
+    # since it was running each time that an instance crashed: that it ends well
+    # in between has to release it at all gateways.
+    Given two more gateways and an instance for stage work
+    And one instance at a time for <pool> work
+    When a harmful request crashes it 3 times while a popular one to <path> runs there
+    And the popular one ends well after each crash
+    Then the popular request is served at each gateway
+
+    Examples:
+      | kind      | pool  | path                  |
+      | plain     | plain | /safe/popular/hold    |
+      | streaming | plain | /stream/popular/pause |
+      | staged    | stage | /staged/popular/answer |
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -248,6 +248,13 @@
     return False
 
 
+async def _hold(standin, request, _reader, writer):
+    marks = standin.note_run(request)
+    await standin.may_go_on.wait()
+    _write(writer, '200 OK', marks, b'whole answer')
+    return True
+
+
 async def _crash(standin, request, _reader, writer):
     _start_stream(standin, request, writer)
     await writer.drain()
@@ -318,6 +325,7 @@
     'reset': _reset_unframed,
     'twice': _answer_twice,
     'wait': _wait,
+    'hold': _hold,
     'crash': _crash,
     'stream': _stream,
     'break': _break_stream,
