Remember of warm-ups what was told last, not what was heard of first

Found in reading the diff: of more than 2,000 starts the ledger dropped those that it had heard of first, so that an instance that has lived for long was taken for warm although its newest entry says that it warms up. Entries move to the end now. Test: warm_up.feature, failed before.

Where nothing warms up, the wait of a pool is known without asking for each of its instances; a test of drains ends its calls.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/pool_warm_up.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/pool_warm_up.py
@@ -41,7 +41,7 @@
     def get_ready(self) -> Sequence[UpstreamInstance]:
         """Return the instances that may get a request now."""
         instances = self._context.directory.get_pool(self._pool)
-        if self._limits is None or not self._context.warm_up.is_needed():
+        if not self._is_needed():
             return instances
         return [one for one in instances if not self.get_wait_ms(one)]
 
@@ -70,6 +70,8 @@
         float
             0 if any may now, and for a pool without instances.
         """
+        if not self._is_needed():
+            return 0
         instances = self._context.directory.get_pool(self._pool)
         waits_ms = (
             self.get_wait_ms(one)
@@ -88,6 +90,9 @@
                 is_only_sender=self._is_only_sender,
             )
 
+    def _is_needed(self) -> bool:
+        return self._limits is not None and self._context.warm_up.is_needed()
+
 
 def _find_limits(context: GatewayContext, pool: str) -> WarmUpLimits | None:
     described = None if context.table is None else context.table.pools.get(pool)
--- a/packages/ragworthollow/src/ragworthollow/warmup/ledger.py
+++ b/packages/ragworthollow/src/ragworthollow/warmup/ledger.py
@@ -23,16 +23,14 @@
 
     def note_entry(self, incarnation: str, until_ms: float) -> None:
         """Take what a new entry of an instance says."""
-        self._listed_until_ms[incarnation] = until_ms
         self._last_ms = max(self._last_ms, until_ms)
-        _drop_oldest(self._listed_until_ms)
+        _keep(self._listed_until_ms, incarnation, until_ms)
 
     def note(self, incarnation: str, until_ms: float) -> None:
         """Take it that an instance warms up until some time at least."""
         known_ms = self._noted_until_ms.get(incarnation, until_ms)
-        self._noted_until_ms[incarnation] = max(known_ms, until_ms)
         self._last_ms = max(self._last_ms, until_ms)
-        _drop_oldest(self._noted_until_ms)
+        _keep(self._noted_until_ms, incarnation, max(known_ms, until_ms))
 
     def may_have_any(self, now_ms: float) -> bool:
         """Tell whether any instance may still warm up."""
@@ -47,6 +45,13 @@
         return max(0, until_ms - now_ms)
 
 
-def _drop_oldest(until_ms: dict[str, float]) -> None:
-    while len(until_ms) > global_settings.WARM_UPS_KEPT:
-        until_ms.pop(next(iter(until_ms)))
+def _keep(
+    kept_until_ms: dict[str, float],
+    incarnation: str,
+    until_ms: float,
+) -> None:
+    """Keep a time, and drop what was told longest ago."""
+    kept_until_ms.pop(incarnation, None)
+    kept_until_ms[incarnation] = until_ms
+    while len(kept_until_ms) > global_settings.WARM_UPS_KEPT:
+        kept_until_ms.pop(next(iter(kept_until_ms)))
--- a/tests/features/steps/domain_drains.py
+++ b/tests/features/steps/domain_drains.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
+from result import Ok
 
 from ragworthollow.metrics import Metrics
 from ragworthollow.pieces import Piece, PieceOutcome, PieceResult
@@ -235,8 +236,13 @@
     await stage.add_upstream('s2', 'stage', failure_domain='two')
     await _wait_listed(stage, 'stage', {'s2'})
 
-    async def hang(_context, _call):
-        await asyncio.Event().wait()
+    is_over = asyncio.Event()
+
+    async def hang(_context, call):
+        await is_over.wait()
+        return Ok(
+            (PieceResult(outcome=PieceOutcome.failed),) * len(call.waiting)
+        )
 
     async def deny(_context, _instance):
         return True
@@ -254,7 +260,8 @@
     await _drain(stage, 'two', '')
     service.advance('stage')
     found = await asyncio.wait_for(runs[1], _AT_ONCE_S)
-    runs[0].cancel()
+    is_over.set()
+    await runs[0]
     return found
 
 
--- a/tests/features/steps/warm_up.py
+++ b/tests/features/steps/warm_up.py
@@ -15,6 +15,7 @@
     SETTLE_MS,
     WRONG_VARIANTS,
 )
+from ragworthollow.conf import global_settings
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow.warmup import WarmUpLimits, derive_limits, derive_share
 from tests.fixtures.staged import send_staged
@@ -125,6 +126,17 @@
     assert not warm_ups.get_left_ms('i1@2', 500)
 
 
+@then('the one that was told of last is remembered, however old it is')
+def check_remembered(context):
+    warm_ups = make_guard().warm_ups
+    warm_ups.note_entry('old@1', 0)
+    for number in range(global_settings.WARM_UPS_KEPT - 1):
+        warm_ups.note_entry(f'other@{number}', 0)
+    warm_ups.note_entry('old@1', 1000)
+    warm_ups.note_entry('new@1', 0)
+    assert warm_ups.get_left_ms('old@1', 0)
+
+
 async def _configure(stage) -> None:
     plain, *others = stage.configuration['services']
     cold = {**plain, 'cold_start_s': 60.0, 'cold_per_s': 2.0}
--- a/tests/features/warm_up.feature
+++ b/tests/features/warm_up.feature
@@ -55,6 +55,11 @@
     # Guards against an older entry that takes back what the instance has said.
     Then the longest of both times holds
 
+  Scenario: More instances have started than are remembered
+    # Guards against an instance that is taken for warm since it has lived longer
+    # than most others.
+    Then the one that was told of last is remembered, however old it is
+
   @each.gateway
   Scenario: Every instance of a pool warms up
     # Guards against callers who wait for their turn at instances that have got
