Name the bound on what an instance gets after what it does

What keeps gateways within what an instance bears while it warms up is a throttle: senders by rank, a window each. It is to serve other sources of a bound too. No change of behaviour; warm_up, domain_drains and instance_entries features pass.

--- a/measure/warm_up_model/__main__.py
+++ b/measure/throttle_model/__main__.py
@@ -1,11 +1,11 @@
 """Print what each way of holding back costs and keeps."""
 
-from measure.warm_up_model.model import Fleet, play
-from measure.warm_up_model.pattern import PATTERNS
-from measure.warm_up_model.policies import POLICIES
-from ragworthollow.warmup import WarmUpLimits
+from measure.throttle_model.model import Fleet, play
+from measure.throttle_model.pattern import PATTERNS
+from measure.throttle_model.policies import POLICIES
+from ragworthollow.throttling import RateLimits
 
-_LIMITS = WarmUpLimits(requests_per_s=8, burst=17)
+_LIMITS = RateLimits(requests_per_s=8, burst=17)
 _SIZES = (4, 21, 68, 300)
 _INSTANCES = 20
 _REQUESTS_PER_INSTANCE = 4
--- a/measure/warm_up_model/model.py
+++ b/measure/throttle_model/model.py
@@ -3,9 +3,9 @@
 import random
 from dataclasses import dataclass
 
-from measure.warm_up_model.pattern import Pattern, count_most_in_a_second
-from measure.warm_up_model.policies import MakePolicy
-from ragworthollow.warmup import WarmUpLimits
+from measure.throttle_model.pattern import Pattern, count_most_in_a_second
+from measure.throttle_model.policies import MakePolicy
+from ragworthollow.throttling import RateLimits
 
 _SPAN_MS = 8_000
 _VIEW_MS = 50
@@ -50,7 +50,7 @@
     fleet: Fleet,
     pattern: Pattern,
     make_policy: MakePolicy,
-    limits: WarmUpLimits,
+    limits: RateLimits,
     seed: int,
 ) -> Outcome:
     """
@@ -67,7 +67,7 @@
         What befalls it.
     make_policy : callable
         Makes what decides at each gateway.
-    limits : WarmUpLimits
+    limits : RateLimits
         What an instance bears.
     seed : int
         Of all chance.
--- a/measure/warm_up_model/policies.py
+++ b/measure/throttle_model/policies.py
@@ -5,12 +5,12 @@
 from typing import Protocol
 
 from ragworthollow.conf import global_settings
-from ragworthollow.warmup import (
+from ragworthollow.throttling import (
     Pacer,
+    RateLimits,
     Senders,
     SenderShare,
-    WarmUpGuard,
-    WarmUpLimits,
+    Throttle,
     derive_share,
 )
 
@@ -31,13 +31,13 @@
         """Note a request to such an instance."""
 
 
-MakePolicy = Callable[[str, WarmUpLimits], Policy]
+MakePolicy = Callable[[str, RateLimits], Policy]
 
 
 class Unlimited:
     """Treat instances that warm up like all others."""
 
-    def __init__(self, _gateway: str, _limits: WarmUpLimits) -> None:
+    def __init__(self, _gateway: str, _limits: RateLimits) -> None:
         """Know nothing."""
 
     def set_members(self, members: Collection[str], now_ms: float) -> None:
@@ -62,7 +62,7 @@
 class EqualShare:
     """Give every gateway the same part of the rate."""
 
-    def __init__(self, _gateway: str, limits: WarmUpLimits) -> None:
+    def __init__(self, _gateway: str, limits: RateLimits) -> None:
         self._total = min(limits.requests_per_s, limits.burst / 2)
         self._pacer = Pacer()
         self._share = self._make_share(1)
@@ -94,22 +94,22 @@
 
     settle_ms: float = SETTLE_MS
 
-    def __init__(self, gateway: str, limits: WarmUpLimits) -> None:
+    def __init__(self, gateway: str, limits: RateLimits) -> None:
         self._limits = limits
-        self._guard = WarmUpGuard(gateway=gateway, settle_ms=self.settle_ms)
+        self._throttle = Throttle(gateway=gateway, settle_ms=self.settle_ms)
 
     def set_members(self, members: Collection[str], now_ms: float) -> None:
         """Choose among all that are known."""
-        self._guard.senders.set_members(members, now_ms)
+        self._throttle.senders.set_members(members, now_ms)
 
     def may_send(self, instance: str, now_ms: float) -> bool:
         """Keep to the share of those that are chosen."""
-        self._guard.warm_ups.note(instance, _FAR_MS)
-        return not self._guard.get_wait_ms(instance, self._limits, now_ms)
+        self._throttle.warm_ups.note(instance, _FAR_MS)
+        return not self._throttle.get_wait_ms(instance, self._limits, now_ms)
 
     def note_sent(self, instance: str, now_ms: float) -> None:
         """Count it."""
-        self._guard.note_sent(instance, self._limits, now_ms)
+        self._throttle.note_sent(instance, self._limits, now_ms)
 
 
 class RankedAtOnce(Ranked):
@@ -121,7 +121,7 @@
 class Bucket:
     """Wrong variant: fill a bucket, whose bursts meet at its edges."""
 
-    def __init__(self, gateway: str, limits: WarmUpLimits) -> None:
+    def __init__(self, gateway: str, limits: RateLimits) -> None:
         self._senders = Senders(gateway=gateway, settle_ms=SETTLE_MS)
         self._limits = limits
         self._sent: dict[tuple[str, int], int] = {}
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/answer_notices.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/answer_notices.py
@@ -38,7 +38,7 @@
     if marks.is_leaving:
         _note_leaving(context, instance, now_ms)
     if marks.warm_up_left_ms:
-        context.warm_up.warm_ups.note(
+        context.throttle.warm_ups.note(
             instance.get_incarnation(),
             now_ms + marks.warm_up_left_ms,
         )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
@@ -20,7 +20,7 @@
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.attempt import AttemptPlan, UpstreamAnswer
 from ragworthollow_daemon.gateway.context import GatewayContext
-from ragworthollow_daemon.gateway.pool_warm_up import PoolWarmUp
+from ragworthollow_daemon.gateway.pool_throttle import PoolThrottle
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
@@ -70,7 +70,7 @@
         self.job = job
         self._context = context
         self._inputs = inputs
-        self._warm_up = PoolWarmUp(context=context, pool=job.pool)
+        self._throttle = PoolThrottle(context=context, pool=job.pool)
         self._homes = job.get_homes()
         self._tried: set[str] = set()
         self._sent = 0
@@ -84,7 +84,7 @@
         return choose_upstream(
             [
                 one
-                for one in self._warm_up.get_ready()
+                for one in self._throttle.get_ready()
                 if may_run_in(one.region, self._homes)
             ],
             context.book,
@@ -120,7 +120,7 @@
             detail=self.job.terms.request_id,
         )
         self._tried.add(instance.instance)
-        self._warm_up.note_sent(instance)
+        self._throttle.note_sent(instance)
         return Ok(
             AttemptPlan(
                 instance=instance,
@@ -227,7 +227,7 @@
         if not self._inputs or self._sent:
             return
         while self.choose() is None:
-            wait_ms = self._warm_up.get_pool_wait_ms(self._tried)
+            wait_ms = self._throttle.get_pool_wait_ms(self._tried)
             left_ms = self.job.get_goal_ms() - get_monotonic_ms()
             if not wait_ms or wait_ms > left_ms:
                 return
@@ -237,7 +237,7 @@
         pause_ms = self._context.directory.get_pool_pause_ms(self.job.pool)
         if pause_ms:
             return self._make_failure(Reason.upstream_paused, pause_ms)
-        warm_up_ms = self._warm_up.get_pool_wait_ms(self._tried)
+        warm_up_ms = self._throttle.get_pool_wait_ms(self._tried)
         if warm_up_ms:
             return self._make_failure(Reason.warming_up, warm_up_ms)
         if self._last is not None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -13,6 +13,7 @@
 from ragworthollow.replica import Replica
 from ragworthollow.retries import RetryBudget
 from ragworthollow.routes import RequestLimits, RouteTable
+from ragworthollow.throttling import Throttle
 from ragworthollow.transport.checked_connector import make_upstream_session
 from ragworthollow.transport.session import make_plain_session
 from ragworthollow.upstreams import (
@@ -22,7 +23,6 @@
     UpstreamInstance,
 )
 from ragworthollow.utils import get_monotonic_ms, make_identifier
-from ragworthollow.warmup import WarmUpGuard
 from ragworthollow_daemon.drain import DrainState
 from ragworthollow_daemon.gateway.quarantine import Quarantine
 from ragworthollow_daemon.gateway.stop_state import StopState
@@ -71,7 +71,7 @@
         self._table_came = asyncio.Event()
         self.directory = Directory()
         self.book = LoadBook()
-        self._warm_up = WarmUpGuard(
+        self._throttle = Throttle(
             gateway=settings.instance,
             settle_ms=settings.get_shortest_bound_ms(),
         )
@@ -98,9 +98,9 @@
         return self._quarantine
 
     @property
-    def warm_up(self) -> WarmUpGuard:
+    def throttle(self) -> Throttle:
         """Return what is known of instances that warm up."""
-        return self._warm_up
+        return self._throttle
 
     def get_budget(self, pool: str) -> RetryBudget:
         """Return this gateway's part of the retry budget of a pool."""
@@ -162,8 +162,8 @@
         now_ms : float
             Time on the monotonic clock.
         """
-        self._warm_up.senders.set_members(names, now_ms)
-        members = self.warm_up.senders.count()
+        self._throttle.senders.set_members(names, now_ms)
+        members = self.throttle.senders.count()
         if members == self._members:
             return
         self._members = members
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instances_follower.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instances_follower.py
@@ -139,7 +139,7 @@
                 continue
             pool = table.pools.get(instance.pool)
             if pool is not None and pool.warm_up_ms:
-                self._context.warm_up.warm_ups.note(
+                self._context.throttle.warm_ups.note(
                     instance.get_incarnation(),
                     now_ms + pool.warm_up_ms,
                 )
@@ -172,7 +172,7 @@
 
     def _note_warm_up(self, instance: UpstreamInstance | None) -> None:
         if instance is not None:
-            self._context.warm_up.warm_ups.note_entry(
+            self._context.throttle.warm_ups.note_entry(
                 instance.get_incarnation(),
                 get_monotonic_ms() + instance.warm_up_left_ms,
             )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instances_view.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instances_view.py
@@ -10,7 +10,7 @@
 )
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
-from ragworthollow_daemon.gateway.pool_warm_up import PoolWarmUp
+from ragworthollow_daemon.gateway.pool_throttle import PoolThrottle
 
 _REASONS = (Reason.domain_drained, Reason.warming_up)
 
@@ -44,9 +44,9 @@
 ) -> Iterator[WarmingInstance]:
     pools = {} if context.table is None else context.table.pools
     for pool in pools:
-        warm_up = PoolWarmUp(context=context, pool=pool)
+        throttle = PoolThrottle(context=context, pool=pool)
         for one in context.directory.get_pool(pool):
-            left_ms = context.warm_up.warm_ups.get_left_ms(
+            left_ms = context.throttle.warm_ups.get_left_ms(
                 one.get_incarnation(),
                 now_ms,
             )
@@ -55,6 +55,6 @@
                     instance=one.instance,
                     pool=pool,
                     left_ms=left_ms,
-                    is_sender=warm_up.get_wait_ms(one) < left_ms,
-                    burst=warm_up.get_burst(),
+                    is_sender=throttle.get_wait_ms(one) < left_ms,
+                    burst=throttle.get_burst(),
                 )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_call.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_call.py
@@ -22,7 +22,7 @@
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.answer_notices import note_marks
 from ragworthollow_daemon.gateway.context import GatewayContext
-from ragworthollow_daemon.gateway.pool_warm_up import PoolWarmUp
+from ragworthollow_daemon.gateway.pool_throttle import PoolThrottle
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
 _STEP = 'pieces'
@@ -124,14 +124,14 @@
     """Tell whether an instance may get a note now, and count it if so."""
     if context.directory.get_pause_left_ms(instance):
         return False
-    warm_up = PoolWarmUp(
+    throttle = PoolThrottle(
         context=context,
         pool=instance.pool,
         is_only_sender=True,
     )
-    if warm_up.get_wait_ms(instance):
+    if throttle.get_wait_ms(instance):
         return False
-    warm_up.note_sent(instance)
+    throttle.note_sent(instance)
     return True
 
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
@@ -23,7 +23,7 @@
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.gate_book import GateBook
 from ragworthollow_daemon.gateway.piece_call import free_results, send_call
-from ragworthollow_daemon.gateway.pool_warm_up import PoolWarmUp
+from ragworthollow_daemon.gateway.pool_throttle import PoolThrottle
 
 _STEP = 'pieces'
 
@@ -133,19 +133,19 @@
         gate = self._gates.get(pool)
         if self._context.directory.is_pool_drained(pool):
             gate.refuse_queue()
-        warm_up = PoolWarmUp(
+        throttle = PoolThrottle(
             context=self._context,
             pool=pool,
             is_only_sender=True,
         )
         calls = gate.plan(
             profile,
-            warm_up.get_ready(),
+            throttle.get_ready(),
             self._context.book,
             get_monotonic_ms(),
         )
         for call in calls:
-            warm_up.note_sent(call.instance)
+            throttle.note_sent(call.instance)
             self._context.spawn(self._send(pool, gate, call))
 
     def keep_results(self, pool: str, kept: Sequence[KeptResult]) -> None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/pool_warm_up.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/pool_throttle.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Collection, Sequence
 
+from ragworthollow.throttling import RateLimits, derive_limits
 from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import get_monotonic_ms
-from ragworthollow.warmup import WarmUpLimits, derive_limits
 from ragworthollow_daemon.gateway.context import GatewayContext
 
 
-class PoolWarmUp:
+class PoolThrottle:
     """
     Say which instances of a pool may get a request from this gateway now.
 
@@ -49,7 +49,7 @@
         """Return how long an instance may get nothing from here."""
         if self._limits is None:
             return 0
-        return self._context.warm_up.get_wait_ms(
+        return self._context.throttle.get_wait_ms(
             instance.get_incarnation(),
             self._limits,
             get_monotonic_ms(),
@@ -83,7 +83,7 @@
     def note_sent(self, instance: UpstreamInstance) -> None:
         """Note a request that is sent to an instance now."""
         if self._limits is not None:
-            self._context.warm_up.note_sent(
+            self._context.throttle.note_sent(
                 instance.get_incarnation(),
                 self._limits,
                 get_monotonic_ms(),
@@ -91,10 +91,10 @@
             )
 
     def _is_needed(self) -> bool:
-        return self._limits is not None and self._context.warm_up.is_needed()
+        return self._limits is not None and self._context.throttle.is_needed()
 
 
-def _find_limits(context: GatewayContext, pool: str) -> WarmUpLimits | None:
+def _find_limits(context: GatewayContext, pool: str) -> RateLimits | None:
     described = None if context.table is None else context.table.pools.get(pool)
     if described is None:
         return None
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
@@ -15,7 +15,7 @@
 from ragworthollow_daemon.gateway.forwarder import Forwarder
 from ragworthollow_daemon.gateway.lateness import refuse_late
 from ragworthollow_daemon.gateway.piece_client import PieceClient
-from ragworthollow_daemon.gateway.pool_warm_up import PoolWarmUp
+from ragworthollow_daemon.gateway.pool_throttle import PoolThrottle
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.stage_way import StageWay
 from ragworthollow_daemon.gateway.stage_work import StageWork
@@ -117,8 +117,8 @@
                 job.pool,
                 retry_after_ms=pause_ms,
             )
-        warm_up = PoolWarmUp(context=self._context, pool=job.pool)
-        warm_up_ms = warm_up.get_pool_wait_ms()
+        throttle = PoolThrottle(context=self._context, pool=job.pool)
+        warm_up_ms = throttle.get_pool_wait_ms()
         if warm_up_ms:
             return make_refusal(
                 Reason.warming_up,
--- a/packages/ragworthollow/src/ragworthollow/warmup/limits.py
+++ b/packages/ragworthollow/src/ragworthollow/throttling/limits.py
@@ -5,7 +5,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class WarmUpLimits:
+class RateLimits:
     """
     Bound what all gateways together send to one instance that warms up.
 
@@ -26,7 +26,7 @@
     requests_per_s: float,
     burst_ratio: float,
     burst_slack: float,
-) -> WarmUpLimits | None:
+) -> RateLimits | None:
     """
     Derive the limits of a pool from its configuration and the settings.
 
@@ -40,10 +40,10 @@
 
     Returns
     -------
-    WarmUpLimits or None
+    RateLimits or None
         None where instances need no protection.
     """
     if requests_per_s <= 0:
         return None
     burst = math.floor(requests_per_s * burst_ratio + burst_slack)
-    return WarmUpLimits(requests_per_s=requests_per_s, burst=max(1, burst))
+    return RateLimits(requests_per_s=requests_per_s, burst=max(1, burst))
--- a/packages/ragworthollow/src/ragworthollow/warmup/pacer.py
+++ b/packages/ragworthollow/src/ragworthollow/throttling/pacer.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from ragworthollow.warmup.share import SenderShare
+from ragworthollow.throttling.share import SenderShare
 
 
 class Pacer:
--- a/packages/ragworthollow/src/ragworthollow/warmup/share.py
+++ b/packages/ragworthollow/src/ragworthollow/throttling/share.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ragworthollow.conf import global_settings
-from ragworthollow.warmup.limits import WarmUpLimits
+from ragworthollow.throttling.limits import RateLimits
 
 # Gateways that a cut keeps apart may choose the senders from two lists of
 # members: both choices together have to stay within the burst.
@@ -31,13 +31,13 @@
     window_ms: float
 
 
-def derive_share(limits: WarmUpLimits, gateways: int) -> SenderShare:
+def derive_share(limits: RateLimits, gateways: int) -> SenderShare:
     """
     Derive the share of each sender.
 
     Parameters
     ----------
-    limits : WarmUpLimits
+    limits : RateLimits
         What the instance can bear.
     gateways : int
         Gateways that could send to it.
--- a/packages/ragworthollow/src/ragworthollow/warmup/guard.py
+++ b/packages/ragworthollow/src/ragworthollow/throttling/throttle.py
@@ -1,14 +1,14 @@
 """Decide which instances that warm up may get a request now."""
 
+from ragworthollow.throttling.limits import RateLimits
+from ragworthollow.throttling.pacer import Pacer
+from ragworthollow.throttling.senders import Senders
+from ragworthollow.throttling.share import SenderShare, derive_share
+from ragworthollow.throttling.warm_ups import WarmUps
 from ragworthollow.utils import get_monotonic_ms
-from ragworthollow.warmup.ledger import WarmUps
-from ragworthollow.warmup.limits import WarmUpLimits
-from ragworthollow.warmup.pacer import Pacer
-from ragworthollow.warmup.senders import Senders
-from ragworthollow.warmup.share import SenderShare, derive_share
 
 
-class WarmUpGuard:
+class Throttle:
     """
     Keep all gateways together within what instances bear while they warm up.
 
@@ -37,7 +37,7 @@
     def get_wait_ms(
         self,
         incarnation: str,
-        limits: WarmUpLimits,
+        limits: RateLimits,
         now_ms: float,
         *,
         is_only_sender: bool = False,
@@ -49,7 +49,7 @@
         ----------
         incarnation : str
             Start of the instance.
-        limits : WarmUpLimits
+        limits : RateLimits
             What instances of its pool bear.
         now_ms : float
             Time on the monotonic clock.
@@ -78,7 +78,7 @@
     def note_sent(
         self,
         incarnation: str,
-        limits: WarmUpLimits,
+        limits: RateLimits,
         now_ms: float,
         *,
         is_only_sender: bool = False,
@@ -90,7 +90,7 @@
 
     def _get_share(
         self,
-        limits: WarmUpLimits,
+        limits: RateLimits,
         *,
         is_only_sender: bool,
     ) -> SenderShare:
--- a/tests/features/steps/domain_drains.py
+++ b/tests/features/steps/domain_drains.py
@@ -19,7 +19,7 @@
 from tests.fixtures.gateways import make_settings
 from tests.fixtures.piece_pool import make_waiting
 from tests.fixtures.staged import send_staged
-from tests.fixtures.warm_ups import make_guard
+from tests.fixtures.throttles import make_throttle
 
 _PREFIX = 'op/evacuate/'
 _VALUES = {'an empty mapping': '{}', 'nothing': '', 'broken text': '{"a": '}
@@ -288,7 +288,7 @@
             directory=directory,
             book=LoadBook(),
             metrics=Metrics(),
-            warm_up=make_guard(),
+            throttle=make_throttle(),
             settings=make_settings(),
             table=None,
         ),
--- a/tests/features/steps/instance_entries.py
+++ b/tests/features/steps/instance_entries.py
@@ -18,7 +18,7 @@
 from ragworthollow_daemon.gateway.piece_service import PieceService
 from tests.fixtures.gateways import make_settings
 from tests.fixtures.piece_pool import make_waiting
-from tests.fixtures.warm_ups import make_guard
+from tests.fixtures.throttles import make_throttle
 
 _ENTRY = {
     'backend': 'p',
@@ -77,7 +77,7 @@
         context=SimpleNamespace(
             directory=directory,
             book=book or LoadBook(),
-            warm_up=make_guard(),
+            throttle=make_throttle(),
             settings=make_settings(),
             table=None,
         ),
--- a/tests/features/steps/warm_up.py
+++ b/tests/features/steps/warm_up.py
@@ -8,20 +8,20 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from measure.warm_up_model.model import Fleet, play
-from measure.warm_up_model.pattern import PATTERNS
-from measure.warm_up_model.policies import (
+from measure.throttle_model.model import Fleet, play
+from measure.throttle_model.pattern import PATTERNS
+from measure.throttle_model.policies import (
     POLICIES,
     SETTLE_MS,
     WRONG_VARIANTS,
 )
 from ragworthollow.conf import global_settings
+from ragworthollow.throttling import RateLimits, derive_limits, derive_share
 from ragworthollow.utils import get_monotonic_ms
-from ragworthollow.warmup import WarmUpLimits, derive_limits, derive_share
 from tests.fixtures.staged import send_staged
-from tests.fixtures.warm_ups import make_guard
+from tests.fixtures.throttles import make_throttle
 
-_LIMITS = WarmUpLimits(requests_per_s=8, burst=17)
+_LIMITS = RateLimits(requests_per_s=8, burst=17)
 _INSTANCES = 8
 _REQUESTS_PER_S = 160
 _SEEDS = range(3)
@@ -104,7 +104,7 @@
     'a gateway that is no longer listed sends nothing until it has settled',
 )
 def check_settled(context):
-    senders = make_guard('g1').senders
+    senders = make_throttle('g1').senders
     everyone = ('g1', 'g2', 'g3')
     senders.set_members(everyone, 0)
     assert senders.is_chosen('i1', 3, SETTLE_MS)
@@ -117,7 +117,7 @@
 
 @then('the longest of both times holds')
 def check_longest(context):
-    warm_ups = make_guard().warm_ups
+    warm_ups = make_throttle().warm_ups
     warm_ups.note('i1@1', 3000)
     warm_ups.note_entry('i1@1', 1000)
     assert math.isclose(warm_ups.get_left_ms('i1@1', 500), 2500)
@@ -128,7 +128,7 @@
 
 @then('the one that was told of last is remembered, however old it is')
 def check_remembered(context):
-    warm_ups = make_guard().warm_ups
+    warm_ups = make_throttle().warm_ups
     warm_ups.note_entry('old@1', 0)
     for number in range(global_settings.WARM_UPS_KEPT - 1):
         warm_ups.note_entry(f'other@{number}', 0)
@@ -144,7 +144,9 @@
     await stage.configure(version=version, services=[cold, *others])
     for name in stage.gateways:
         await stage.wait_configured(name)
-    senders = [role.context.warm_up.senders for role in stage.gateways.values()]
+    senders = [
+        role.context.throttle.senders for role in stage.gateways.values()
+    ]
     await stage.wait_for(
         lambda: all(
             any(one.is_chosen(start, 1, get_monotonic_ms()) for one in senders)
@@ -159,7 +161,7 @@
     await stage.wait_for(
         lambda: all(
             bool(
-                one.warm_up.warm_ups.get_left_ms(
+                one.throttle.warm_ups.get_left_ms(
                     f'{name}@0',
                     get_monotonic_ms(),
                 ),
@@ -254,7 +256,7 @@
     chosen = next(
         name
         for name, role in stage.gateways.items()
-        if role.context.warm_up.senders.is_chosen(
+        if role.context.throttle.senders.is_chosen(
             'u1@0',
             1,
             get_monotonic_ms(),
