Read and log the limits that instances name

Nothing told a limit that is not read from one that is read and dropped on the way. The field is decoded with the other marks of an answer and logged where it changes (instance_named_limit; instance_limit_unreadable for what is no limit). Of two answers that crossed the lower limit holds, since one is younger for certain only if its request was sent after the other had come. Nothing acts on it yet.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/answer_notices.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/answer_notices.py
@@ -5,6 +5,7 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.exchange import AnswerMarks
 from ragworthollow.logs.events import log_event
+from ragworthollow.throttling import UNLIMITED_PER_S, NamedLimit
 from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
@@ -16,6 +17,9 @@
     context: GatewayContext,
     instance: UpstreamInstance,
     marks: AnswerMarks,
+    *,
+    asked_ms: float,
+    is_authentic: bool = False,
 ) -> None:
     """
     Apply the marks of an answer, as soon as its head has been read.
@@ -28,6 +32,11 @@
         Who was asked.
     marks : AnswerMarks
         What the head says.
+    asked_ms : float
+        When the request was sent, on the monotonic clock.
+    is_authentic : bool
+        Whether this is certainly the instance's answer to a request for work:
+        only then does a mark that is missing say that it holds no more.
     """
     if marks.is_misdirected:
         # Another instance listens there and speaks of itself.
@@ -44,6 +53,20 @@
         )
     if marks.pause_ms is not None:
         _note_pause(context, instance, now_ms, marks.pause_ms)
+    if marks.unreadable_limit:
+        _note_unreadable_limit(context, instance, marks)
+    if marks.limit_per_s is not None:
+        limit_per_s = marks.limit_per_s
+    elif is_authentic and not marks.unreadable_limit:
+        limit_per_s = UNLIMITED_PER_S
+    else:
+        return
+    named = NamedLimit(
+        requests_per_s=limit_per_s,
+        asked_ms=asked_ms,
+        heard_ms=now_ms,
+    )
+    _note_limit(context, instance, named)
 
 
 def get_leaving_ages_ms(context: GatewayContext) -> dict[str, float]:
@@ -101,6 +124,42 @@
     )
 
 
+def _note_limit(
+    context: GatewayContext,
+    instance: UpstreamInstance,
+    named: NamedLimit,
+) -> None:
+    limits = context.throttle.named_limits
+    if not limits.note(instance.get_incarnation(), named):
+        return
+    context.metrics.count_event('instance_named_limit')
+    log_event(
+        'instance_named_limit',
+        step=_STEP,
+        peer=instance.instance,
+        started_unix_ms=instance.started_unix_ms,
+        pool=instance.pool,
+        limit_per_s=named.requests_per_s if named.is_limit() else None,
+        answer_ms=round(named.heard_ms - named.asked_ms),
+    )
+
+
+def _note_unreadable_limit(
+    context: GatewayContext,
+    instance: UpstreamInstance,
+    marks: AnswerMarks,
+) -> None:
+    context.metrics.count_event('instance_limit_unreadable')
+    log_event(
+        'instance_limit_unreadable',
+        step=_STEP,
+        peer=instance.instance,
+        pool=instance.pool,
+        found=marks.unreadable_limit,
+        limit_per_s=marks.limit_per_s,
+    )
+
+
 def _note_pause(
     context: GatewayContext,
     instance: UpstreamInstance,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
@@ -99,6 +99,7 @@
         whether the request may have run.
     """
     address = plan.instance.address
+    asked_ms = get_monotonic_ms()
     headers = make_upstream_headers(
         job.request.headers,
         UpstreamOrder(
@@ -133,7 +134,7 @@
         return _fail(plan, Reason.attempt_timeout, error, Outcome.unknown)
     except (aiohttp.ClientError, OSError, ValueError) as error:
         return _fail(plan, Reason.connection_lost, error, Outcome.unknown)
-    return _check_head(context, job, plan, response)
+    return _check_head(context, job, plan, response, asked_ms)
 
 
 async def fetch_answer(
@@ -202,9 +203,17 @@
     job: RequestJob,
     plan: AttemptPlan,
     response: aiohttp.ClientResponse,
+    asked_ms: float,
 ) -> Opened:
     marks = read_marks(response.status, response.headers)
-    note_marks(context, plan.instance, marks)
+    is_proved = marks.is_signed or marks.is_not_run
+    note_marks(
+        context,
+        plan.instance,
+        marks,
+        asked_ms=asked_ms,
+        is_authentic=is_proved and marks.request_id == job.terms.request_id,
+    )
     failure = _judge(job, plan, response.status, marks)
     if failure is None:
         return Ok(response)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_watch.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_watch.py
@@ -43,6 +43,7 @@
         return None
     if directory.drains.is_drained(instance.failure_domain):
         return None
+    asked_ms = get_monotonic_ms()
     try:
         async with context.upstream_session.get(
             f'http://{instance.address}{REPORT_PATH}',
@@ -55,6 +56,7 @@
                 context,
                 instance,
                 read_marks(response.status, response.headers),
+                asked_ms=asked_ms,
             )
             return decode_working(await response.read())
     except (
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_call.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_call.py
@@ -67,7 +67,7 @@
             ),
         ) as response:
             text = await response.read()
-            return _read(context, call, response, text)
+            return _read(context, call, response, text, now_ms)
     except (
         aiohttp.ClientConnectorError,
         aiohttp.ConnectionTimeoutError,
@@ -98,6 +98,7 @@
     if instance is None or not _may_be_told(context, instance):
         # Its space is given up after a while without being told.
         return
+    asked_ms = get_monotonic_ms()
     try:
         async with context.upstream_session.post(
             f'http://{instance.address}{FREE_PATH}',
@@ -112,6 +113,7 @@
                 context,
                 instance,
                 read_marks(response.status, response.headers),
+                asked_ms=asked_ms,
             )
             await response.read()
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
@@ -140,9 +142,16 @@
     call: PieceCall,
     response: aiohttp.ClientResponse,
     text: bytes,
+    asked_ms: float,
 ) -> Result[Found, UpstreamFailure]:
     marks = read_marks(response.status, response.headers)
-    note_marks(context, call.instance, marks)
+    note_marks(
+        context,
+        call.instance,
+        marks,
+        asked_ms=asked_ms,
+        is_authentic=marks.is_not_run or response.status == _OK,
+    )
     if marks.is_not_run:
         return _fail(call, Reason.upstream_full, f'status {response.status}')
     if response.status != _OK:
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -278,6 +278,11 @@
 # A second, and the way of a request from its choice to its instance.
 WARM_UP_WINDOW_MS = 1_100
 WARM_UPS_KEPT = 2_000
+# Instances whose limits are remembered; several times what a fleet has.
+NAMED_LIMITS_KEPT = 4_096
+# How long a limit holds that no answer names again.  Gateways that may send
+# ask every few seconds as long as they have callers for the pool.
+NAMED_LIMIT_BELIEVED_MS = 60_000
 INSTANCE_HEARTBEAT_MS = 1_200
 # Longest time for which a gateway takes the word of others for the store: one
 # that is wrong would be believed for ever.
--- a/packages/ragworthollow/src/ragworthollow/exchange/answer_marks.py
+++ b/packages/ragworthollow/src/ragworthollow/exchange/answer_marks.py
@@ -28,6 +28,11 @@
         For how long the upstream wants nothing from this process.
     warm_up_left_ms : float
         How much longer the upstream warms up; 0 where it does not say.
+    limit_per_s : float or None
+        Requests a second that the upstream takes from all gateways together;
+        None where it names no limit.
+    unreadable_limit : str
+        What stands where a limit should, if that is no limit.
     """
 
     request_id: str
@@ -38,3 +43,5 @@
     is_leaving: bool = False
     pause_ms: float | None = None
     warm_up_left_ms: float = 0
+    limit_per_s: float | None = None
+    unreadable_limit: str = ''
--- a/packages/ragworthollow/src/ragworthollow/platform/answer_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/answer_wire.py
@@ -16,6 +16,7 @@
 _LEAVING = 'Server-Leaving'
 _PAUSE = 'Retry-After'
 _WARM_UP = 'X-Ragworthollow-Cold-Ms'
+_LIMIT = 'Server-Limit'
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 _MILLISECONDS = 1000
@@ -51,6 +52,7 @@
     headers : mapping of str to str
         As received.
     """
+    limit_per_s, unreadable_limit = _read_limit(headers)
     return AnswerMarks(
         request_id=headers.get(_ID, ''),
         is_signed=_SIGNATURE in headers,
@@ -60,6 +62,8 @@
         is_leaving=headers.get(_LEAVING, '').strip() == '1',
         pause_ms=_read_pause_ms(status, headers),
         warm_up_left_ms=_read_warm_up_ms(headers),
+        limit_per_s=limit_per_s,
+        unreadable_limit=unreadable_limit,
     )
 
 
@@ -93,6 +97,40 @@
     return left_ms if math.isfinite(left_ms) and left_ms > 0 else 0
 
 
+def _read_limit(headers: Mapping[str, str]) -> tuple[float | None, str]:
+    """
+    Decode the requests a second that an upstream takes.
+
+    Returns
+    -------
+    tuple
+        The lowest limit that can be read, None without one; and what stands
+        there if any of it is no limit.
+    """
+    texts = _get_all(headers, _LIMIT)
+    limits = [limit for limit in map(_parse_limit, texts) if limit is not None]
+    is_readable = len(limits) == len(texts)
+    return min(limits, default=None), '' if is_readable else ', '.join(texts)
+
+
+def _get_all(headers: Mapping[str, str], name: str) -> list[str]:
+    """Return the values of a field that may stand there several times."""
+    if isinstance(headers, CIMultiDict | CIMultiDictProxy):
+        fields = headers.getall(name, [])
+    else:
+        fields = [headers[name]] if name in headers else []
+    return [text.strip() for field in fields for text in field.split(',')]
+
+
+def _parse_limit(text: str) -> float | None:
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        return None
+    is_rate = math.isfinite(limit_per_s) and limit_per_s >= 0
+    return limit_per_s if is_rate else None
+
+
 def make_caller_headers(
     received: CIMultiDictProxy[str],
 ) -> CIMultiDict[str]:
--- a/packages/ragworthollow/src/ragworthollow/throttling/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/throttling/__init__.py
@@ -1,12 +1,17 @@
 """Give instances no more than they say they can take."""
 
 from ragworthollow.throttling.limits import RateLimits, derive_limits
+from ragworthollow.throttling.named_limit import UNLIMITED_PER_S, NamedLimit
+from ragworthollow.throttling.named_limits import NamedLimits
 from ragworthollow.throttling.pacer import Pacer
 from ragworthollow.throttling.senders import Senders
 from ragworthollow.throttling.share import SenderShare, derive_share
 from ragworthollow.throttling.throttle import Throttle
 
 __all__ = (
+    'UNLIMITED_PER_S',
+    'NamedLimit',
+    'NamedLimits',
     'Pacer',
     'RateLimits',
     'SenderShare',
--- a/packages/ragworthollow/src/ragworthollow/throttling/throttle.py
+++ b/packages/ragworthollow/src/ragworthollow/throttling/throttle.py
@@ -1,6 +1,7 @@
 """Decide which instances that warm up may get a request now."""
 
 from ragworthollow.throttling.limits import RateLimits
+from ragworthollow.throttling.named_limits import NamedLimits
 from ragworthollow.throttling.pacer import Pacer
 from ragworthollow.throttling.senders import Senders
 from ragworthollow.throttling.share import SenderShare, derive_share
@@ -27,6 +28,7 @@
 
     def __init__(self, *, gateway: str, settle_ms: float) -> None:
         self.warm_ups = WarmUps()
+        self.named_limits = NamedLimits()
         self.senders = Senders(gateway=gateway, settle_ms=settle_ms)
         self._pacer = Pacer()
 
