Log how often the store has been restored, and reads that are passed over

Nothing told a read that is dropped, since its revision is lower than the one held, from one that brings nothing new. The field that counts restorations is read from every answer of the store, refusals included (store_timeline), and a read of everything that is passed over is logged with both revisions (store_state_older). Nothing acts on it yet.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/store_follower.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/store_follower.py
@@ -237,6 +237,15 @@
             return snapshot
         now_ms = get_boottime_ms()
         self._replica.view.replace(snapshot.ok_value)
+        if snapshot.ok_value.revision < self._replica.view.revision:
+            self._context.metrics.count_event('store_state_older')
+            log_event(
+                'store_state_older',
+                step=_STEP,
+                peer='store',
+                revision=snapshot.ok_value.revision,
+                held=self._replica.view.revision,
+            )
         self._context.metrics.count_event('store_read_whole')
         is_short = now_ms - began_ms <= global_settings.STORE_REREAD_LONGEST_MS
         self._checked_ms = now_ms
--- a/packages/ragworthollow/src/ragworthollow/platform/store_client.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_client.py
@@ -62,7 +62,7 @@
             body=msgspec.json.encode(call),
             absent_status=HTTPStatus.PRECONDITION_FAILED,
         )
-        return answer.map(lambda body: body is not None)
+        return answer.map(lambda one: one.body is not None)
 
     async def grant_lease(self, ttl_ms: int) -> Result[int, PlatformError]:
         """Create a lease and return its identifier."""
@@ -72,7 +72,7 @@
             body=msgspec.json.encode(LeaseCall(ttl_ms=ttl_ms)),
         )
         return answer.map(
-            lambda body: msgspec.json.decode(body, type=LeaseAnswer).lease,
+            lambda one: msgspec.json.decode(one.body, type=LeaseAnswer).lease,
         )
 
     async def renew_lease(self, lease: int) -> Result[bool, PlatformError]:
@@ -82,7 +82,7 @@
             f'/api/kv-keep/{lease}',
             absent_status=HTTPStatus.NOT_FOUND,
         )
-        return answer.map(lambda body: body is not None)
+        return answer.map(lambda one: one.body is not None)
 
     async def revoke_lease(self, lease: int) -> Result[bool, PlatformError]:
         """End a lease, which deletes its keys."""
--- a/packages/ragworthollow/src/ragworthollow/platform/store_reader.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_reader.py
@@ -56,6 +56,11 @@
         """Return the number of calls made."""
         return self._transport.calls
 
+    @property
+    def timeline(self) -> int:
+        """Return how often the store is known to have been restored."""
+        return self._transport.timeline
+
     async def read(self, key: str) -> Result[Stored, PlatformError]:
         """
         Read one key, linearizably.
@@ -72,10 +77,10 @@
             absent_status=HTTPStatus.NOT_FOUND,
         )
         return answer.map(
-            lambda body: (
+            lambda one: (
                 Stored()
-                if body is None
-                else _to_stored(msgspec.json.decode(body, type=Item))
+                if one.body is None
+                else _to_stored(msgspec.json.decode(one.body, type=Item))
             ),
         )
 
@@ -101,9 +106,10 @@
             )
             if isinstance(answer, Err):
                 return answer
-            page = msgspec.json.decode(answer.ok_value, type=RangePage)
+            body = answer.ok_value.body
+            page = msgspec.json.decode(body, type=RangePage)
             revision = revision or page.as_of
-            size_bytes += len(answer.ok_value)
+            size_bytes += len(body)
             found.update(
                 (one.key.removeprefix(self._prefix), _to_stored(one))
                 for one in page.items
@@ -245,10 +251,10 @@
             longest_bytes=longest_bytes,
         )
         return answer.map(
-            lambda body: (
+            lambda one: (
                 None
-                if body is None
-                else msgspec.json.decode(body, type=WatchPage)
+                if one.body is None
+                else msgspec.json.decode(one.body, type=WatchPage)
             ),
         )
 
--- a/packages/ragworthollow/src/ragworthollow/platform/store_transport.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_transport.py
@@ -6,12 +6,16 @@
 from result import Err, Ok, Result
 from yarl import URL
 
+from ragworthollow.logs.events import log_event
 from ragworthollow.platform.exceptions import PlatformError
+from ragworthollow.platform.store_answer import StoreAnswer
 from ragworthollow.transport.timeouts import make_silence_timeout
 from ragworthollow.utils import get_monotonic_ms
 
 UNLIMITED_BYTES = float('inf')
 _HEADERS = {'Content-Type': 'application/json'}
+_TIMELINE = 'Store-Era'
+_STEP = 'store'
 
 
 class StoreTransport:
@@ -30,6 +34,14 @@
         Address of the store.
     timeout_ms : float
         Longest time without a byte.
+
+    Attributes
+    ----------
+    calls : int
+        Calls made.
+    timeline : int
+        How often the store has been restored from a copy, as any of its
+        answers has told, refusals included.
     """
 
     def __init__(
@@ -43,6 +55,7 @@
         self._base = URL(base_url)
         self._timeout_ms = timeout_ms
         self.calls = 0
+        self.timeline = 0
 
     async def call(
         self,
@@ -54,7 +67,7 @@
         absent_status: HTTPStatus | None = None,
         extra_ms: float = 0,
         longest_bytes: float = UNLIMITED_BYTES,
-    ) -> Result[bytes | None, PlatformError]:
+    ) -> Result[StoreAnswer, PlatformError]:
         """
         Make one call.
 
@@ -77,8 +90,8 @@
         Returns
         -------
         Result
-            The body of the answer, None for `absent_status` or an answer
-            that is too long; or the failure.
+            The answer, without a body for `absent_status` or where it is too
+            long; or the failure.
         """
         self.calls += 1
         received = _Received()
@@ -90,6 +103,7 @@
                 headers=_HEADERS if body else None,
                 timeout=make_silence_timeout(self._timeout_ms, extra_ms),
             ) as response:
+                timeline = self._note_timeline(response)
                 is_whole = await received.read(response, longest_bytes)
                 status = response.status
         except aiohttp.ClientConnectorError as error:
@@ -98,13 +112,31 @@
             detail = f'{error!r}, {received.describe()}'
             return Err(self._explain(path, detail, applied=True))
         if status == absent_status or not is_whole:
-            return Ok(None)
+            return Ok(StoreAnswer(body=None, timeline=timeline))
         if status == HTTPStatus.OK:
-            return Ok(received.join())
+            return Ok(StoreAnswer(body=received.join(), timeline=timeline))
         # Every other status says that the store did nothing.
         detail = f'status {status}'
         return Err(self._explain(path, detail, applied=False))
 
+    def _note_timeline(self, response: aiohttp.ClientResponse) -> int:
+        """Return the timeline of an answer; the one known where it has none."""
+        text = response.headers.get(_TIMELINE, '').strip()
+        if not (text.isascii() and text.isdecimal()):
+            return self.timeline
+        timeline = int(text)
+        if timeline > self.timeline:
+            log_event(
+                'store_timeline',
+                step=_STEP,
+                peer=str(self._base),
+                timeline=timeline,
+                earlier=self.timeline,
+                status=response.status,
+            )
+            self.timeline = timeline
+        return timeline
+
     def _explain(
         self,
         path: str,
