Show that a gateway keeps its old state when the store comes back from a copy

The stand-ins of the store get the drill: a copy, some writes, back to the copy, revisions given out again, 410 for a watch from one that is not there, a header that counts restorations.

--- a/tests/standins/key_value.py
+++ b/tests/standins/key_value.py
@@ -12,6 +12,7 @@
 
 _PAGE = 500
 _TXN = '/api/kv-txn'
+_TIMELINE = 'Store-Era'
 
 
 class Entry:
@@ -53,6 +54,24 @@
         self.changed = asyncio.Condition()
         self.counts: dict[str, int] = {}
         self.sent_bytes = 0
+        self.timeline = 0
+
+    def save(self) -> tuple[int, dict[str, Entry], set[int]]:
+        """Make a copy, to be restored later."""
+        return self.revision, dict(self.entries), set(self.leases)
+
+    def restore(self, saved: tuple[int, dict[str, Entry], set[int]]) -> None:
+        """Come back from a copy: revisions are given out again."""
+        self.revision, entries, leases = saved
+        self.entries = dict(entries)
+        self.leases = {
+            lease: known
+            for lease, known in self.leases.items()
+            if lease in leases
+        }
+        self.history.clear()
+        self.oldest = self.revision
+        self.timeline += 1
 
     def put_bytes(self, key: str, found: bytes) -> None:
         """Keep a value of somebody else."""
@@ -85,9 +104,10 @@
             if self.faults.has('mute'):
                 await asyncio.Event().wait()
             if self.faults.has('refuse'):
-                return web.Response(status=503)
+                return web.Response(status=503, headers=self._get_headers())
             await self.faults.delay()
             response = await answer(request)
+            response.headers.update(self._get_headers())
             if path == _TXN and self.faults.has('lose_answer'):
                 return drop(request)
             return await self._send(request, response)
@@ -107,6 +127,9 @@
         self._note_sent(len(response.body or b''))
         return response
 
+    def _get_headers(self) -> dict[str, str]:
+        return {_TIMELINE: str(self.timeline)}
+
     def _note_sent(self, size: int) -> None:
         self.sent_bytes += size
 
@@ -164,7 +187,7 @@
         while True:
             if self.faults.active.get('down'):
                 return drop(request)
-            if after < self.oldest:
+            if after < self.oldest or after > self.revision:
                 return web.Response(status=410)
             found = self._find_events(prefix, after)
             left = end - time.monotonic()
