--- a/measure/replica_fleet/fleet.py
+++ b/measure/replica_fleet/fleet.py
@@ -201,12 +201,12 @@
         asked: ModelGateway,
         longest_bytes: float,
     ) -> StoreNews | None:
-        after_revision = asker.replica.view.revision
+        after = asker.replica.view.get_position()
         await self._travel(asker, asked)
         await self._wait_awake(asked.number)
         asked.asked += 1
         news = asked.replica.make_news(
-            after_revision=after_revision,
+            after=after,
             now_ms=get_boottime_ms(),
             longest_bytes=longest_bytes,
             may_be_snapshot=longest_bytes > global_settings.NEWS_BYTES,
--- a/measure/replica_fleet/model_gateway.py
+++ b/measure/replica_fleet/model_gateway.py
@@ -9,6 +9,7 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.metrics import Metrics
 from ragworthollow.platform import StoreClient
+from ragworthollow.platform.store_position import StorePosition
 from ragworthollow.replica import FollowPaces, Replica
 from ragworthollow.utils import get_boottime_ms
 from ragworthollow_daemon.gateway.heard_news import HeardNews
@@ -113,7 +114,7 @@
         self._silent.discard(other.number)
         self.follower.take_news(news, asked_ms)
 
-    async def _ask_peers(self, _revision: int) -> list[HeardNews]:
+    async def _ask_peers(self, _after: StorePosition) -> list[HeardNews]:
         others = [one for one in self.peers if one is not self]
         count = min(len(others), global_settings.NEWS_PEERS_ASKED)
         asked_ms = get_boottime_ms()
--- a/measure/replica_fleet/store_link.py
+++ b/measure/replica_fleet/store_link.py
@@ -57,4 +57,9 @@
             await asyncio.sleep(_SLOW_MS / _MILLISECONDS)
         async with self._store.request(method, url, **options) as answer:
             await self._wait_awake()
-            yield Answer(answer.status, answer.body, self._bytes_per_s)
+            yield Answer(
+                answer.status,
+                answer.body,
+                self._bytes_per_s,
+                answer.headers,
+            )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/configuration_follower.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/configuration_follower.py
@@ -31,7 +31,7 @@
 
     def __init__(self, *, context: GatewayContext) -> None:
         self._context = context
-        self._revision = 0
+        self._taken = Stored()
 
     def take(self, found: Mapping[str, Stored], _asked_ms: float) -> None:
         """
@@ -42,8 +42,11 @@
         found : mapping of str to Stored
             All keys.
         """
-        stored = found.get(CONFIGURATION_KEY, Stored())
-        if stored.mod_revision > self._revision:
+        stored = found.get(CONFIGURATION_KEY)
+        if stored is None:
+            return
+        if not stored.is_same_write(self._taken):
+            self._taken = stored
             self._take(stored)
 
     def note_lost(self, _detail: str) -> None:
@@ -51,7 +54,6 @@
 
     def _take(self, stored: Stored) -> None:
         decoded = decode_configuration(stored.text.encode())
-        self._revision = stored.mod_revision
         if isinstance(decoded, Err):
             log_error(
                 'configuration_unreadable',
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instances_follower.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instances_follower.py
@@ -47,7 +47,7 @@
         self._context = context
         self._on_change = on_change
         self._on_restart = on_restart
-        self._decoded: dict[str, tuple[int, UpstreamInstance | None]] = {}
+        self._decoded: dict[str, tuple[Stored, UpstreamInstance | None]] = {}
 
     def take(self, found: Mapping[str, Stored], asked_ms: float) -> None:
         """
@@ -181,13 +181,13 @@
         """Decode entries, each again only after it has changed."""
         decoded = {}
         for key, stored in found.items():
-            revision, instance = self._decoded.get(key, (0, None))
-            if revision != stored.mod_revision:
+            earlier, instance = self._decoded.get(key, (Stored(), None))
+            if not stored.is_same_write(earlier):
                 instance = self._place(
                     decode_instance(key, stored.text.encode()),
                 )
                 self._note_warm_up(instance)
-            decoded[key] = (stored.mod_revision, instance)
+            decoded[key] = (stored, instance)
         self._decoded = decoded
         return [
             instance for _, instance in decoded.values() if instance is not None
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
@@ -73,12 +73,19 @@
         self._lease = 0
         self._is_listed = False
         self._is_leaving = False
+        self._timeline = 0
+        self._is_restored = asyncio.Event()
 
     async def run(self) -> None:
         """Register and follow until cancelled."""
         announced_lease = 0
         while True:
+            is_restored = self._is_restored.is_set()
+            self._is_restored.clear()
             is_kept = await self._keep_entry()
+            if is_kept and is_restored:
+                # The store may have kept the lease and lost the entry.
+                is_kept = await self._write_entry(self._lease)
             # Those to be told are known from the first read of the store.
             if self._is_listed and self._lease != announced_lease:
                 announced_lease = self._lease
@@ -88,7 +95,9 @@
                 if is_kept and self._is_listed
                 else global_settings.MEMBER_RETRY_MS
             )
-            await asyncio.sleep(pause_ms / 1000)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause_ms / 1000):
+                    await self._is_restored.wait()
 
     async def watch_hosts(self) -> None:
         """Ask the hosts of gates whether they live, until cancelled."""
@@ -197,6 +206,10 @@
 
     def take(self, found: Mapping[str, Stored], proved_ms: float) -> None:
         """Take the members, known to be the newest as of `proved_ms`."""
+        timeline = self._context.replica.view.timeline
+        if timeline != self._timeline:
+            self._timeline = timeline
+            self._is_restored.set()
         earlier = self._members.get_members().keys()
         self._members.replace(_decode(found), proved_ms)
         self._is_listed = True
@@ -229,6 +242,7 @@
             incarnation=self._context.incarnation,
             announced=self._announced.get_counts(),
             store_revision=self._context.replica.view.revision,
+            store_timeline=self._context.replica.view.timeline,
             evidence=self._context.quarantine.make_news(host.instance),
             leaving_ages_ms=get_leaving_ages_ms(self._context),
             named_limits=make_limits_news(self._context),
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/news_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/news_client.py
@@ -11,6 +11,7 @@
 from ragworthollow.logs.events import log_event
 from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.membership.gateway_members import GatewayMembers
+from ragworthollow.platform.store_position import StorePosition
 from ragworthollow.replica import NewsQuestion, decode_news
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.utils import get_boottime_ms
@@ -45,16 +46,19 @@
         self._context = context
         self._members = members
 
-    async def ask(self, after_revision: int) -> Sequence[HeardNews]:
+    async def ask(self, after: StorePosition) -> Sequence[HeardNews]:
         """
-        Ask for everything after a revision.
+        Ask for everything after a position.
 
         Parameters
         ----------
-        after_revision : int
-            Up to which everything is known here; 0 for nothing.
+        after : StorePosition
+            Up to which everything is known here.
         """
-        question = NewsQuestion(after_revision=after_revision)
+        question = NewsQuestion(
+            after_revision=after.revision,
+            timeline=after.timeline,
+        )
         body = msgspec.json.encode(question)
         answers = await asyncio.gather(
             *(self._ask(peer, body) for peer in self._choose()),
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -7,6 +7,7 @@
 from ragworthollow.logs.events import log_event
 from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.membership.gateway_members import GatewayMembers
+from ragworthollow.platform.store_position import StorePosition
 from ragworthollow.replica import NewsQuestion, encode_news
 from ragworthollow.transport.host_messages import (
     GatewayPing,
@@ -116,7 +117,10 @@
                 is_leaving=self._context.drain.is_draining,
                 waits_ms=self._service.get_waits_ms(),
                 store=self._context.replica.make_news(
-                    after_revision=ping.store_revision,
+                    after=StorePosition(
+                        timeline=ping.store_timeline,
+                        revision=ping.store_revision,
+                    ),
                     now_ms=get_boottime_ms(),
                     longest_bytes=global_settings.NEWS_BYTES,
                 ),
@@ -135,7 +139,7 @@
             return respond(Problem(error=str(error)), status=_BAD_REQUEST)
         self._context.metrics.count_event('store_news_told')
         news = self._context.replica.make_news(
-            after_revision=question.after_revision,
+            after=question.get_position(),
             now_ms=get_boottime_ms(),
             longest_bytes=float('inf'),
             may_be_snapshot=True,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine_records.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine_records.py
@@ -11,6 +11,7 @@
 from ragworthollow.platform.stored import Stored
 from ragworthollow.platform.transaction import Put
 from ragworthollow.quarantine import CrashReport
+from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 
 _PREFIX = 'quarantine/'
@@ -33,7 +34,8 @@
 
     def __init__(self, *, context: GatewayContext) -> None:
         self._context = context
-        self._learned: dict[str, int] = {}
+        self._learned: dict[str, Stored] = {}
+        self._timeline = 0
 
     async def run(self) -> None:
         """Bring verdicts that were changed here to the store, for ever."""
@@ -52,16 +54,33 @@
             if key.startswith(_PREFIX)
         }
         self._learn_changed(records)
-        self._learned = {
-            key: stored.mod_revision for key, stored in records.items()
-        }
+        timeline = self._context.replica.view.timeline
+        if timeline != self._timeline:
+            self._timeline = timeline
+            self._bring_lost()
+        self._learned = records
 
     def note_lost(self, detail: str) -> None:
         """Note that the store could not be read; what is known holds."""
 
+    def _bring_lost(self) -> None:
+        """Bring verdicts again that a restored store has lost."""
+        found = self._context.replica.view.found
+        for one in self._context.quarantine.list_quarantined():
+            key = f'{_PREFIX}{one.fingerprint}'
+            is_writer = self._context.throttle.senders.is_chosen(
+                key,
+                1,
+                get_monotonic_ms(),
+            )
+            if is_writer and key not in found:
+                self._context.quarantine.changed_verdicts.put_nowait(
+                    one.fingerprint,
+                )
+
     def _learn_changed(self, records: Mapping[str, Stored]) -> None:
         for key, stored in records.items():
-            if self._learned.get(key) != stored.mod_revision:
+            if not stored.is_same_write(self._learned.get(key, Stored())):
                 self._learn(key, stored)
 
     def _learn(self, key: str, stored: Stored) -> None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/store_follower.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/store_follower.py
@@ -10,6 +10,8 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.platform import PlatformError
+from ragworthollow.platform.store_position import StorePosition
+from ragworthollow.platform.store_snapshot import StoreSnapshot
 from ragworthollow.platform.stored import Stored
 from ragworthollow.replica import FollowPaces, Replica, StoreNews
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
@@ -17,7 +19,7 @@
 from ragworthollow_daemon.gateway.heard_news import HeardNews
 from ragworthollow_daemon.gateway.poll_pace import get_retry_ms
 
-AskPeers = Callable[[int], Awaitable[Sequence[HeardNews]]]
+AskPeers = Callable[[StorePosition], Awaitable[Sequence[HeardNews]]]
 _EVERYTHING = ''
 _STEP = 'store'
 _MILLISECONDS = 1000
@@ -90,6 +92,8 @@
         self._checked_ms = float('-inf')
         self._told_ms = float('-inf')
         self._is_reachable = True
+        # Timeline in which others were asked what they retain.
+        self._compared_timeline = 0
         self._is_behind = asyncio.Event()
 
     async def run(self) -> None:
@@ -125,6 +129,9 @@
             return False
         self._replica.evidence.note(asked_ms)
         self._tell()
+        if self._replica.view.timeline != self._compared_timeline:
+            self._compared_timeline = self._replica.view.timeline
+            await self._hear_peers()
         return True
 
     def take_news(self, news: StoreNews, asked_ms: float) -> bool:
@@ -143,7 +150,7 @@
         bool
             Whether the evidence is younger than what was held.
         """
-        effect = self._replica.take_news(news, asked_ms)
+        effect = self._replica.take_news(news, asked_ms, get_boottime_ms())
         if effect.is_behind:
             self._is_behind.set()
         if effect.is_younger:
@@ -162,7 +169,7 @@
         A gateway may be asked by others from one moment to the next, and may
         then let evidence grow less old than it did.
         """
-        while not self._is_behind.is_set():
+        while not (self._is_behind.is_set() or self._is_restored()):
             age_ms = self._replica.evidence.get_age_ms(get_boottime_ms())
             left_ms = self._get_limit_ms() - age_ms
             if left_ms <= 0:
@@ -175,6 +182,10 @@
                 async with asyncio.timeout(pause_ms / _MILLISECONDS):
                     await self._is_behind.wait()
 
+    def _is_restored(self) -> bool:
+        """Tell whether the store was restored since the state that is held."""
+        return self._context.store.timeline > self._replica.view.timeline
+
     def _get_limit_ms(self) -> float:
         place = self._get_place()
         if place is None:
@@ -187,7 +198,7 @@
 
         The store may turn some gateways away while it answers others.
         """
-        heard = await self._ask_peers(self._replica.view.revision)
+        heard = await self._ask_peers(self._replica.view.get_position())
         is_younger = False
         for one in heard:
             is_younger |= self.take_news(one.news, one.asked_ms)
@@ -202,8 +213,9 @@
         self._told_ms = now_ms
         age_ms = self._replica.evidence.get_age_ms(now_ms)
         proved_ms = get_monotonic_ms() - age_ms
+        found = self._replica.get_found(now_ms)
         for follower in self._followers:
-            follower.take(self._replica.view.found, proved_ms)
+            follower.take(found, proved_ms)
 
     async def _read(self) -> Result[None, PlatformError]:
         now_ms = get_boottime_ms()
@@ -222,9 +234,10 @@
             # that leaves meanwhile would get work until the watch is back.
             self._reread_ms = now_ms
             return changes
-        if changes.ok_value is None:
+        if changes.ok_value is None or not self._replica.apply(
+            changes.ok_value,
+        ):
             return await self._read_everything()
-        self._replica.view.apply(changes.ok_value)
         if changes.ok_value.is_whole:
             return Ok(None)
         self._context.metrics.count_event('store_change_unheard')
@@ -236,16 +249,11 @@
         if isinstance(snapshot, Err):
             return snapshot
         now_ms = get_boottime_ms()
-        self._replica.view.replace(snapshot.ok_value)
-        if snapshot.ok_value.revision < self._replica.view.revision:
-            self._context.metrics.count_event('store_state_older')
-            log_event(
-                'store_state_older',
-                step=_STEP,
-                peer='store',
-                revision=snapshot.ok_value.revision,
-                held=self._replica.view.revision,
-            )
+        if snapshot.ok_value.timeline < self._replica.view.timeline:
+            return Err(self._explain_older(snapshot.ok_value))
+        held = self._replica.view.get_position()
+        if self._replica.replace(snapshot.ok_value, now_ms):
+            self._note_restored(held)
         self._context.metrics.count_event('store_read_whole')
         is_short = now_ms - began_ms <= global_settings.STORE_REREAD_LONGEST_MS
         self._checked_ms = now_ms
@@ -256,6 +264,36 @@
         )
         return Ok(None)
 
+    def _explain_older(self, snapshot: StoreSnapshot) -> PlatformError:
+        """Say why a read that was on its way is not taken."""
+        self._context.metrics.count_event('store_state_older')
+        return PlatformError(
+            step=_STEP,
+            peer='store',
+            detail=(
+                f'read in timeline {snapshot.timeline}, others know'
+                f' {self._replica.view.timeline}'
+            ),
+            may_have_applied=False,
+        )
+
+    def _note_restored(self, held: StorePosition) -> None:
+        """Log that the store has lost what it had accepted."""
+        self._context.metrics.count_event('store_restored')
+        log_event(
+            'store_restored',
+            step=_STEP,
+            peer='store',
+            timeline=self._replica.view.timeline,
+            revision=self._replica.view.revision,
+            held_timeline=held.timeline,
+            held_revision=held.revision,
+            retained=self._replica.count_retained(),
+        )
+        # Entries that it has lost come back like those that lapse in an outage.
+        for follower in self._followers:
+            follower.note_lost('restored from a copy')
+
     def _put_reread_off(self) -> None:
         """
         Leave the check of the copy to the gateway whose evidence this is.
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/member_lease.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/member_lease.py
@@ -6,7 +6,7 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.once.member_key import MemberKey
 from ragworthollow.platform import PlatformError, StoreClient, Stored
-from ragworthollow.platform.transaction import Compare, Put
+from ragworthollow.platform.transaction import Compare, Put, compare_with
 from ragworthollow.utils import get_monotonic_ms
 
 
@@ -94,7 +94,7 @@
         if isinstance(granted, Err):
             return granted
         lease = granted.ok_value
-        written = await self._put(member, lease, found.mod_revision, record)
+        written = await self._put(member, lease, found, record)
         if isinstance(written, Ok) and written.ok_value:
             self.lease = lease
             self._written = member
@@ -109,7 +109,7 @@
         """Change what the key says, if it does not say so yet."""
         if member == self._written:
             return Ok(True)
-        written = await self._put(member, self.lease, found.mod_revision)
+        written = await self._put(member, self.lease, found)
         if isinstance(written, Ok) and written.ok_value:
             self._written = member
         return written
@@ -124,11 +124,11 @@
         self,
         member: MemberKey,
         lease: int,
-        revision: int,
+        found: Stored,
         *more: Compare,
     ) -> Result[bool, PlatformError]:
         text = msgspec.json.encode(member).decode()
         return await self._key_value.commit(
-            compares=[Compare(key=self._key, revision=revision), *more],
+            compares=[compare_with(self._key, found), *more],
             puts=[Put(key=self._key, text=text, lease=lease)],
         )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/order_agent.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/order_agent.py
@@ -13,7 +13,7 @@
 from ragworthollow.engines.order import EngineModels
 from ragworthollow.logs.events import log_event
 from ragworthollow.once.member_key import MemberKey
-from ragworthollow.platform.transaction import Compare
+from ragworthollow.platform.transaction import compare_with
 from ragworthollow.utils import get_monotonic_ms, get_wall_ms
 from ragworthollow_daemon.process_context import ProcessContext, get_timeout
 from ragworthollow_daemon.sidecar.member_lease import MemberLease
@@ -137,7 +137,7 @@
         acquired = await self.lease.acquire(
             member,
             found.ok_value,
-            Compare(key=self._key, revision=found.ok_value.mod_revision),
+            compare_with(self._key, found.ok_value),
         )
         if isinstance(acquired, Err) or not acquired.ok_value:
             return False
@@ -145,7 +145,7 @@
         if isinstance(stored, Err):
             self.lease.lease = 0
             return False
-        self._fence = stored.ok_value.mod_revision
+        self._fence = stored.ok_value.get_position().to_number()
         is_first = not found.ok_value.mod_revision and not self.carried
         has_gap = is_first or self._get_pool().checks_fencing
         wait_ms = 0 if has_gap else global_settings.ORDER_LIMIT_MS
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/record_reader.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/record_reader.py
@@ -10,7 +10,7 @@
 from ragworthollow.once.assignment import decode_assignment
 from ragworthollow.once.member_key import MemberKey
 from ragworthollow.platform import Stored
-from ragworthollow.platform.transaction import Compare
+from ragworthollow.platform.transaction import Compare, compare_with
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.process_context import ProcessContext
 from ragworthollow_daemon.sidecar.member_lease import MemberLease
@@ -86,22 +86,19 @@
             return None
         keys = found.ok_value.found
         record = keys.get(self.record_key, _ABSENT)
-        if record.mod_revision > self._record.mod_revision:
+        if record.get_position() > self._record.get_position():
             # A write of ours that is still on its way compares the old
             # revision and can no longer apply.
             self._ownership.taking = ''
             self._ownership.moving = frozenset()
-        if record.mod_revision >= self._record.mod_revision:
+        if record.get_position() >= self._record.get_position():
             self._record = record
             self._ownership.learn(decode_assignment(record.text))
         return keys
 
     def compare_record(self) -> Compare:
         """Require that the record is still the one last read."""
-        return Compare(
-            key=self.record_key,
-            revision=self._record.mod_revision,
-        )
+        return compare_with(self.record_key, self._record)
 
     def get_member_key(self, instance: str) -> str:
         """Return the key that shows a member."""
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -296,6 +296,9 @@
 # How long a limit that has changed is told before others: some pings.
 LIMITS_TOLD_FIRST_MS = 2_000
 INSTANCE_HEARTBEAT_MS = 1_200
+# How long keys that the store has lost in a restoration hold unless they are
+# written again: their writers notice it within seconds.
+RESTORED_RETENTION_MS = 30_000
 # Longest time for which a gateway takes the word of others for the store: one
 # that is wrong would be believed for ever.
 STORE_SELF_CHECK_MS = 30_000
--- a/packages/ragworthollow/src/ragworthollow/configuration/follower.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/follower.py
@@ -19,6 +19,7 @@
 from ragworthollow.logs.events import log_event
 from ragworthollow.membership.peers import Peers
 from ragworthollow.platform import StoreClient
+from ragworthollow.platform.store_position import StorePosition
 from ragworthollow.transport.timeouts import make_silence_timeout
 
 _MILLISECONDS = 1000
@@ -178,7 +179,7 @@
                 global_settings.CONFIGURATION_RETRY_MS / _MILLISECONDS,
             )
 
-    async def _read_platform(self) -> int | None:
+    async def _read_platform(self) -> StorePosition | None:
         before = self._store.generation
         found = await read_newer(self._key_value, self._store)
         if isinstance(found, Err):
@@ -186,19 +187,22 @@
             return None
         if self._store.generation > before:
             self._report('platform')
-        return found.ok_value.read_revision
+        return StorePosition(
+            timeline=found.ok_value.timeline,
+            revision=found.ok_value.read_revision,
+        )
 
     async def _watch_platform(self) -> None:
-        revision = await self._read_platform()
-        if revision is None:
+        position = await self._read_platform()
+        if position is None:
             return
-        await self._follow_watch(revision)
+        await self._follow_watch(position)
         self._count_event('watch_ended')
 
-    async def _follow_watch(self, revision: int) -> None:
+    async def _follow_watch(self, position: StorePosition) -> None:
         async for stored in self._key_value.follow(
             MANIFEST_KEY,
-            after_revision=revision,
+            after=position,
             idle_ms=self._get_idle_ms(),
         ):
             if decode_manifest(stored.text).generation > self._store.generation:
--- a/packages/ragworthollow/src/ragworthollow/configuration/publisher.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/publisher.py
@@ -31,8 +31,8 @@
     encode_manifest,
 )
 from ragworthollow.outcomes import Reason
-from ragworthollow.platform import PlatformError, StoreClient
-from ragworthollow.platform.transaction import Compare, Put
+from ragworthollow.platform import PlatformError, StoreClient, Stored
+from ragworthollow.platform.transaction import Put, compare_with
 
 
 class Publisher:
@@ -124,16 +124,16 @@
         return await self._swap(
             prepared.ok_value,
             request,
-            found.ok_value.mod_revision,
+            found.ok_value,
         )
 
     async def _swap(
         self,
         prepared: '_Prepared',
         request: ChangeRequest,
-        mod_revision: int,
+        found: Stored,
     ) -> ChangeAnswer | PlatformError:
-        written = await self._write(prepared, request, mod_revision)
+        written = await self._write(prepared, request, found)
         if isinstance(written, Err):
             return written.err_value
         if written.ok_value:
@@ -197,7 +197,7 @@
         self,
         prepared: '_Prepared',
         request: ChangeRequest,
-        mod_revision: int,
+        found: Stored,
     ) -> Result:
         puts = [
             Put(key=get_file_key(hash_text(text)), text=text)
@@ -207,7 +207,7 @@
             Put(key=MANIFEST_KEY, text=encode_manifest(prepared.manifest)),
         )
         return await self._key_value.commit(
-            compares=[Compare(key=MANIFEST_KEY, revision=mod_revision)],
+            compares=[compare_with(MANIFEST_KEY, found)],
             puts=puts,
         )
 
--- a/packages/ragworthollow/src/ragworthollow/engines/load_budget.py
+++ b/packages/ragworthollow/src/ragworthollow/engines/load_budget.py
@@ -4,7 +4,7 @@
 from result import Err, Ok, Result
 
 from ragworthollow.platform import PlatformError, StoreClient
-from ragworthollow.platform.transaction import Compare, Put
+from ragworthollow.platform.transaction import Put, compare_with
 from ragworthollow.utils.message import Message
 
 _KEY = 'weights/budget'
@@ -86,6 +86,6 @@
     if after is None:
         return Ok(False)
     return await key_value.commit(
-        compares=[Compare(key=_KEY, revision=stored.mod_revision)],
+        compares=[compare_with(_KEY, stored)],
         puts=[Put(key=_KEY, text=msgspec.json.encode(after).decode())],
     )
--- a/packages/ragworthollow/src/ragworthollow/platform/store_changes.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_changes.py
@@ -23,9 +23,12 @@
         Whether the store has come no further than this.  A watch may hear
         nothing while changes are made; the revision of the store then runs
         ahead of the last change that was heard.
+    timeline : int
+        How often the store had been restored.
     """
 
     written: Mapping[str, Stored]
     removed: Mapping[str, int]
     revision: int
     is_whole: bool
+    timeline: int = 0
--- a/packages/ragworthollow/src/ragworthollow/platform/store_client.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_client.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 
 import msgspec
-from result import Result
+from result import Ok, Result
 
 from ragworthollow.platform.exceptions import PlatformError
 from ragworthollow.platform.store_reader import StoreReader
@@ -38,6 +38,8 @@
             Whether the comparisons held; an error says whether the write
             may have taken effect all the same.
         """
+        if any(map(self._is_outdated, compares)):
+            return Ok(False)
         call = TransactionCall(
             expect_rev=tuple(
                 ExpectedRevision(
@@ -64,6 +66,14 @@
         )
         return answer.map(lambda one: one.body is not None)
 
+    def _is_outdated(self, compare: Compare) -> bool:
+        """
+        Tell whether a key was read before the store was restored.
+
+        Its revision may have been given out again, to another write.
+        """
+        return bool(compare.revision) and compare.timeline < self.timeline
+
     async def grant_lease(self, ttl_ms: int) -> Result[int, PlatformError]:
         """Create a lease and return its identifier."""
         answer = await self._transport.call(
--- a/packages/ragworthollow/src/ragworthollow/platform/store_reader.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_reader.py
@@ -2,6 +2,7 @@
 
 import base64
 from collections.abc import AsyncIterator
+from dataclasses import dataclass
 from http import HTTPStatus
 
 import aiohttp
@@ -11,6 +12,7 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.platform.exceptions import PlatformError
 from ragworthollow.platform.store_changes import StoreChanges
+from ragworthollow.platform.store_position import StorePosition
 from ragworthollow.platform.store_snapshot import StoreSnapshot
 from ragworthollow.platform.store_transport import (
     UNLIMITED_BYTES,
@@ -20,6 +22,14 @@
 from ragworthollow.platform.stored import Stored
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Heard:
+    """Hold what a watch answered, and in which timeline."""
+
+    page: WatchPage
+    timeline: int
+
+
 class StoreReader:
     """
     Read and watch keys of the store.
@@ -78,9 +88,12 @@
         )
         return answer.map(
             lambda one: (
-                Stored()
+                Stored(timeline=one.timeline)
                 if one.body is None
-                else _to_stored(msgspec.json.decode(one.body, type=Item))
+                else _to_stored(
+                    msgspec.json.decode(one.body, type=Item),
+                    one.timeline,
+                )
             ),
         )
 
@@ -97,6 +110,7 @@
         found: dict[str, Stored] = {}
         revision = 0
         size_bytes = 0
+        timelines = set()
         query = {'path_prefix': f'{self._prefix}{prefix}'}
         while True:
             answer = await self._transport.call(
@@ -107,19 +121,24 @@
             if isinstance(answer, Err):
                 return answer
             body = answer.ok_value.body
+            timeline = answer.ok_value.timeline
+            timelines.add(timeline)
             page = msgspec.json.decode(body, type=RangePage)
             revision = revision or page.as_of
             size_bytes += len(body)
             found.update(
-                (one.key.removeprefix(self._prefix), _to_stored(one))
+                (one.key.removeprefix(self._prefix), _to_stored(one, timeline))
                 for one in page.items
             )
+            if len(timelines) > 1:
+                return Err(self._explain_restored())
             if not page.has_more or not page.items:
                 return Ok(
                     StoreSnapshot(
                         found=found,
                         revision=revision,
                         size_bytes=size_bytes,
+                        timeline=timeline,
                     ),
                 )
             query['after'] = page.items[-1].key
@@ -163,10 +182,10 @@
             longest_bytes=longest_bytes,
         )
         return answer.map(
-            lambda page: (
+            lambda heard: (
                 None
-                if page is None or page.as_of < after_revision
-                else self._to_changes(page, after_revision)
+                if heard is None or heard.page.as_of < after_revision
+                else self._to_changes(heard, after_revision)
             ),
         )
 
@@ -176,7 +195,7 @@
         *,
         after_revision: int,
         wait_ms: int,
-    ) -> Result[WatchPage | None, PlatformError]:
+    ) -> Result[_Heard | None, PlatformError]:
         """
         Wait for changes of keys that begin with `prefix`.
 
@@ -196,7 +215,7 @@
         self,
         key: str,
         *,
-        after_revision: int,
+        after: StorePosition,
         idle_ms: float,
     ) -> AsyncIterator[Stored]:
         """
@@ -206,8 +225,8 @@
         ----------
         key : str
             The key.
-        after_revision : int
-            Last revision that is known, so that no change falls between a
+        after : StorePosition
+            Up to which the key is known, so that no change falls between a
             read and the watch.
         idle_ms : float
             Silence after which the watch ends; the caller reads the key
@@ -215,6 +234,7 @@
         """
         wait_ms = int(min(idle_ms, global_settings.WATCH_WAIT_MS))
         idle_left_ms = idle_ms
+        after_revision = after.revision
         while idle_left_ms > 0:
             answer = await self.watch(
                 key,
@@ -223,12 +243,14 @@
             )
             if isinstance(answer, Err) or answer.ok_value is None:
                 return
-            page = answer.ok_value
+            page = answer.ok_value.page
+            if answer.ok_value.timeline != after.timeline:
+                return
             after_revision = max(after_revision, page.as_of)
             idle_left_ms = idle_ms if page.events else idle_left_ms - wait_ms
             for event in page.events:
                 if not event.tombstone:
-                    yield _to_stored(event)
+                    yield _to_stored(event, after.timeline)
 
     async def _call_watch(
         self,
@@ -237,7 +259,7 @@
         after_revision: int,
         wait_ms: int,
         longest_bytes: float = UNLIMITED_BYTES,
-    ) -> Result[WatchPage | None, PlatformError]:
+    ) -> Result[_Heard | None, PlatformError]:
         answer = await self._transport.call(
             'GET',
             '/api/kv-watch',
@@ -254,11 +276,23 @@
             lambda one: (
                 None
                 if one.body is None
-                else msgspec.json.decode(one.body, type=WatchPage)
+                else _Heard(
+                    page=msgspec.json.decode(one.body, type=WatchPage),
+                    timeline=one.timeline,
+                )
             ),
         )
 
-    def _to_changes(self, page: WatchPage, after_revision: int) -> StoreChanges:
+    def _explain_restored(self) -> PlatformError:
+        return PlatformError(
+            step='/api/kv-range',
+            peer='store',
+            detail='restored between two pages',
+            may_have_applied=False,
+        )
+
+    def _to_changes(self, heard: _Heard, after_revision: int) -> StoreChanges:
+        page = heard.page
         last = {
             event.key.removeprefix(self._prefix): event for event in page.events
         }
@@ -268,7 +302,7 @@
         )
         return StoreChanges(
             written={
-                key: _to_stored(event)
+                key: _to_stored(event, heard.timeline)
                 for key, event in last.items()
                 if not event.tombstone
             },
@@ -277,10 +311,11 @@
             },
             revision=revision,
             is_whole=page.as_of <= revision,
+            timeline=heard.timeline,
         )
 
 
-def _to_stored(item: Item) -> Stored:
+def _to_stored(item: Item, timeline: int) -> Stored:
     return Stored(
         # Values are any bytes; one that is no text belongs to somebody else,
         # and must not spoil a read of everything.
@@ -288,4 +323,5 @@
         mod_revision=item.rev,
         create_revision=item.create_revision,
         read_revision=item.as_of,
+        timeline=timeline,
     )
--- a/packages/ragworthollow/src/ragworthollow/platform/store_snapshot.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_snapshot.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from ragworthollow.platform.store_position import StorePosition
 from ragworthollow.platform.stored import Stored
 
 
@@ -20,8 +21,15 @@
         newer keys; changes after this revision have to be followed.
     size_bytes : int
         Bytes of the answers that carried it.
+    timeline : int
+        How often the store had been restored.
     """
 
     found: Mapping[str, Stored]
     revision: int
     size_bytes: int
+    timeline: int = 0
+
+    def get_position(self) -> StorePosition:
+        """Return the position of the state that it holds."""
+        return StorePosition(timeline=self.timeline, revision=self.revision)
--- a/packages/ragworthollow/src/ragworthollow/platform/store_transport.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_transport.py
@@ -111,6 +111,10 @@
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             detail = f'{error!r}, {received.describe()}'
             return Err(self._explain(path, detail, applied=True))
+        if timeline < self.timeline:
+            # What it tells was lost when the store was restored.
+            detail = f'answer from before restoration {self.timeline}'
+            return Err(self._explain(path, detail, applied=True))
         if status == absent_status or not is_whole:
             return Ok(StoreAnswer(body=None, timeline=timeline))
         if status == HTTPStatus.OK:
--- a/packages/ragworthollow/src/ragworthollow/replica/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/replica/__init__.py
@@ -7,6 +7,7 @@
 from ragworthollow.replica.store_news import (
     NewsKey,
     NewsQuestion,
+    RetainedKey,
     StoreNews,
 )
 from ragworthollow.replica.store_view import StoreView
@@ -18,6 +19,7 @@
     'NewsKey',
     'NewsQuestion',
     'Replica',
+    'RetainedKey',
     'StoreNews',
     'StoreView',
     'decode_news',
--- a/packages/ragworthollow/src/ragworthollow/replica/store_news.py
+++ b/packages/ragworthollow/src/ragworthollow/replica/store_news.py
@@ -1,5 +1,6 @@
 """Define what one gateway tells another of the store."""
 
+from ragworthollow.platform.store_position import StorePosition
 from ragworthollow.utils.message import Message
 
 
@@ -23,6 +24,25 @@
     created: int = 0
 
 
+class RetainedKey(Message):
+    """
+    Tell of a key that holds although the store has lost it.
+
+    Attributes
+    ----------
+    key : str
+        The key.
+    text : str or None
+        Its value; None for one that was removed.
+    left_ms : float
+        For how long it holds unless it is written again.
+    """
+
+    key: str
+    text: str | None
+    left_ms: float
+
+
 class StoreNews(Message):
     """
     Tell what was the newest state of the store, and how long ago.
@@ -43,6 +63,11 @@
         Keys that were written.
     removed : dict of str to int
         Revision at which a key was removed, by key.
+    timeline : int
+        How often the store had been restored.
+    retained : tuple of RetainedKey
+        Keys that hold although the store has lost what was written to them;
+        told to those that ask for everything.
     """
 
     revision: int
@@ -51,6 +76,12 @@
     is_snapshot: bool = False
     written: tuple[NewsKey, ...] = ()
     removed: dict[str, int] = {}
+    timeline: int = 0
+    retained: tuple[RetainedKey, ...] = ()
+
+    def get_position(self) -> StorePosition:
+        """Return the position up to which the teller knows everything."""
+        return StorePosition(timeline=self.timeline, revision=self.revision)
 
 
 class NewsQuestion(Message):
@@ -61,6 +92,16 @@
     ----------
     after_revision : int
         Up to which the asker knows everything; 0 for nothing.
+    timeline : int
+        How often the store had been restored by then.
     """
 
     after_revision: int = 0
+    timeline: int = 0
+
+    def get_position(self) -> StorePosition:
+        """Return the position up to which the asker knows everything."""
+        return StorePosition(
+            timeline=self.timeline,
+            revision=self.after_revision,
+        )
--- a/packages/ragworthollow/src/ragworthollow/replica/store_view.py
+++ b/packages/ragworthollow/src/ragworthollow/replica/store_view.py
@@ -5,6 +5,7 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.platform.store_changes import StoreChanges
+from ragworthollow.platform.store_position import StorePosition
 from ragworthollow.platform.store_snapshot import StoreSnapshot
 from ragworthollow.platform.stored import Stored
 
@@ -19,6 +20,8 @@
         All keys.
     revision : int
         Changes after it are not in the copy yet; 0 before the first snapshot.
+    timeline : int
+        How often the store had been restored.
     size_bytes : int
         Size of the last snapshot as it was sent.
     """
@@ -30,6 +33,7 @@
         self._removed: dict[str, int] = {}
         self._removed_from = 0
         self.revision = 0
+        self.timeline = 0
         self.size_bytes = 0
 
     @property
@@ -37,6 +41,14 @@
         """Return all keys."""
         return self._found
 
+    def get_position(self) -> StorePosition:
+        """Return the position of the state that is held."""
+        return StorePosition(timeline=self.timeline, revision=self.revision)
+
+    def get_removed(self) -> Mapping[str, int]:
+        """Return at which revision keys were removed, as far as is known."""
+        return self._removed
+
     def replace(self, snapshot: StoreSnapshot) -> None:
         """
         Take all keys anew.
@@ -44,15 +56,20 @@
         A read of everything takes a while, in which another gateway may have
         told of something newer; the older state does not replace it.
         """
-        if snapshot.revision < self.revision:
+        if snapshot.get_position() < self.get_position():
             return
-        if self.revision:
+        if snapshot.timeline != self.timeline:
+            # Revisions of before say nothing in this timeline.
+            self._removed = {}
+            self._removed_from = snapshot.revision
+        elif self.revision:
             gone = self._found.keys() - snapshot.found.keys()
             self._note_removed(dict.fromkeys(gone, snapshot.revision))
         else:
             self._removed_from = snapshot.revision
         self._found = dict(snapshot.found)
         self.revision = snapshot.revision
+        self.timeline = snapshot.timeline
         self.size_bytes = snapshot.size_bytes
 
     def apply(self, changes: StoreChanges) -> None:
@@ -67,8 +84,11 @@
         Parameters
         ----------
         changes : StoreChanges
-            Everything after `revision`, or after an earlier one.
+            Everything after `revision`, or after an earlier one, of the same
+            timeline; others are not taken.
         """
+        if changes.timeline != self.timeline:
+            return
         written = {
             key: stored
             for key, stored in changes.written.items()
@@ -85,15 +105,19 @@
         self._note_removed(removed)
         self.revision = max(self.revision, changes.revision)
 
-    def find_changes(self, after_revision: int) -> StoreChanges | None:
+    def find_changes(self, after: StorePosition) -> StoreChanges | None:
         """
-        Return what has changed after a revision.
+        Return what has changed after a position.
 
         Returns
         -------
         StoreChanges or None
-            None where removals that far back are no longer known.
+            None where removals that far back are no longer known, and for
+            another timeline.
         """
+        after_revision = after.revision
+        if after.timeline != self.timeline:
+            return None
         if after_revision < self._removed_from:
             return None
         # Most that ask know everything; hundreds ask several times a second.
@@ -103,6 +127,7 @@
                 removed={},
                 revision=self.revision,
                 is_whole=True,
+                timeline=self.timeline,
             )
         return StoreChanges(
             written={
@@ -117,6 +142,7 @@
             },
             revision=self.revision,
             is_whole=True,
+            timeline=self.timeline,
         )
 
     def _note_removed(self, removed: Mapping[str, int]) -> None:
--- a/packages/ragworthollow/src/ragworthollow/transport/host_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/host_messages.py
@@ -19,8 +19,9 @@
         Which of its processes.
     announced : dict
         Pieces that its requests will need later, by pool and priority.
-    store_revision : int
-        Up to which it knows what the store holds.
+    store_revision, store_timeline : int
+        Up to which it knows what the store holds, and how often the store had
+        been restored by then.
     evidence : EvidenceNews, optional
         What it knows of crashes.
     leaving_ages_ms : dict of str to float
@@ -33,6 +34,7 @@
     incarnation: str
     announced: dict[str, list[int]] = {}
     store_revision: int = 0
+    store_timeline: int = 0
     evidence: EvidenceNews | None = None
     leaving_ages_ms: dict[str, float] = {}
     named_limits: dict[str, LimitNews] = {}
--- a/tests/features/steps/domain_drains.py
+++ b/tests/features/steps/domain_drains.py
@@ -8,6 +8,7 @@
 
 from ragworthollow.metrics import Metrics
 from ragworthollow.pieces import Piece, PieceOutcome, PieceResult
+from ragworthollow.platform.store_position import StorePosition
 from ragworthollow.platform.store_snapshot import StoreSnapshot
 from ragworthollow.platform.stored import Stored
 from ragworthollow.replica import Replica
@@ -345,8 +346,10 @@
             size_bytes=1,
         ),
     )
-    news = teller.make_news(after_revision=1, now_ms=5, longest_bytes=100)
-    hearer.take_news(news, 5)
+    news = teller.make_news(
+        after=StorePosition(revision=1), now_ms=5, longest_bytes=100
+    )
+    hearer.take_news(news, 5, 5)
     follower, context.directory = _make_follower()
     follower.take(hearer.view.found, 5)
 
--- a/tests/features/steps/store_restored.py
+++ b/tests/features/steps/store_restored.py
@@ -7,13 +7,25 @@
 from hypothesis import given as given_any
 from hypothesis import settings
 from hypothesis import strategies as st
+from result import Ok
 
 from measure.fleet_model.virtual_time import run_virtually
 from measure.replica_fleet.store_session import StoreSession
+from ragworthollow.conf import global_settings
+from ragworthollow.platform.store_position import StorePosition
+from ragworthollow.platform.store_snapshot import StoreSnapshot
+from ragworthollow.platform.stored import Stored
+from ragworthollow.platform.transaction import Put, compare_with
 from ragworthollow.replica import Replica
 from ragworthollow.utils import use_monotonic
+from tests.fixtures.news_model import NewsModel
+from tests.fixtures.news_variants import VARIANTS
 from tests.fixtures.store_followers import make_follower
 
+_CONFIGURATION = 'op/config'
+_DRAIN = 'op/evacuate/one'
+_ENTRY = 'gateways/g2'
+_KEY = 'quarantine/some-key'
 _KEYS = st.sampled_from(('op/config', 'servers/a', 'servers/b'))
 _SILENCES = ('fall_deaf', 'fall_mute', 'drop_history')
 _ACTIONS = ('save', 'restore', 'poll', 'poll', *_SILENCES)
@@ -25,6 +37,26 @@
     min_size=20,
     max_size=40,
 )
+_GATEWAYS = st.integers(0, 2)
+_NOTHING = st.just(0)
+_WRITES = (
+    'put',
+    'remove',
+    'configure',
+    'configure_again',
+    'save',
+    'restore',
+)
+_NEWS_MOVES = st.lists(
+    st.one_of(
+        st.tuples(st.sampled_from(_WRITES), _NOTHING, _NOTHING),
+        st.tuples(st.just('read'), _GATEWAYS, _NOTHING),
+        st.tuples(st.just('ask'), _GATEWAYS, _GATEWAYS),
+        st.tuples(st.sampled_from(('tell', 'hear')), _GATEWAYS, _NOTHING),
+    ),
+    min_size=15,
+    max_size=50,
+)
 _EXAMPLES = settings(max_examples=300, deadline=None, derandomize=True)
 
 
@@ -60,20 +92,221 @@
     stage.run(stage.configure(version=version, routes=routes))
 
 
+@given(
+    'the operators wrote version {version:d} without the route of {prefix:S}'
+)
+def remove_route_before(context, version, prefix):
+    context.routes = context.gateway_stage.configuration['routes']
+    remove_route(context, version, prefix)
+    check_version(context, version)
+
+
+@when('the operators write version {version:d} with all routes')
+def write_all_routes(context, version):
+    stage = context.gateway_stage
+    stage.run(stage.configure(version=version, routes=context.routes))
+
+
+@when('the gateway has read it')
+def wait_read(context):
+    stage = context.gateway_stage
+    view = stage.get_context().replica.view
+    stage.run(
+        stage.wait_for(
+            lambda: (
+                (view.timeline, view.revision)
+                == (stage.store.timeline, stage.store.revision)
+            ),
+        ),
+    )
+
+
+@given('failure domain one was drained')
+def drain(context):
+    stage = context.gateway_stage
+    directory = stage.get_context().directory
+    stage.run(stage.write({_DRAIN: '{}'}))
+    stage.run(stage.wait_for(lambda: not directory.get_pool('plain')))
+
+
+@when('the operators drain domain one again, and restore it')
+def drain_again(context):
+    stage = context.gateway_stage
+    stage.run(stage.write({_DRAIN: '{}'}))
+    wait_read(context)
+    stage.run(stage.write({_DRAIN: None}))
+
+
+@given('the entry of {name:w} has said that it leaves')
+def say_leaving(context, name):
+    stage = context.gateway_stage
+    stage.run(stage.show(name, 'plain', state='draining'))
+    _wait_left(stage, name)
+
+
+@given('the entry of {name:w} was removed')
+def remove_entry(context, name):
+    stage = context.gateway_stage
+    stage.run(stage.hide(name))
+    _wait_left(stage, name)
+
+
+def _wait_left(stage, name: str) -> None:
+    directory = stage.get_context().directory
+    stage.run(stage.wait_for(lambda: directory.get(name) is None))
+
+
+@when('{name:w} writes its entry again')
+def write_entry(context, name):
+    stage = context.gateway_stage
+    stage.run(stage.show(name, 'plain'))
+
+
+@then('{name:w} gets nothing of {count:d} requests')
+def check_nothing(context, name, count):
+    stage = context.gateway_stage
+    for _ in range(count):
+        stage.run(stage.send('/safe/answer'))
+    assert not stage.upstreams[name].runs
+
+
+@then('{name:w} gets work again')
+def check_work(context, name):
+    stage = context.gateway_stage
+    directory = stage.get_context().directory
+    stage.run(stage.wait_for(lambda: directory.get(name) is not None))
+
+
+@when('a gateway starts before that')
+def start_other(context):
+    stage = context.gateway_stage
+    stage.run(stage.add_gateway('g2'))
+    gateway = stage.get_context('g2')
+    stage.run(stage.wait_for(lambda: gateway.table is not None))
+
+
+@given('another gateway has started and is registered')
+def register_other(context):
+    stage = context.gateway_stage
+    start_other(context)
+    stage.run(stage.wait_for(lambda: _ENTRY in stage.store.entries))
+
+
+@then('the other gateway is in the store again')
+def check_registered(context):
+    stage = context.gateway_stage
+    assert _ENTRY not in stage.store.entries
+    stage.run(stage.wait_for(lambda: _ENTRY in stage.store.entries))
+
+
 @then('version {version:d} is in force')
 def check_version(context, version):
+    _check_version(context, version, 'g1')
+
+
+@then('version {version:d} is in force there')
+def check_version_there(context, version):
+    _check_version(context, version, 'g2')
+
+
+def _check_version(context, version, name) -> None:
     stage = context.gateway_stage
-    gateway = stage.get_context()
+    gateway = stage.get_context(name)
     stage.run(stage.wait_for(lambda: gateway.table.version == version))
 
 
 @then('a caller of {path:S} is answered {status:d}')
 def check_answered(context, path, status):
+    _check_answered(context, path, status, 'g1')
+
+
+@then('a caller of {path:S} is answered {status:d} there')
+def check_answered_there(context, path, status):
+    _check_answered(context, path, status, 'g2')
+
+
+def _check_answered(context, path, status, name) -> None:
     stage = context.gateway_stage
-    answer = stage.run(stage.send(path))
+    answer = stage.run(stage.send(path, gateway=name))
     assert answer.status == status, answer
 
 
+@then('a caller of {path:S} is answered {status:d} soon')
+def check_answered_soon(context, path, status):
+    stage = context.gateway_stage
+    directory = stage.get_context().directory
+    stage.run(stage.wait_for(lambda: len(directory.get_pool('plain')) == 2))
+    check_answered(context, path, status)
+
+
+@when('a key is read, lost and written anew under the same revision')
+def reuse_revision(context):
+    stage = context.gateway_stage
+    store = stage.get_context().store
+    saved = stage.store.save()
+
+    async def write(text: str) -> None:
+        await store.commit(compares=(), puts=(Put(key=_KEY, text=text),))
+
+    stage.run(write('first'))
+    context.read = stage.run(store.read(_KEY)).ok_value
+    stage.store.restore(saved)
+    stage.run(write('second'))
+    again = stage.run(store.read(_KEY)).ok_value
+    assert again.mod_revision == context.read.mod_revision
+
+
+@then('a write that compares it with what was read is not made')
+def check_compared(context):
+    stage = context.gateway_stage
+    store = stage.get_context().store
+    written = stage.run(
+        store.commit(
+            compares=(compare_with(_KEY, context.read),),
+            puts=(Put(key=_KEY, text='third'),),
+        ),
+    )
+    assert written == Ok(False), written
+    assert stage.run(store.read(_KEY)).ok_value.text == 'second'
+
+
+@then(
+    'a lost key holds for a while, and a version until the store has caught up',
+)
+def check_retention(context):
+    drain = Stored(text='{}', mod_revision=7)
+    newer = Stored(text='{"version": 5}', mod_revision=8)
+    older = Stored(text='{"version": 4}', mod_revision=3)
+    replica = Replica()
+    replica.replace(_snapshot({_DRAIN: drain, _CONFIGURATION: newer}, 8, 0), 0)
+    replica.replace(_snapshot({_CONFIGURATION: older}, 3, 1), 100)
+    held_ms = 100 + global_settings.RESTORED_RETENTION_MS
+    assert _DRAIN in replica.get_found(held_ms - 1)
+    found = replica.get_found(held_ms)
+    assert _DRAIN not in found
+    assert found[_CONFIGURATION] == newer
+    written = Stored(text='{"version": 6}', mod_revision=4)
+    replica.replace(_snapshot({_CONFIGURATION: written}, 4, 1), held_ms)
+    assert replica.get_found(held_ms)[_CONFIGURATION] == written
+
+
+def _snapshot(found, revision: int, timeline: int) -> StoreSnapshot:
+    return StoreSnapshot(
+        found=found,
+        revision=revision,
+        size_bytes=1,
+        timeline=timeline,
+    )
+
+
+@then('a later right has the higher fencing number')
+def check_fences(context):
+    before = StorePosition(timeline=1, revision=900)
+    after = StorePosition(timeline=2, revision=20)
+    assert after > before
+    assert after.to_number() > before.to_number()
+
+
 class _Comparison:
     """Compare what a gateway holds with the store, after each poll."""
 
@@ -127,3 +360,40 @@
 @then('the gateway holds what the store holds after each poll that is answered')
 def check_same(context):
     assert all(context.outcomes), context.outcomes.count(False)
+
+
+def _explore_news(fault: str) -> list[bool]:
+    outcomes = []
+
+    @_EXAMPLES
+    @given_any(_NEWS_MOVES)
+    def play(moves):
+        model = NewsModel(
+            make_replica=VARIANTS[fault],
+            clock_stands_still=False,
+        )
+        model.play(moves)
+        outcomes.append(model.is_right)
+
+    play()
+    return outcomes
+
+
+@when('the store is restored while gateways read, ask and hear in any order')
+def explore_news(context):
+    context.outcomes = _explore_news('')
+
+
+@when('the store is restored under gateways that {fault}')
+def explore_variant(context, fault):
+    context.outcomes = _explore_news(fault)
+
+
+@then('each copy is a state of the store, and no version is undone')
+def check_right(context):
+    assert all(context.outcomes), context.outcomes.count(False)
+
+
+@then('a copy is no state of the store, or a version is undone')
+def check_found_out(context):
+    assert not all(context.outcomes)
--- a/tests/features/store_restored.feature
+++ b/tests/features/store_restored.feature
@@ -10,7 +10,105 @@
     Then version 5 is in force
     And a caller of /safe/answer is answered 404
 
+  @each.gateway
+  Scenario: A version is lost that was in force
+    # Guards against a change that is undone until the operators write it again: a
+    # key that was revoked would be taken again.
+    Given the store was copied, and has gone on for 20 revisions
+    And the operators wrote version 5 without the route of /safe/
+    When the store comes back from its copy
+    And the gateway has read it
+    Then version 5 is in force
+    And a caller of /safe/answer is answered 404
+    When the operators write version 6 with all routes
+    Then version 6 is in force
+    And a caller of /safe/answer is answered 200
+
+  @each.gateway
+  Scenario: A drain is lost, and ended after it was written again
+    # Guards against work for a drained failure domain, and against a drain that
+    # never ends.
+    Given the store was copied, and has gone on for 20 revisions
+    And failure domain one was drained
+    When the store comes back from its copy
+    And the gateway has read it
+    Then a caller of /safe/answer is answered 503
+    When the operators drain domain one again, and restore it
+    Then a caller of /safe/answer is answered 200 soon
+
+  @each.gateway
+  Scenario: An instance leaves, and its entry of before comes back
+    # Guards against work for an instance that leaves, since the copy lists it as
+    # ready.
+    Given the store was copied, and has gone on for 20 revisions
+    And the entry of u1 has said that it leaves
+    When the store comes back from its copy
+    And the gateway has read it
+    Then u1 gets nothing of 20 requests
+
+  @each.gateway
+  Scenario: An instance is gone, and its entry of before comes back
+    # Guards against work for an instance that has ended.
+    Given the store was copied, and has gone on for 20 revisions
+    And the entry of u1 was removed
+    When the store comes back from its copy
+    And the gateway has read it
+    Then u1 gets nothing of 20 requests
+    When u1 writes its entry again
+    Then u1 gets work again
+
+  @each.gateway
+  Scenario: A gateway starts before the operators have written again
+    # Guards against a gateway that knows nothing but the copy, and serves what
+    # was revoked.
+    Given the store was copied, and has gone on for 20 revisions
+    And the operators wrote version 5 without the route of /safe/
+    When the store comes back from its copy
+    And the gateway has read it
+    And a gateway starts before that
+    Then version 5 is in force there
+    And a caller of /safe/answer is answered 404 there
+
+  @each.gateway
+  Scenario: The entry of a gateway is lost
+    # Guards against a gateway that the others do not know until its lease ends.
+    Given the store was copied, and has gone on for 20 revisions
+    And another gateway has started and is registered
+    When the store comes back from its copy
+    Then the other gateway is in the store again
+
+  @each.gateway
+  Scenario: A key is compared with what was read before the restoration
+    # Guards against a write over another one that was given the same revision.
+    When a key is read, lost and written anew under the same revision
+    Then a write that compares it with what was read is not made
+
+  Scenario: Those who wrote a key never write it again
+    # Guards against a key that is held for good although nobody wants it.
+    Then a lost key holds for a while, and a version until the store has caught up
+
+  Scenario: Rights are granted before and after a restoration
+    # Guards against a holder whose orders are refused as those of an earlier one.
+    Then a later right has the higher fencing number
+
   Scenario: The store is written, silent and restored in any order
     # Guards against a copy that holds some of a state that is gone.
     When a store is written, copied, restored and silent in any order
     Then the gateway holds what the store holds after each poll that is answered
+
+  Scenario: Gateways of both timelines read, ask and hear in any order
+    # Guards against a gateway that does not know of the restoration and takes the
+    # others back, and against a version that is undone.
+    When the store is restored while gateways read, ask and hear in any order
+    Then each copy is a state of the store, and no version is undone
+
+  Scenario Outline: Variants that are wrong about a restoration are found out
+    # Guards against a check that would pass without what it checks.
+    When the store is restored under gateways that <fault>
+    Then a copy is no state of the store, or a version is undone
+
+    Examples:
+      | fault                                |
+      | order states by their revision       |
+      | believe one that does not know of it |
+      | take the copy at its word            |
