Split what pings hosts, and what reads limits, from their modules

membership.py kept an entry and asked hosts, and answer_notices.py held the limits beside all other marks: each has a module of its own.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/answer_notices.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/answer_notices.py
@@ -5,16 +5,10 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.exchange import AnswerMarks
 from ragworthollow.logs.events import log_event
-from ragworthollow.throttling import (
-    UNLIMITED_PER_S,
-    LimitNews,
-    NamedLimit,
-    make_limit_news,
-    read_limit_news,
-)
 from ragworthollow.upstreams import UpstreamInstance
-from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
+from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.limit_notices import note_limit
 
 _STEP = 'instances'
 
@@ -59,20 +53,13 @@
         )
     if marks.pause_ms is not None:
         _note_pause(context, instance, now_ms, marks.pause_ms)
-    if marks.unreadable_limit:
-        _note_unreadable_limit(context, instance, marks)
-    if marks.limit_per_s is not None:
-        limit_per_s = marks.limit_per_s
-    elif is_authentic and not marks.unreadable_limit:
-        limit_per_s = UNLIMITED_PER_S
-    else:
-        return
-    named = NamedLimit(
-        requests_per_s=limit_per_s,
+    note_limit(
+        context,
+        instance,
+        marks,
         asked_ms=asked_ms,
-        heard_ms=get_boottime_ms(),
+        is_authentic=is_authentic,
     )
-    _note_limit(context, instance, named)
 
 
 def get_leaving_ages_ms(context: GatewayContext) -> dict[str, float]:
@@ -111,51 +98,6 @@
             )
 
 
-def make_limits_news(context: GatewayContext) -> dict[str, LimitNews]:
-    """Return what another gateway is to know of limits."""
-    now_ms = get_boottime_ms()
-    told = context.throttle.named_limits.choose_told(now_ms)
-    return {
-        incarnation: make_limit_news(named, now_ms)
-        for incarnation, named in told.items()
-    }
-
-
-def take_limits_news(
-    context: GatewayContext,
-    news: Mapping[str, LimitNews],
-    sent_after_ms: float,
-) -> None:
-    """
-    Take what another gateway knows of limits.
-
-    Parameters
-    ----------
-    context : GatewayContext
-        Of this process.
-    news : mapping of str to LimitNews
-        What it knows, by incarnation.
-    sent_after_ms : float
-        Moment before it told so, on the clock that counts suspended time.
-    """
-    now_ms = get_boottime_ms()
-    for incarnation, one in news.items():
-        named = read_limit_news(
-            one,
-            sent_after_ms=sent_after_ms,
-            now_ms=now_ms,
-        )
-        if context.throttle.named_limits.note_heard(incarnation, named):
-            context.metrics.count_event('instance_limit_heard')
-            log_event(
-                'instance_limit_heard',
-                step=_STEP,
-                peer=incarnation,
-                limit_per_s=one.requests_per_s,
-                age_ms=round(one.heard_age_ms),
-            )
-
-
 def _note_leaving(
     context: GatewayContext,
     instance: UpstreamInstance,
@@ -175,42 +117,6 @@
     )
 
 
-def _note_limit(
-    context: GatewayContext,
-    instance: UpstreamInstance,
-    named: NamedLimit,
-) -> None:
-    limits = context.throttle.named_limits
-    if not limits.note(instance.get_incarnation(), named):
-        return
-    context.metrics.count_event('instance_named_limit')
-    log_event(
-        'instance_named_limit',
-        step=_STEP,
-        peer=instance.instance,
-        started_unix_ms=instance.started_unix_ms,
-        pool=instance.pool,
-        limit_per_s=named.requests_per_s if named.is_limit() else None,
-        answer_ms=round(named.heard_ms - named.asked_ms),
-    )
-
-
-def _note_unreadable_limit(
-    context: GatewayContext,
-    instance: UpstreamInstance,
-    marks: AnswerMarks,
-) -> None:
-    context.metrics.count_event('instance_limit_unreadable')
-    log_event(
-        'instance_limit_unreadable',
-        step=_STEP,
-        peer=instance.instance,
-        pool=instance.pool,
-        found=marks.unreadable_limit,
-        limit_per_s=marks.limit_per_s,
-    )
-
-
 def _note_pause(
     context: GatewayContext,
     instance: UpstreamInstance,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -99,7 +99,7 @@
 
     @property
     def throttle(self) -> Throttle:
-        """Return what is known of instances that warm up."""
+        """Return what bounds the requests to instances that take less."""
         return self._throttle
 
     def get_budget(self, pool: str) -> RetryBudget:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/following.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/following.py
@@ -4,8 +4,10 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.membership.gateway_members import GatewayMembers
+from ragworthollow.pieces import AnnouncedWork
 from ragworthollow.replica import derive_paces
 from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.host_pings import HostPings
 from ragworthollow_daemon.gateway.news_client import NewsClient
 from ragworthollow_daemon.gateway.store_follower import Follower, StoreFollower
 
@@ -42,3 +44,32 @@
         ask_peers=peers.ask,
         spread=context.rng.uniform(0, global_settings.TRUST_SPREAD),
     )
+
+
+def make_host_pings(
+    *,
+    context: GatewayContext,
+    members: GatewayMembers,
+    announced: AnnouncedWork,
+    follower: StoreFollower,
+) -> HostPings:
+    """
+    Make what asks hosts, and takes what they tell of the store.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Of this process.
+    members : GatewayMembers
+        The other gateways.
+    announced : AnnouncedWork
+        Work that hosts are told of.
+    follower : StoreFollower
+        Keeps the copy of the store.
+    """
+    return HostPings(
+        context=context,
+        members=members,
+        announced=announced,
+        take_news=follower.take_news,
+    )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
-import aiohttp
 import msgspec
 from result import Err
 
@@ -12,39 +11,23 @@
 from ragworthollow.logs.events import log_error, log_event
 from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.membership.gateway_members import GatewayMembers
-from ragworthollow.pieces import AnnouncedWork
 from ragworthollow.platform.stored import Stored
 from ragworthollow.platform.transaction import Put
-from ragworthollow.replica import StoreNews
-from ragworthollow.transport.host_messages import (
-    GatewayPing,
-    HostState,
-    MemberChange,
-)
-from ragworthollow.transport.timeouts import make_timeout
-from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
-from ragworthollow_daemon.gateway.answer_notices import (
-    get_leaving_ages_ms,
-    make_limits_news,
-    take_leaving,
-    take_limits_news,
-)
+from ragworthollow.transport.host_messages import CHANGE_PATH, MemberChange
+from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.peer_notes import tell_peer
 
 _PREFIX = 'gateways/'
 _STEP = 'membership'
-PING_PATH = '/v1/ping'
-CHANGE_PATH = '/v1/members/change'
 
 
 class Membership:
     """
-    Keep a leased entry in the store, and ask hosts whether they live.
+    Keep a leased entry in the store.
 
     The entry says where this gateway can be reached; its lease ends by
-    itself when the process does.  Liveness is asked for directly, since a
-    lease outlives its holder by seconds and the store may be away.
+    itself when the process does.
 
     Parameters
     ----------
@@ -52,10 +35,6 @@
         Of this process.
     members : GatewayMembers
         Where the others are kept.
-    announced : AnnouncedWork
-        Work that hosts are told of.
-    take_news : callable
-        Takes what a host tells of the store, and when it was asked.
     """
 
     def __init__(
@@ -63,13 +42,9 @@
         *,
         context: GatewayContext,
         members: GatewayMembers,
-        announced: AnnouncedWork,
-        take_news: Callable[[StoreNews, float], bool],
     ) -> None:
         self._context = context
-        self._take_news = take_news
         self._members = members
-        self._announced = announced
         self._lease = 0
         self._is_listed = False
         self._is_leaving = False
@@ -99,18 +74,6 @@
                 async with asyncio.timeout(pause_ms / 1000):
                     await self._is_restored.wait()
 
-    async def watch_hosts(self) -> None:
-        """Ask the hosts of gates whether they live, until cancelled."""
-        while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(global_settings.HOST_PING_MS / 1000):
-                    await self._context.quarantine.has_urgent_news.wait()
-            self._context.quarantine.has_urgent_news.clear()
-            await asyncio.gather(*map(self._ping, self._choose_asked()))
-            if self._context.table is not None:
-                # Where no host answers, there is nobody to hear from.
-                self._context.quarantine.has_asked = True
-
     async def leave(self) -> None:
         """
         Tell the others that this process hosts no gate any more.
@@ -227,90 +190,6 @@
         """Note that the store could not be read; the members are kept."""
         self._context.metrics.count_event('member_list_unavailable')
 
-    def _choose_asked(self) -> list[GatewayMember]:
-        """Choose the others to be asked; nobody before there is a table."""
-        table = self._context.table
-        if table is None:
-            return []
-        pools = [one.name for one in table.pools.values() if one.pieces]
-        self._members.set_pools(pools)
-        return self._members.choose_asked()
-
-    async def _ping(self, host: GatewayMember) -> None:
-        ping = GatewayPing(
-            instance=self._context.settings.instance,
-            incarnation=self._context.incarnation,
-            announced=self._announced.get_counts(),
-            store_revision=self._context.replica.view.revision,
-            store_timeline=self._context.replica.view.timeline,
-            evidence=self._context.quarantine.make_news(host.instance),
-            leaving_ages_ms=get_leaving_ages_ms(self._context),
-            named_limits=make_limits_news(self._context),
-        )
-        asked_ms = get_boottime_ms()
-        try:
-            async with self._context.session.post(
-                f'http://{host.peer_address}{PING_PATH}',
-                data=msgspec.json.encode(ping),
-                timeout=make_timeout(
-                    global_settings.HOST_PING_TIMEOUT_MS,
-                    global_settings.PEER_CONNECT_TIMEOUT_MS,
-                ),
-            ) as response:
-                state = msgspec.json.decode(
-                    await response.read(),
-                    type=HostState,
-                )
-        except (
-            TimeoutError,
-            aiohttp.ClientError,
-            OSError,
-            msgspec.DecodeError,
-        ) as error:
-            self._note_silent(host, repr(error))
-            return
-        if state.instance == host.instance:
-            self._take_told(state, asked_ms)
-        self.take_state(host, state)
-
-    def _take_told(self, state: HostState, asked_ms: float) -> None:
-        if state.store is not None:
-            self._take_news(state.store, asked_ms)
-        self._context.quarantine.take_news(state.instance, state.evidence)
-        take_leaving(self._context, state.leaving_ages_ms)
-        take_limits_news(self._context, state.named_limits, asked_ms)
-
-    def take_state(self, host: GatewayMember, state: HostState) -> None:
-        """
-        Take the answer to a ping.
-
-        Parameters
-        ----------
-        host : GatewayMember
-            Who was asked.
-        state : HostState
-            What it said.
-        """
-        if state.instance != host.instance:
-            self._note_silent(host, 'another process answered')
-            return
-        if not state.can_host:
-            self._note_silent(host, 'knows no upstream instances')
-            return
-        if self._members.is_silent(host.instance):
-            log_event('peer_regained', step=_STEP, peer=host.instance)
-        self._members.note_answer(state)
-
-    def _note_silent(self, host: GatewayMember, detail: str) -> None:
-        if not self._members.is_silent(host.instance):
-            log_event(
-                'peer_lost',
-                step=_STEP,
-                peer=host.instance,
-                error=detail,
-            )
-        self._members.note_silent(host.instance)
-
 
 def _decode(found: Mapping[str, Stored]) -> list[GatewayMember]:
     members = []
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -10,6 +10,8 @@
 from ragworthollow.platform.store_position import StorePosition
 from ragworthollow.replica import NewsQuestion, encode_news
 from ragworthollow.transport.host_messages import (
+    CHANGE_PATH,
+    PING_PATH,
     GatewayPing,
     HostState,
     MemberChange,
@@ -25,16 +27,17 @@
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.answer_notices import (
     get_leaving_ages_ms,
-    make_limits_news,
     take_leaving,
-    take_limits_news,
 )
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.gate_handover import (
     TRANSFER_PATH,
     GateHandover,
 )
-from ragworthollow_daemon.gateway.membership import CHANGE_PATH, PING_PATH
+from ragworthollow_daemon.gateway.limit_notices import (
+    hear_limits,
+    tell_limits,
+)
 from ragworthollow_daemon.gateway.news_client import NEWS_PATH
 from ragworthollow_daemon.gateway.piece_exchange import (
     FREE_PATH,
@@ -105,7 +108,7 @@
         quarantine = self._context.quarantine
         quarantine.take_news(ping.instance, ping.evidence)
         take_leaving(self._context, ping.leaving_ages_ms)
-        take_limits_news(
+        hear_limits(
             self._context,
             ping.named_limits,
             get_boottime_ms() - global_settings.HOST_PING_TIMEOUT_MS,
@@ -126,7 +129,7 @@
                 ),
                 evidence=quarantine.make_news(ping.instance),
                 leaving_ages_ms=get_leaving_ages_ms(self._context),
-                named_limits=make_limits_news(self._context),
+                named_limits=tell_limits(self._context),
             ),
         )
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -13,7 +13,10 @@
     ConfigurationFollower,
 )
 from ragworthollow_daemon.gateway.context import GatewayContext
-from ragworthollow_daemon.gateway.following import make_store_follower
+from ragworthollow_daemon.gateway.following import (
+    make_host_pings,
+    make_store_follower,
+)
 from ragworthollow_daemon.gateway.front import Front
 from ragworthollow_daemon.gateway.gate_handover import GateHandover
 from ragworthollow_daemon.gateway.instances_follower import InstancesFollower
@@ -52,11 +55,6 @@
         self.membership = Membership(
             context=self.context,
             members=self.members,
-            announced=self.service.get_gates().announced,
-            take_news=lambda news, asked_ms: self._follower.take_news(
-                news,
-                asked_ms,
-            ),
         )
         self._pieces = PieceClient(
             context=self.context,
@@ -83,6 +81,12 @@
                 ConfigurationFollower(context=self.context),
             ),
         )
+        self._pings = make_host_pings(
+            context=self.context,
+            members=self.members,
+            announced=self.service.get_gates().announced,
+            follower=self._follower,
+        )
         self._runners: list[web.BaseRunner] = []
 
     async def start(self) -> None:
@@ -128,7 +132,7 @@
         self.context.spawn_loop(self._follower.run())
         self.context.spawn_loop(self._tick(front))
         self.context.spawn_loop(self.membership.run())
-        self.context.spawn_loop(self.membership.watch_hosts())
+        self.context.spawn_loop(self._pings.run())
         self.context.spawn_loop(self._records.run())
 
     def begin_stop(self) -> None:
--- a/packages/ragworthollow/src/ragworthollow/transport/host_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/host_messages.py
@@ -6,6 +6,9 @@
 from ragworthollow.throttling.limit_news import LimitNews
 from ragworthollow.utils.message import Message
 
+PING_PATH = '/v1/ping'
+CHANGE_PATH = '/v1/members/change'
+
 
 class GatewayPing(Message):
     """
--- a/tests/features/steps/lost_calls.py
+++ b/tests/features/steps/lost_calls.py
@@ -19,7 +19,7 @@
 from ragworthollow_daemon.gateway.call_watch import CallWatch
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.held_results import HeldResults
-from ragworthollow_daemon.gateway.membership import Membership
+from ragworthollow_daemon.gateway.host_pings import HostPings
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 from tests.fixtures.piece_pool import (
     FAR_MS,
@@ -279,7 +279,7 @@
         if context.members.find_first(name).instance != 'g0'
     )
     context.first = context.members.find_first(context.pool_name)
-    context.membership = Membership(
+    context.pings = HostPings(
         context=SimpleNamespace(),
         members=context.members,
         announced=None,
@@ -289,7 +289,7 @@
 
 def _answer(context, *, can_host: bool) -> None:
     state = HostState(instance=context.first.instance, can_host=can_host)
-    context.membership.take_state(context.first, state)
+    context.pings.take_state(context.first, state)
 
 
 def _find_host(context) -> str:
