Split what reports on the store from what follows it

An assignment that a restored store does not have is an absent one of its timeline, so that the next comparison can hold.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/store_follower.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/store_follower.py
@@ -8,20 +8,18 @@
 from result import Err, Ok, Result
 
 from ragworthollow.conf import global_settings
-from ragworthollow.logs.events import log_event
 from ragworthollow.platform import PlatformError
 from ragworthollow.platform.store_position import StorePosition
-from ragworthollow.platform.store_snapshot import StoreSnapshot
 from ragworthollow.platform.stored import Stored
 from ragworthollow.replica import FollowPaces, Replica, StoreNews
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.heard_news import HeardNews
 from ragworthollow_daemon.gateway.poll_pace import get_retry_ms
+from ragworthollow_daemon.gateway.store_reports import StoreReports
 
 AskPeers = Callable[[StorePosition], Awaitable[Sequence[HeardNews]]]
 _EVERYTHING = ''
-_STEP = 'store'
 _MILLISECONDS = 1000
 _LEAST_PAUSE_MS = 1
 
@@ -91,7 +89,10 @@
         self._reread_ms = float('-inf')
         self._checked_ms = float('-inf')
         self._told_ms = float('-inf')
-        self._is_reachable = True
+        self._reports = StoreReports(
+            metrics=context.metrics,
+            replica=replica,
+        )
         # Timeline in which others were asked what they retain.
         self._compared_timeline = 0
         self._is_behind = asyncio.Event()
@@ -121,7 +122,7 @@
         self._is_behind.clear()
         asked_ms = get_boottime_ms()
         read = await self._read()
-        self._note_read(asked_ms, read)
+        self._reports.note_read(asked_ms, read)
         if isinstance(read, Err):
             if not await self._hear_peers():
                 for follower in self._followers:
@@ -250,10 +251,13 @@
             return snapshot
         now_ms = get_boottime_ms()
         if snapshot.ok_value.timeline < self._replica.view.timeline:
-            return Err(self._explain_older(snapshot.ok_value))
+            return Err(self._reports.explain_older(snapshot.ok_value))
         held = self._replica.view.get_position()
         if self._replica.replace(snapshot.ok_value, now_ms):
-            self._note_restored(held)
+            self._reports.note_restored(held)
+            # Entries that it lost come back like those that lapse in an outage.
+            for follower in self._followers:
+                follower.note_lost('restored from a copy')
         self._context.metrics.count_event('store_read_whole')
         is_short = now_ms - began_ms <= global_settings.STORE_REREAD_LONGEST_MS
         self._checked_ms = now_ms
@@ -264,36 +268,6 @@
         )
         return Ok(None)
 
-    def _explain_older(self, snapshot: StoreSnapshot) -> PlatformError:
-        """Say why a read that was on its way is not taken."""
-        self._context.metrics.count_event('store_state_older')
-        return PlatformError(
-            step=_STEP,
-            peer='store',
-            detail=(
-                f'read in timeline {snapshot.timeline}, others know'
-                f' {self._replica.view.timeline}'
-            ),
-            may_have_applied=False,
-        )
-
-    def _note_restored(self, held: StorePosition) -> None:
-        """Log that the store has lost what it had accepted."""
-        self._context.metrics.count_event('store_restored')
-        log_event(
-            'store_restored',
-            step=_STEP,
-            peer='store',
-            timeline=self._replica.view.timeline,
-            revision=self._replica.view.revision,
-            held_timeline=held.timeline,
-            held_revision=held.revision,
-            retained=self._replica.count_retained(),
-        )
-        # Entries that it has lost come back like those that lapse in an outage.
-        for follower in self._followers:
-            follower.note_lost('restored from a copy')
-
     def _put_reread_off(self) -> None:
         """
         Leave the check of the copy to the gateway whose evidence this is.
@@ -307,35 +281,3 @@
             self._checked_ms + global_settings.STORE_SELF_CHECK_MS,
         )
         self._reread_ms = max(self._reread_ms, later_ms)
-
-    def _note_read(
-        self,
-        asked_ms: float,
-        read: Result[None, PlatformError],
-    ) -> None:
-        """
-        Count a read, and how long it took.
-
-        The log names the first read that is lost; these tell whether all
-        later ones are lost too, and how near to it the good ones come.
-        """
-        metrics = self._context.metrics
-        took_ms = get_boottime_ms() - asked_ms
-        if isinstance(read, Err):
-            metrics.count_event('store_read_lost')
-            self._note_reachable(str(read.err_value), is_reachable=False)
-            return
-        metrics.count_event('store_read')
-        metrics.set_state('store_read_ms', took_ms)
-        self._note_reachable('', is_reachable=True)
-
-    def _note_reachable(self, detail: str, *, is_reachable: bool) -> None:
-        if is_reachable == self._is_reachable:
-            return
-        self._is_reachable = is_reachable
-        log_event(
-            'dependency_regained' if is_reachable else 'dependency_lost',
-            step=_STEP,
-            peer='store',
-            error=detail,
-        )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/record_reader.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/record_reader.py
@@ -85,7 +85,8 @@
         if isinstance(found, Err):
             return None
         keys = found.ok_value.found
-        record = keys.get(self.record_key, _ABSENT)
+        absent = Stored(timeline=found.ok_value.timeline)
+        record = keys.get(self.record_key, absent)
         if record.get_position() > self._record.get_position():
             # A write of ours that is still on its way compares the old
             # revision and can no longer apply.
