--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -290,7 +290,7 @@
 NAMED_LIMIT_SLACK = 5
 # Rate at which an instance is asked that takes none, to hear whether it does.
 NAMED_LIMIT_LEAST_PER_S = 1 / 60
-# Limits in one message between gateways, 1.5 KB: each tells a few others
+# Limits in one message between gateways, 1.8 KB: each tells a few others
 # several times a second.  All of a fleet of 700 take ten seconds that way.
 LIMITS_IN_MESSAGE = 16
 # How long a limit that has changed is told before others: some pings.
