Log which requests the exit of a process interrupts, and when its wait ended

The line drained counts what was cut, but not which requests, when they came, nor when the process decided to exit: a request that came after that decision cannot be told from one that the limit of the stop interrupts.

drain_wait_ended marks the decision and whether nothing was in flight. request_interrupted names each request with its age and the time since the decision. In all roles; nothing of what a stop does has changed.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/daemon_service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/daemon_service.py
@@ -64,6 +64,7 @@
         started_ms = get_monotonic_ms()
         await self._role.stop(self.settings.drain_limit_ms)
         drain = self._context.drain
+        drain.log_interrupted_requests()
         log = log_error if drain.in_flight else log_event
         log(
             'stopped',
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/drain.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/drain.py
@@ -5,9 +5,12 @@
 from contextlib import contextmanager
 
 from ragworthollow.conf import global_settings
+from ragworthollow.logs.events import log_error, log_event
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
+from ragworthollow_daemon.request_in_flight import RequestInFlight
 
 _MS_PER_SECOND = 1000
+_STEP = 'lifecycle'
 
 
 class DrainState:
@@ -15,18 +18,36 @@
 
     def __init__(self) -> None:
         self.is_draining = False
-        self.in_flight = 0
+        self._requests: set[RequestInFlight] = set()
         self._last_activity_ms = float('-inf')
+        self._wait_ended_ms = float('inf')
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests in flight."""
+        return len(self._requests)
 
     @contextmanager
-    def serving(self) -> Iterator[None]:
-        """Count a request as in flight while the context is active."""
-        self.in_flight += 1
-        self._last_activity_ms = get_monotonic_ms()
+    def serving(self, request_id: str = '', peer: str = '') -> Iterator[None]:
+        """
+        Count a request as in flight while the context is active.
+
+        Parameters
+        ----------
+        request_id : str
+            Its identifier, for the log.
+        peer : str
+            Who sent it, for the log.
+        """
+        request = RequestInFlight(
+            request_id=request_id, peer=peer, started_ms=get_monotonic_ms()
+        )
+        self._requests.add(request)
+        self._last_activity_ms = request.started_ms
         try:
             yield
         finally:
-            self.in_flight -= 1
+            self._requests.discard(request)
             self._last_activity_ms = get_monotonic_ms()
 
     def is_idle(self) -> bool:
@@ -52,10 +73,30 @@
         # Uses CLOCK_BOOTTIME, which includes time in suspend: a process that is
         # suspended while it waits gets no additional time.
         end_ms = get_boottime_ms() + limit_ms
-        while not self.is_idle():
-            if get_boottime_ms() >= end_ms:
-                return False
+        is_idle = self.is_idle()
+        while not is_idle and get_boottime_ms() < end_ms:
             await asyncio.sleep(
                 global_settings.SHUTDOWN_POLL_MS / _MS_PER_SECOND
             )
-        return True
+            is_idle = self.is_idle()
+        self._wait_ended_ms = get_monotonic_ms()
+        log_event(
+            'drain_wait_ended',
+            step=_STEP,
+            is_idle=is_idle,
+            in_flight=self.in_flight,
+        )
+        return is_idle
+
+    def log_interrupted_requests(self) -> None:
+        """Log each request in flight, just before the process exits."""
+        now_ms = get_monotonic_ms()
+        for request in self._requests:
+            log_error(
+                'request_interrupted',
+                step=_STEP,
+                peer=request.peer,
+                request_id=request.request_id,
+                age_ms=round(now_ms - request.started_ms),
+                since_wait_ended_ms=round(now_ms - self._wait_ended_ms),
+            )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/request_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/request_routes.py
@@ -73,7 +73,7 @@
         """Run one pipeline for one caller."""
         if self._context.drain.in_flight >= global_settings.MAX_IN_FLIGHT:
             return self._refuse(self._make_overload_refusal())
-        with self._context.drain.serving():
+        with self._context.drain.serving(peer=request.remote or ''):
             admitted = await self._validator.admit(request)
             if isinstance(admitted, Err):
                 return self._refuse(admitted.err_value)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -180,7 +180,7 @@
         self._service.requesters.record_request(order.asker, now_ms)
         pieces = decode_pieces(order, now_ms)
         # A stopping host still finishes the pieces of its peers.
-        with self._context.drain.serving():
+        with self._context.drain.serving(peer=order.asker):
             results = await self._service.run(order.pool, pieces)
         return respond(encode_results(results))
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_handler.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_handler.py
@@ -7,7 +7,10 @@
 
 from ragworthollow.logs.events import log_event
 from ragworthollow.outcomes import Outcome, Reason
-from ragworthollow.platform.request_wire import read_request_parameters
+from ragworthollow.platform.request_wire import (
+    read_request_id,
+    read_request_parameters,
+)
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.admission import Admission
 from ragworthollow_daemon.gateway.context import GatewayContext
@@ -50,7 +53,8 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request and return its response."""
         received_ms = get_monotonic_ms()
-        with self._context.drain.serving():
+        request_id = read_request_id(request.headers)
+        with self._context.drain.serving(request_id, request.remote or ''):
             admitted = await self._admission.admit(request, received_ms)
             if isinstance(admitted, Err):
                 result: ResponseResult = admitted
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -165,6 +165,7 @@
                 global_settings.GATEWAY_FINAL_RESPONSES_MS,
             )
         await self.membership.end()
+        self.context.drain.log_interrupted_requests()
         log_event(
             'drained',
             step='lifecycle',
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/stage_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/stage_routes.py
@@ -54,7 +54,7 @@
             call = msgspec.json.decode(await request.read(), type=StageCall)
         except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=400)
-        with self._context.drain.serving():
+        with self._context.drain.serving(call.request_id, request.remote or ''):
             refused = self._executor.check(call)
             if refused is not None:
                 return respond(self._executor.finalize_answer(refused))
@@ -75,7 +75,7 @@
         )
 
     async def _run_once(self, call: StageCall, once: OnceKey) -> StageAnswer:
-        with self._context.drain.serving():
+        with self._context.drain.serving(call.request_id):
             return await self._once_executor.run(call, once)
 
     async def _stream(
--- a/packages/ragworthollow/src/ragworthollow/platform/request_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/request_wire.py
@@ -63,6 +63,11 @@
 )
 
 
+def read_request_id(headers: Mapping[str, str]) -> str:
+    """Return the identifier that the caller chose; empty if there is none."""
+    return headers.get(_ID, '')
+
+
 def read_request_parameters(headers: Mapping[str, str]) -> RequestParameters:
     """
     Decode the headers that determine how a request is served.
@@ -76,7 +81,7 @@
     """
     prompt_tokens, output_tokens = _read_pair(headers.get(_TOKENS, ''))
     return RequestParameters(
-        request_id=headers.get(_ID, ''),
+        request_id=read_request_id(headers),
         key=_read_key(headers.get('Authorization', '')),
         time_limit_ms=_read_number(headers.get(_DEADLINE, '')),
         prompt_parts=_read_parts(headers.get(_PREFIX, '')),
