Show two ways in which the exit of a gateway process interrupts requests

A response that its caller reads slowly counts as finished while most of it is in the buffers of the process, and is lost at the exit (drained, cut 0).

--- /dev/null
+++ b/tests/features/steps/process_exit.py
@@ -0,0 +1,92 @@
+"""Steps of the exit of a stopping process, with real processes."""
+
+import asyncio
+from types import SimpleNamespace
+
+from behave import then, when
+
+from tests.fixtures.gateway_process import GatewayProcess
+from tests.fixtures.open_connection import OpenConnection
+
+_OK = 200
+_WRITE_PATH = '/api/kv-txn'
+_REQUEST_ID = 'sent-late'
+# Longer than the process takes to exit once it has left the store.
+_AFTER_EXIT_S = 1
+
+
+@when('a gateway process stops, and the store is slow to remove its record')
+def stop_with_slow_store(context):
+    harness = context.gateway_process
+    context.connection = harness.run(_stop_with_slow_store(harness))
+
+
+async def _stop_with_slow_store(harness: GatewayProcess) -> OpenConnection:
+    connection = await harness.connect()
+    writes = harness.store.counts[_WRITE_PATH]
+    harness.terminate()
+    await harness.wait_for(lambda: harness.store.counts[_WRITE_PATH] > writes)
+    harness.store.faults.active = {'mute': 1}
+    await harness.wait_for(harness.is_leaving_store)
+    return connection
+
+
+@when('a request is sent on a connection that has stayed open')
+def send_late(context):
+    context.late = context.gateway_process.run(
+        _send_late(context.gateway_process, context.connection)
+    )
+
+
+async def _send_late(
+    harness: GatewayProcess, connection: OpenConnection
+) -> SimpleNamespace:
+    (upstream,) = harness.upstreams.values()
+    connection.send('/unsafe/hold', _REQUEST_ID)
+    reading = asyncio.ensure_future(connection.read_status())
+    await harness.wait_for(
+        lambda: reading.done() or upstream.count_runs(_REQUEST_ID)
+    )
+    # A process that waits for the request gets its response only now.
+    await asyncio.wait({reading}, timeout=_AFTER_EXIT_S)
+    upstream.resume_event.set()
+    status = await reading
+    return SimpleNamespace(
+        runs=upstream.count_runs(_REQUEST_ID),
+        status=status,
+        is_whole=status is not None and await connection.read_body(),
+    )
+
+
+@then('the request has not run, or its caller got the complete response')
+def check_late(context):
+    late = context.late
+    assert not late.runs or (late.status == _OK and late.is_whole), late
+
+
+@when('a gateway process stops while a caller reads a large response slowly')
+def stop_while_reading(context):
+    context.is_whole = context.gateway_process.run(
+        _stop_while_reading(context.gateway_process)
+    )
+
+
+async def _stop_while_reading(harness: GatewayProcess) -> bool:
+    connection = await harness.connect()
+    connection.send('/unsafe/large', _REQUEST_ID)
+    assert await connection.read_status() == _OK
+    harness.terminate()
+    await harness.wait_for(lambda: harness.find_events('drain_wait_ended'))
+    end_s = asyncio.get_running_loop().time() + _AFTER_EXIT_S
+    await harness.wait_for(
+        lambda: (
+            not harness.is_running()
+            or asyncio.get_running_loop().time() > end_s
+        )
+    )
+    return await connection.read_body()
+
+
+@then('the caller got the complete response before the process ended')
+def check_large_response(context):
+    assert context.is_whole
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -12,6 +12,8 @@
 _EVENT_COUNT = 5
 # An instance crashes when it is asked to run a piece with this key.
 CRASHING_KEY = 'crash'
+# More than the buffers of a connection hold.
+LARGE_BODY_BYTES = 32_000_000
 
 
 class UpstreamStandin:
@@ -267,6 +269,12 @@
     return True
 
 
+async def _respond_at_length(standin, request, _reader, writer):
+    headers = standin.record_run(request)
+    _write_response(writer, '200 OK', headers, bytes(LARGE_BODY_BYTES))
+    return True
+
+
 async def _crash(standin, request, _reader, writer):
     _start_stream(standin, request, writer)
     await writer.drain()
@@ -338,6 +346,7 @@
     'twice': _respond_twice,
     'wait': _wait_for_disconnect,
     'hold': _respond_when_allowed,
+    'large': _respond_at_length,
     'crash': _crash,
     'stream': _stream,
     'break': _break_stream,
