Close the connections of a stopping gateway before it exits

Callers saw: a request that must not be repeated, taken 3.57 s after SIGTERM, ran at an upstream, and its connection was closed without a response.

Cause: the gateway waited until nothing was in flight, then for the store to delete its record (up to 100 ms), and exited. Meanwhile its listener and the open connections of callers took requests as before. Nothing in flight is a state of one moment; the decision to exit did not stop the source of requests. For the same reason a response counted as delivered when its handler returned: what was still in the buffers of the process was lost.

Now a stopping gateway stops listening once nothing is in flight, closes idle connections, and exits when no connection of callers or peers is left: what arrives on an open one is served, and a closed connection has delivered its response. The limit of the stop holds as before.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/drain.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/drain.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
+from math import isinf
 
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_error, log_event
@@ -79,13 +80,14 @@
                 global_settings.SHUTDOWN_POLL_MS / _MS_PER_SECOND
             )
             is_idle = self.is_idle()
-        self._wait_ended_ms = get_monotonic_ms()
-        log_event(
-            'drain_wait_ended',
-            step=_STEP,
-            is_idle=is_idle,
-            in_flight=self.in_flight,
-        )
+        if isinf(self._wait_ended_ms):
+            self._wait_ended_ms = get_monotonic_ms()
+            log_event(
+                'drain_wait_ended',
+                step=_STEP,
+                is_idle=is_idle,
+                in_flight=self.in_flight,
+            )
         return is_idle
 
     def log_interrupted_requests(self) -> None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-from aiohttp import web
-
 from ragworthollow.conf import GatewaySettings, global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.membership.gateway_members import GatewayMembers
@@ -16,6 +14,7 @@
 from ragworthollow_daemon.gateway.instances_subscriber import (
     InstancesSubscriber,
 )
+from ragworthollow_daemon.gateway.listeners import Listeners
 from ragworthollow_daemon.gateway.membership import Membership
 from ragworthollow_daemon.gateway.peer_routes import PeerRoutes
 from ragworthollow_daemon.gateway.piece_client import PieceClient
@@ -32,9 +31,6 @@
     make_store_poller,
 )
 
-# The drain has already waited for requests; only idle connections remain.
-_SHUTDOWN_S = 0.1
-
 
 class GatewayRole:
     """
@@ -89,7 +85,7 @@
             announced=self.service.get_schedulers().announced,
             store_poller=self._store_poller,
         )
-        self._runners: list[web.BaseRunner] = []
+        self._listeners = Listeners()
 
     async def start(self) -> None:
         """Start the listeners, then the background loops."""
@@ -104,34 +100,32 @@
             service=self.service,
             handover=self._handover,
         )
-        await self._run(
-            web.ServerRunner(
-                web.Server(readiness.handle, access_log=None),
-                shutdown_timeout=_SHUTDOWN_S,
-            ),
+        await self._listeners.serve(
             self._settings.ready_address,
+            readiness.make_server(),
+            drains=False,
         )
-        await self._run(
-            web.ServerRunner(
-                LimitedServer(
-                    request_handler.handle,
-                    get_limits=self.context.get_limits,
-                ),
-                shutdown_timeout=_SHUTDOWN_S,
-            ),
+        await self._listeners.serve(
             self._settings.front_address,
+            LimitedServer(
+                request_handler.handle,
+                get_limits=self.context.get_limits,
+            ),
+            drains=True,
         )
-        await self._serve_application(
+        await self._listeners.serve_application(
             self._settings.peer_address,
             peer_routes.make_application(),
+            drains=True,
         )
         if self._settings.metrics_address:
             status_routes = StatusRoutes(
                 context=self.context, pieces=self._piece_client
             )
-            await self._serve_application(
+            await self._listeners.serve_application(
                 self._settings.metrics_address,
                 status_routes.make_application(),
+                drains=False,
             )
         self.context.spawn_loop(self._store_poller.run())
         self.context.spawn_loop(self._tick(request_handler))
@@ -154,15 +148,19 @@
         The load balancer checks readiness once a second and needs two negative
         responses, so new connections keep arriving for a while.  They are
         served like any other, and each response closes its connection.
+
+        The process may exit only once its connections are closed: on an open
+        one a request may arrive at any moment, and a response that has been
+        written may not have been delivered.
         """
         started_ms = get_monotonic_ms()
         await self.membership.leave()
         await self.context.stop.wait(global_settings.GATEWAY_BALANCER_LAG_MS)
-        remaining_ms = self.context.stop.get_remaining_ms(get_boottime_ms())
-        if not await self.context.drain.wait_until_idle(remaining_ms):
+        await self.context.drain.wait_until_idle(self._get_remaining_ms())
+        if not await self._close_listeners(self._get_remaining_ms()):
             self.context.stop.abort()
-            await self.context.drain.wait_until_idle(
-                global_settings.GATEWAY_FINAL_RESPONSES_MS,
+            await self._close_listeners(
+                global_settings.GATEWAY_FINAL_RESPONSES_MS
             )
         await self.membership.end()
         self.context.drain.log_interrupted_requests()
@@ -176,10 +174,32 @@
 
     async def close(self) -> None:
         """Close the listeners, the background loops and the sessions."""
-        for runner in self._runners:
-            await runner.cleanup()
+        await self._listeners.cleanup()
         await self.context.close()
 
+    def _get_remaining_ms(self) -> float:
+        return self.context.stop.get_remaining_ms(get_boottime_ms())
+
+    async def _close_listeners(self, limit_ms: float) -> bool:
+        """
+        Close the connections of callers and peers, and finish all requests.
+
+        Parameters
+        ----------
+        limit_ms : float
+            Maximum wait in milliseconds.
+
+        Returns
+        -------
+        bool
+            False if the limit passed before.
+        """
+        open_connections, is_idle = await asyncio.gather(
+            self._listeners.drain(limit_ms),
+            self.context.drain.wait_until_idle(limit_ms),
+        )
+        return is_idle and not open_connections
+
     async def _tick(self, request_handler: RequestHandler) -> None:
         while True:
             await asyncio.sleep(global_settings.SCHEDULER_TICK_MS / 1000)
@@ -187,29 +207,3 @@
             self._piece_client.notify_new_hosts()
             self.service.advance_all()
             request_handler.start_deferred()
-
-    async def _serve_application(
-        self,
-        address: str,
-        application: web.Application,
-    ) -> None:
-        runner = web.AppRunner(
-            application,
-            access_log=None,
-            handler_cancellation=True,
-            shutdown_timeout=_SHUTDOWN_S,
-        )
-        await self._run(runner, address)
-
-    async def _run(self, runner: web.BaseRunner, address: str) -> None:
-        host, _, port = address.rpartition(':')
-        await runner.setup()
-        site = web.TCPSite(
-            runner,
-            host,
-            int(port),
-            backlog=global_settings.MAX_CONNECTIONS,
-            reuse_address=True,
-        )
-        await site.start()
-        self._runners.append(runner)
