Let a gateway that is stopping finish when one of its loops fails

A loop without which a gateway must not go on requests its shutdown by SIGTERM. A second SIGTERM ends the process at once: a loop that failed during a planned stop, or two loops that failed together, cut every request in flight.

The new scenario failed before (one request for shutdown while stopping).

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -193,7 +193,8 @@
 
         A gateway whose loop has failed would keep serving from stale state,
         accepting keys that have been revoked since.  It shuts down instead,
-        and is restarted.
+        and is restarted.  While it is shutting down already it continues: a
+        second signal would abort all requests.
         """
         self.spawn(coroutine).add_done_callback(self._handle_loop_end)
 
@@ -217,7 +218,9 @@
         return max(1, slack / max(self._members, 4))
 
     def _handle_loop_end(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
+        if task.cancelled() or task.exception() is None:
+            return
+        if not self.drain.is_draining:
             self._request_shutdown()
 
     def _handle_task_end(self, task: asyncio.Task[None]) -> None:
--- a/tests/features/lost_calls.feature
+++ b/tests/features/lost_calls.feature
@@ -65,6 +65,12 @@
     When the loop of a gateway that polls the store ends with an error
     Then the gateway requests its shutdown
 
+  Scenario: An essential loop ends with an error during a planned stop
+    # Guards against requests that are cut because a stopping process gets a
+    # second signal, from itself, which ends it at once.
+    When a loop of a gateway that is already stopping ends with an error
+    Then the gateway requests no second shutdown
+
   Scenario: A gateway that knows no instances hosts no scheduler
     # A gateway restarts while the store is unavailable. It answered pings, so
     # the other gateways handed it their schedulers: 114 pieces waited there for
--- a/tests/features/steps/lost_calls.py
+++ b/tests/features/steps/lost_calls.py
@@ -324,10 +324,18 @@
 @when('the loop of a gateway that polls the store ends with an error')
 def end_loop(context):
     context.shutdown_requests = []
-    asyncio.run(_end_loop(context.shutdown_requests))
+    asyncio.run(_end_loop(context.shutdown_requests, is_stopping=False))
 
 
-async def _end_loop(shutdown_requests: list[bool]) -> None:
+@when('a loop of a gateway that is already stopping ends with an error')
+def end_loop_while_stopping(context):
+    context.shutdown_requests = []
+    asyncio.run(_end_loop(context.shutdown_requests, is_stopping=True))
+
+
+async def _end_loop(
+    shutdown_requests: list[bool], *, is_stopping: bool
+) -> None:
     settings = GatewaySettings(
         role='gateway',
         instance='g1',
@@ -341,6 +349,7 @@
         settings=settings,
         request_shutdown=lambda: shutdown_requests.append(True),
     )
+    gateway.drain.is_draining = is_stopping
     gateway.spawn_loop(_fail())
     await asyncio.sleep(0)
     await asyncio.sleep(0)
@@ -354,3 +363,8 @@
 @then('the gateway requests its shutdown')
 def check_shutdown_requested(context):
     assert context.shutdown_requests == [True]
+
+
+@then('the gateway requests no second shutdown')
+def check_no_second_shutdown(context):
+    assert not context.shutdown_requests
