Let processes of a test fleet inherit the module path

Processes that tests start replaced PYTHONPATH by the root of the checkout, so that in a worktree they ran the code that is installed, not its own.

--- a/measure/processes.py
+++ b/measure/processes.py
@@ -12,6 +12,12 @@
 _STEP_S = 0.02
 
 
+def _make_python_path() -> str:
+    """Put the root before the path of this process, which a worktree sets."""
+    inherited = os.environ.get('PYTHONPATH', '')
+    return os.pathsep.join(filter(None, (str(ROOT), inherited)))
+
+
 class Processes:
     """
     Own child processes; each is ended by its id.
@@ -34,7 +40,7 @@
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
-                env={**os.environ, 'PYTHONPATH': str(ROOT)},
+                env={**os.environ, 'PYTHONPATH': _make_python_path()},
             )
         self._running[name] = process
         return process
