Keep a connection open on which half of a request head has arrived

A stopping gateway took a connection whose caller was sending a head for idle, and closed it without an answer, although it had seconds left. Nothing had run, so the caller could retry. The time limit for heads bounds the wait.

--- a/packages/ragworthollow/src/ragworthollow/transport/limited_server.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/limited_server.py
@@ -73,6 +73,10 @@
         self._cancel_head_timer()
         super().connection_lost(exc)
 
+    def is_receiving_head(self) -> bool:
+        """Return whether a part of a request head has arrived."""
+        return self._head_timer is not None
+
     def _is_waiting(self) -> bool:
         """
         Return whether no request is in progress and none has arrived.
--- a/packages/ragworthollow/src/ragworthollow/transport/listener_closing.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/listener_closing.py
@@ -6,6 +6,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from ragworthollow.conf import global_settings
+from ragworthollow.transport.limited_server import LimitedConnection
 from ragworthollow.utils import get_boottime_ms
 
 _MS_PER_SECOND = 1000
@@ -56,6 +57,9 @@
 
 
 def _is_idle(connection: RequestHandler) -> bool:
-    """Return whether a connection waits for the head of a request."""
+    """Return whether no request is in progress on a connection."""
+    if isinstance(connection, LimitedConnection):
+        if connection.is_receiving_head():
+            return False
     waiter = connection._waiter  # noqa: SLF001
     return waiter is not None and not waiter.done()
--- a/tests/features/listener_closing.feature
+++ b/tests/features/listener_closing.feature
@@ -15,3 +15,8 @@
     # Guards against a wait that interrupts the requests it waits for.
     When a listener closes while a request runs
     Then the caller got its response
+
+  Scenario: A caller has sent half of a head when the listener closes
+    # Guards against a wait that drops a request of which a part has arrived.
+    When a listener closes while the head of a request arrives
+    Then the caller got its response
--- a/tests/features/steps/listener_closing.py
+++ b/tests/features/steps/listener_closing.py
@@ -14,6 +14,7 @@
 
 _HOST = '127.0.0.1'
 _REQUEST = b'GET / HTTP/1.1\r\nHost: service.example\r\n\r\n'
+_HALF = len(_REQUEST) // 2
 _LIMIT_MS = 2000
 _RUN_S = 0.05
 # More iterations of the event loop than it takes to accept a connection.
@@ -84,6 +85,31 @@
     return response
 
 
+@when('a listener closes while the head of a request arrives')
+def close_in_head(context):
+    context.response = uvloop.run(_close_in_head())
+
+
+async def _close_in_head() -> bytes:
+    started: list[bool] = []
+    runner, port = await _serve(started)
+    reader, writer = await asyncio.open_connection(_HOST, port)
+    writer.write(_REQUEST)
+    await reader.readuntil(b'\r\n\r\n')
+    writer.write(_REQUEST[:_HALF])
+    (connection,) = runner.server.connections
+    while not connection.is_receiving_head():
+        await asyncio.sleep(0)
+    closing = asyncio.ensure_future(close_listener(runner, _LIMIT_MS))
+    await asyncio.wait({closing}, timeout=_RUN_S)
+    writer.write(_REQUEST[_HALF:])
+    response = await reader.read()
+    writer.close()
+    await closing
+    await runner.cleanup()
+    return response
+
+
 @then('the caller got its response')
 def check_response(context):
     assert context.response.startswith(b'HTTP/1.1 200'), context.response
