Tell the platform's first signal from a shutdown that a gateway starts itself

A gateway whose essential loop fails stopped itself by SIGTERM. Two loops that fail in the same moment sent two signals before the first was handled, and the platform's first SIGTERM counted as a second one: the process ended at once and cut every request in flight. Now the gateway begins its shutdown directly and once, and only a second signal from outside ends it at once.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -27,8 +27,11 @@
 from ragworthollow_daemon.gateway.quarantine import Quarantine
 from ragworthollow_daemon.gateway.shutdown_state import ShutdownState
 
+RequestShutdown = Callable[[], None]
 
-def _send_sigterm() -> None:
+
+def send_sigterm() -> None:
+    """Send SIGTERM to this process, as the platform does."""
     signal.raise_signal(signal.SIGTERM)
 
 
@@ -50,9 +53,10 @@
         self,
         *,
         settings: GatewaySettings,
-        request_shutdown: Callable[[], None] = _send_sigterm,
+        request_shutdown: RequestShutdown = send_sigterm,
     ) -> None:
         self._request_shutdown = request_shutdown
+        self._is_shutdown_requested = False
         self.settings = settings
         self.incarnation = make_identifier()
         self.metrics = Metrics()
@@ -220,7 +224,8 @@
     def _handle_loop_end(self, task: asyncio.Task[None]) -> None:
         if task.cancelled() or task.exception() is None:
             return
-        if not self.drain.is_draining:
+        if not self.drain.is_draining and not self._is_shutdown_requested:
+            self._is_shutdown_requested = True
             self._request_shutdown()
 
     def _handle_task_end(self, task: asyncio.Task[None]) -> None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -10,7 +10,11 @@
 from ragworthollow_daemon.gateway.configuration_subscriber import (
     ConfigurationSubscriber,
 )
-from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.context import (
+    GatewayContext,
+    RequestShutdown,
+    send_sigterm,
+)
 from ragworthollow_daemon.gateway.instances_subscriber import (
     InstancesSubscriber,
 )
@@ -40,11 +44,21 @@
     ----------
     settings : GatewaySettings
         Validated settings.
+    request_shutdown : callable
+        Starts a graceful shutdown of this process.
     """
 
-    def __init__(self, *, settings: GatewaySettings) -> None:
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        request_shutdown: RequestShutdown = send_sigterm,
+    ) -> None:
         self._settings = settings
-        self.context = GatewayContext(settings=settings)
+        self.context = GatewayContext(
+            settings=settings,
+            request_shutdown=request_shutdown,
+        )
         self.members = GatewayMembers(
             instance=settings.instance,
             capacity=settings.get_capacity(),
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/service.py
@@ -32,7 +32,11 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._handle_stop_signal)
         loop.add_signal_handler(signal.SIGHUP, self._handle_reload_signal)
-        self._role = GatewayRole(settings=self.settings)
+        self._is_signalled = False
+        self._role = GatewayRole(
+            settings=self.settings,
+            request_shutdown=self._begin_shutdown,
+        )
         await self._role.start()
         log_event(
             'started',
@@ -55,15 +59,21 @@
         os._exit(0)
 
     def _handle_stop_signal(self) -> None:
-        drain = self._role.context.drain
-        if drain.is_draining:
+        if self._is_signalled:
             log_error(
                 'stopped_at_once',
                 step='lifecycle',
                 peer=self.settings.instance,
-                cut=drain.in_flight,
+                cut=self._role.context.drain.in_flight,
             )
             os._exit(_FORCED_EXIT_CODE)
+        self._is_signalled = True
+        self._begin_shutdown()
+
+    def _begin_shutdown(self) -> None:
+        drain = self._role.context.drain
+        if drain.is_draining:
+            return
         self._role.begin_shutdown()
         log_event(
             'draining',
--- a/tests/features/lost_calls.feature
+++ b/tests/features/lost_calls.feature
@@ -71,6 +71,12 @@
     When a loop of a gateway that is already stopping ends with an error
     Then the gateway requests no second shutdown
 
+  Scenario: Two essential loops end with an error at the same moment
+    # Guards against a process that sends itself a second signal before the
+    # first one has been handled, and ends at once.
+    When two loops of a gateway end with an error at the same moment
+    Then the gateway requests its shutdown
+
   Scenario: A gateway that knows no instances hosts no scheduler
     # A gateway restarts while the store is unavailable. It answered pings, so
     # the other gateways handed it their schedulers: 114 pieces waited there for
--- a/tests/features/process_exit.feature
+++ b/tests/features/process_exit.feature
@@ -13,3 +13,16 @@
     # buffers of the process, and are lost at its exit.
     When a gateway process stops while a caller reads a large response slowly
     Then the caller got the complete response before the process ended
+
+  Scenario Outline: <loops> loops fail, and the platform sends <signals> signals
+    # Guards against requests that are cut because a process that stops by
+    # itself takes a first signal of the platform for a second one.
+    When <loops> loops of a gateway process fail at its start
+    And it gets SIGTERM <signals> times
+    Then it has stopped gracefully
+
+    Examples:
+      | loops | signals |
+      | 1     | 0       |
+      | 2     | 0       |
+      | 1     | 1       |
--- a/tests/features/steps/lost_calls.py
+++ b/tests/features/steps/lost_calls.py
@@ -334,7 +334,7 @@
 
 
 async def _end_loop(
-    shutdown_requests: list[bool], *, is_stopping: bool
+    shutdown_requests: list[bool], *, is_stopping: bool, loops: int = 1
 ) -> None:
     settings = GatewaySettings(
         role='gateway',
@@ -350,12 +350,21 @@
         request_shutdown=lambda: shutdown_requests.append(True),
     )
     gateway.drain.is_draining = is_stopping
-    gateway.spawn_loop(_fail())
+    for _ in range(loops):
+        gateway.spawn_loop(_fail())
     await asyncio.sleep(0)
     await asyncio.sleep(0)
     await gateway.close()
 
 
+@when('two loops of a gateway end with an error at the same moment')
+def end_two_loops(context):
+    context.shutdown_requests = []
+    asyncio.run(
+        _end_loop(context.shutdown_requests, is_stopping=False, loops=2)
+    )
+
+
 async def _fail() -> None:
     raise ValueError
 
--- a/tests/features/steps/process_exit.py
+++ b/tests/features/steps/process_exit.py
@@ -90,3 +90,26 @@
 @then('the caller got the complete response before the process ended')
 def check_large_response(context):
     assert context.is_whole
+
+
+@when('{loops:d} loops of a gateway process fail at its start')
+def start_failing(context, loops):
+    harness = context.gateway_process
+    harness.run(harness.start_failing_process(loops))
+    harness.run(harness.wait_for(lambda: harness.find_events('task_failed')))
+
+
+@when('it gets SIGTERM {signals:d} times')
+def send_signals(context, signals):
+    for _ in range(signals):
+        context.gateway_process.terminate()
+
+
+@then('it has stopped gracefully')
+def check_graceful_stop(context):
+    harness = context.gateway_process
+    # The fixture's process has written to the same log.
+    drained = len(harness.find_events('drained'))
+    assert harness.run(harness.wait_for_exit()) == 0
+    assert len(harness.find_events('drained')) == drained + 1
+    assert not harness.find_events('stopped_at_once')
