Answer callers whose body is incomplete when a stop reaches its limit

Shortly before its exit a stopping gateway ends what it waits for, and tells the callers. The wait for the rest of a body, and that for the first configuration, were not among these: their callers saw a closed connection. Nothing had been passed on; now they get 503, not run.

A body that has arrived costs nothing more.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
@@ -71,7 +71,7 @@
         limit_ms = route.timeout_ms
         if request_parameters.time_limit_ms is not None:
             limit_ms = min(limit_ms, request_parameters.time_limit_ms)
-        body_result = await _read_body(
+        body_result = await self._read_body(
             request, table.limits.body_bytes, limit_ms, route.name
         )
         if isinstance(body_result, Err):
@@ -116,11 +116,29 @@
             and request_parameters.time_limit_ms is not None
         ):
             share = global_settings.CONFIGURATION_WAIT_SHARE
-            await context.wait_for_route_table(
-                request_parameters.time_limit_ms * share
+            await context.stop.run(
+                context.wait_for_route_table(
+                    request_parameters.time_limit_ms * share
+                )
             )
         return context.route_table
 
+    async def _read_body(
+        self,
+        request: web.BaseRequest,
+        limit_bytes: int,
+        limit_ms: float,
+        route_name: str,
+    ) -> Result[bytes, UpstreamFailure]:
+        """Read the full body, unless the process aborts it first."""
+        reading = _read_body(request, limit_bytes, limit_ms, route_name)
+        if request.content.is_eof():
+            return await reading
+        body_result = await self._context.stop.run(reading)
+        if body_result is None:
+            return Err(make_shutdown_failure(route_name, Outcome.not_run))
+        return body_result
+
     def _find_waited_ms(
         self,
         route: Route,
--- a/tests/features/process_exit.feature
+++ b/tests/features/process_exit.feature
@@ -14,6 +14,12 @@
     When a gateway process stops while a caller reads a large response slowly
     Then the caller got the complete response before the process ended
 
+  Scenario: A caller has sent half of a body when the stop reaches its limit
+    # Guards against requests that get no response because their body, or the
+    # first configuration, is awaited outside of what the limit ends.
+    When a gateway process stops while a caller sends half of a body
+    Then the caller was told that the request has not run
+
   Scenario Outline: <loops> loops fail, and the platform sends <signals> signals
     # Guards against requests that are cut because a process that stops by
     # itself takes a first signal of the platform for a second one.
--- a/tests/features/steps/process_exit.py
+++ b/tests/features/steps/process_exit.py
@@ -9,7 +9,10 @@
 from tests.fixtures.open_connection import OpenConnection
 
 _OK = 200
+_UNAVAILABLE = 503
 _WRITE_PATH = '/api/kv-txn'
+# Longer than the platform lets a stopping process live.
+_TIME_LIMIT_MS = 20_000
 _REQUEST_ID = 'sent-late'
 # Longer than the process takes to exit once it has left the store.
 _AFTER_EXIT_S = 1
@@ -92,6 +95,26 @@
     assert context.is_whole
 
 
+@when('a gateway process stops while a caller sends half of a body')
+def stop_in_body(context):
+    context.status = context.gateway_process.run(
+        _stop_in_body(context.gateway_process)
+    )
+
+
+async def _stop_in_body(harness: GatewayProcess) -> int | None:
+    await harness.raise_time_limits(_TIME_LIMIT_MS)
+    connection = await harness.connect()
+    connection.send('/unsafe/answer', _REQUEST_ID, 'Content-Length: 9')
+    harness.terminate()
+    return await connection.read_status()
+
+
+@then('the caller was told that the request has not run')
+def check_not_run(context):
+    assert context.status == _UNAVAILABLE, context.status
+
+
 @when('{loops:d} loops of a gateway process fail at its start')
 def start_failing(context, loops):
     harness = context.gateway_process
