Log how many connections a stopping gateway leaves open

A response whose caller has not read it at the limit of the stop is lost, and the log showed nothing: request_ended with 200, and drained with cut 0. drained now counts the connections that were still open.

The scenario runs a real process, which exits by itself within its grace time.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -171,9 +171,10 @@
         await self.membership.leave()
         await self.context.stop.wait(global_settings.GATEWAY_BALANCER_LAG_MS)
         await self.context.drain.wait_until_idle(self._get_remaining_ms())
-        if not await self._close_listeners(self._get_remaining_ms()):
+        open_connections = await self._close_listeners(self._get_remaining_ms())
+        if open_connections or self.context.drain.in_flight:
             self.context.stop.abort()
-            await self._close_listeners(
+            open_connections = await self._close_listeners(
                 global_settings.GATEWAY_FINAL_RESPONSES_MS
             )
         await self.membership.end()
@@ -183,6 +184,7 @@
             step='lifecycle',
             peer=self._settings.instance,
             cut=self.context.drain.in_flight,
+            open_connections=open_connections,
             elapsed_ms=round(get_monotonic_ms() - started_ms),
         )
 
@@ -194,7 +196,7 @@
     def _get_remaining_ms(self) -> float:
         return self.context.stop.get_remaining_ms(get_boottime_ms())
 
-    async def _close_listeners(self, limit_ms: float) -> bool:
+    async def _close_listeners(self, limit_ms: float) -> int:
         """
         Close the connections of callers and peers, and finish all requests.
 
@@ -205,14 +207,14 @@
 
         Returns
         -------
-        bool
-            False if the limit passed before.
+        int
+            Number of connections that are still open.
         """
-        open_connections, is_idle = await asyncio.gather(
+        open_connections, _ = await asyncio.gather(
             self._listeners.drain(limit_ms),
             self.context.drain.wait_until_idle(limit_ms),
         )
-        return is_idle and not open_connections
+        return open_connections
 
     async def _tick(self, request_handler: RequestHandler) -> None:
         while True:
--- a/tests/features/process_exit.feature
+++ b/tests/features/process_exit.feature
@@ -14,6 +14,12 @@
     When a gateway process stops while a caller reads a large response slowly
     Then the caller got the complete response before the process ended
 
+  Scenario: A caller never reads its response
+    # Guards against a stop that one caller holds up until the process is
+    # killed, and against lost responses without a line in the log.
+    When a gateway process stops while a caller reads nothing
+    Then it has stopped gracefully, and logged 1 open connections
+
   Scenario: A caller has sent half of a body when the stop reaches its limit
     # Guards against requests that get no response because their body, or the
     # first configuration, is awaited outside of what the limit ends.
--- a/tests/features/steps/process_exit.py
+++ b/tests/features/steps/process_exit.py
@@ -95,6 +95,28 @@
     assert context.is_whole
 
 
+@when('a gateway process stops while a caller reads nothing')
+def stop_with_stalled_caller(context):
+    context.gateway_process.run(
+        _stop_with_stalled_caller(context.gateway_process)
+    )
+
+
+async def _stop_with_stalled_caller(harness: GatewayProcess) -> None:
+    connection = await harness.connect()
+    connection.send('/unsafe/large', _REQUEST_ID)
+    assert await connection.read_status() == _OK
+    harness.terminate()
+
+
+@then('it has stopped gracefully, and logged {count:d} open connections')
+def check_open_connections(context, count):
+    harness = context.gateway_process
+    assert harness.run(harness.wait_for_exit()) == 0
+    (line,) = harness.find_events('drained')
+    assert f'"open_connections":{count},' in line, line
+
+
 @when('a gateway process stops while a caller sends half of a body')
 def stop_in_body(context):
     context.status = context.gateway_process.run(
