Let a stopping entry wait for the changes of operators

A change in progress when an entry got SIGTERM was cut: the drain counted requests of callers only, ended at once, and the cleanup cancelled the change 1 s later. The operator saw a closed connection and could not tell whether the change was in force. The announcement of an accepted change was cancelled in the same way.

Both count as in flight now, so that the process waits for them and logs those that it interrupts.

No test covers the announcement.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/operator_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/operator_routes.py
@@ -65,33 +65,8 @@
         operator = self._authenticate(request)
         if operator is None:
             return _refuse_unauthenticated()
-        request = request.clone(client_max_size=_MAX_CHANGE_BYTES)
-        try:
-            change = msgspec.json.decode(
-                await request.read(),
-                type=ChangeRequest,
-            )
-        except msgspec.DecodeError as error:
-            return respond(
-                ChangeResponse(
-                    accepted=False,
-                    reason=Reason.bad_request,
-                    detail=str(error),
-                ),
-                status=400,
-            )
-        answer = await self._publisher.publish(operator, change)
-        log_event(
-            'configuration_change',
-            step='operator',
-            peer=operator,
-            accepted=answer.accepted,
-            generation=answer.generation,
-            reason=answer.reason,
-        )
-        if answer.accepted:
-            self._context.spawn(self._announce(answer.generation))
-        return respond(answer, status=_STATUS_BY_REASON.get(answer.reason, 200))
+        with self._context.drain.serving(peer=operator):
+            return await self._change(request, operator)
 
     async def get_snapshot(self, request: web.Request) -> web.Response:
         """Show the active generation with other owners' key hashes redacted."""
@@ -130,6 +105,37 @@
         self._context.metrics.count_event('unauthenticated_operator')
         return None
 
+    async def _change(
+        self, request: web.Request, operator: str
+    ) -> web.Response:
+        request = request.clone(client_max_size=_MAX_CHANGE_BYTES)
+        try:
+            change = msgspec.json.decode(
+                await request.read(),
+                type=ChangeRequest,
+            )
+        except msgspec.DecodeError as error:
+            return respond(
+                ChangeResponse(
+                    accepted=False,
+                    reason=Reason.bad_request,
+                    detail=str(error),
+                ),
+                status=400,
+            )
+        answer = await self._publisher.publish(operator, change)
+        log_event(
+            'configuration_change',
+            step='operator',
+            peer=operator,
+            accepted=answer.accepted,
+            generation=answer.generation,
+            reason=answer.reason,
+        )
+        if answer.accepted:
+            self._context.spawn(self._announce(answer.generation))
+        return respond(answer, status=_STATUS_BY_REASON.get(answer.reason, 200))
+
     async def _announce(self, generation: int) -> None:
         """
         Announce an accepted change to the watchers of all failure domains.
@@ -145,12 +151,15 @@
             ),
         )
         watchers = self._context.peers.get_all_watchers()
-        await asyncio.gather(
-            *(
-                self._send_announcement(watcher.address, message)
-                for watcher in watchers
-            ),
-        )
+        with self._context.drain.serving(
+            peer=self._context.settings.instance,
+        ):
+            await asyncio.gather(
+                *(
+                    self._send_announcement(watcher.address, message)
+                    for watcher in watchers
+                ),
+            )
 
     async def _send_announcement(self, address: str, message: bytes) -> None:
         try:
