Keep the whole stop of an entry or a sidecar within its limit

drain_limit_ms is the longest graceful shutdown. An entry applied it to the wait for the load balancer and again to the drain; a sidecar to the transfer of its ranges and again to the drain, and called the store after that. Now all parts share one limit. A sidecar whose ranges nobody takes keeps a tenth of it for the release of its lease; the lease for orders that cannot be released in time expires.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/daemon_service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/daemon_service.py
@@ -11,6 +11,7 @@
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.entry.role import EntryRole
 from ragworthollow_daemon.process_context import ProcessContext
+from ragworthollow_daemon.shutdown_limit import ShutdownLimit
 from ragworthollow_daemon.sidecar.role import SidecarRole
 from ragworthollow_daemon.web import make_application, run_site
 
@@ -62,7 +63,8 @@
         """Serve until a signal requests shutdown and it has completed."""
         await self._shutdown_requested.wait()
         started_ms = get_monotonic_ms()
-        await self._role.stop(self.settings.drain_limit_ms)
+        limit = ShutdownLimit(limit_ms=self.settings.drain_limit_ms)
+        await self._role.stop(limit)
         drain = self._context.drain
         drain.log_interrupted_requests()
         log = log_error if drain.in_flight else log_event
@@ -74,6 +76,17 @@
             elapsed_ms=round(get_monotonic_ms() - started_ms),
         )
 
+    def request_shutdown(self) -> None:
+        """Make `serve` shut down and return."""
+        self._context.drain.is_draining = True
+        log_event(
+            'draining',
+            step='lifecycle',
+            peer=self.settings.instance,
+            in_flight=self._context.drain.in_flight,
+        )
+        self._shutdown_requested.set()
+
     def _handle_signal(self) -> None:
         if self._context.drain.is_draining:
             log_error(
@@ -83,14 +96,7 @@
                 cut=self._context.drain.in_flight,
             )
             os._exit(_ABORTED_EXIT_CODE)
-        self._context.drain.is_draining = True
-        log_event(
-            'draining',
-            step='lifecycle',
-            peer=self.settings.instance,
-            in_flight=self._context.drain.in_flight,
-        )
-        self._shutdown_requested.set()
+        self.request_shutdown()
 
 
 def _make_role(context: ProcessContext) -> EntryRole | SidecarRole:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/role.py
@@ -10,6 +10,7 @@
 from ragworthollow_daemon.entry.request_routes import RequestRoutes
 from ragworthollow_daemon.entry.request_validator import RequestValidator
 from ragworthollow_daemon.process_context import ProcessContext
+from ragworthollow_daemon.shutdown_limit import ShutdownLimit
 
 _MILLISECONDS = 1000
 
@@ -44,7 +45,7 @@
         """Start the background tasks."""
         self._context.spawn(self._pools.run())
 
-    async def stop(self, limit_ms: float) -> None:
+    async def stop(self, limit: ShutdownLimit) -> None:
         """
         Wait for the load balancer to stop sending, then until idle.
 
@@ -54,9 +55,11 @@
 
         Parameters
         ----------
-        limit_ms : float
-            Longest wait in milliseconds, applied to each of the two waits.
+        limit : ShutdownLimit
+            Limit of both waits together.
         """
         lag_ms = self._context.settings.balancer_lag_ms
-        await asyncio.sleep(min(lag_ms, limit_ms) / _MILLISECONDS)
-        await self._context.drain.wait_until_idle(limit_ms)
+        await asyncio.sleep(
+            min(lag_ms, limit.get_remaining_ms()) / _MILLISECONDS,
+        )
+        await self._context.drain.wait_until_idle(limit.get_remaining_ms())
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_agent.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_agent.py
@@ -14,6 +14,7 @@
 from ragworthollow.platform.transaction import Compare, Put
 from ragworthollow.utils import get_monotonic_ms, get_wall_ms
 from ragworthollow_daemon.process_context import ProcessContext
+from ragworthollow_daemon.shutdown_limit import ShutdownLimit
 from ragworthollow_daemon.sidecar.assignment_reader import (
     AssignmentReader,
     Members,
@@ -22,6 +23,8 @@
 from ragworthollow_daemon.sidecar.member_coordinator import MemberCoordinator
 
 _MILLISECONDS = 1000
+# Share of the limit of a shutdown that is kept for releasing the lease.
+_RELEASE_SHARE = 0.1
 
 
 class OnceAgent:
@@ -77,14 +80,14 @@
         """Read the assignment again after a member reported a newer epoch."""
         await self._reader.read()
 
-    async def leave(self, limit_ms: float) -> bool:
+    async def leave(self, limit: ShutdownLimit) -> bool:
         """
         Transfer all ranges to other members and release the lease.
 
         Parameters
         ----------
-        limit_ms : float
-            Maximum wait for the platform and the other members.
+        limit : ShutdownLimit
+            Limit of the stop of the process.
 
         Returns
         -------
@@ -92,13 +95,16 @@
             False if some ranges were not transferred; the next owner answers
             their keys as unknown.
         """
-        end_ms = get_monotonic_ms() + limit_ms
-        while self._ownership.owns_any() and get_monotonic_ms() < end_ms:
+        # Ranges that nobody takes must not use up the time in which the lease
+        # is released.
+        reserve_ms = limit.get_remaining_ms() * _RELEASE_SHARE
+        while (
+            self._ownership.owns_any() and limit.get_remaining_ms() > reserve_ms
+        ):
             self._wake.set()
             await _sleep(global_settings.LEAVING_INTERVAL_MS)
         is_clean = not self._ownership.owns_any()
-        await self.step()
-        await self._reader.lease.release()
+        await limit.run(self._end_membership())
         log_event(
             'ranges_left',
             step='once.leave',
@@ -122,6 +128,10 @@
         except TimeoutError:
             return
 
+    async def _end_membership(self) -> None:
+        await self.step()
+        await self._reader.lease.release()
+
     async def _step(self) -> None:
         self._wake.clear()
         members = await self._reader.refresh()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/role.py
@@ -11,6 +11,7 @@
 from ragworthollow.once.ownership import OwnershipRules
 from ragworthollow.utils import get_wall_ms
 from ragworthollow_daemon.process_context import ProcessContext
+from ragworthollow_daemon.shutdown_limit import ShutdownLimit
 from ragworthollow_daemon.sidecar.once_agent import OnceAgent
 from ragworthollow_daemon.sidecar.once_executor import OnceExecutor
 from ragworthollow_daemon.sidecar.once_routes import OnceRoutes
@@ -92,19 +93,20 @@
         self._context.spawn(self._run_agent())
         self._context.spawn(self._order_agent.run())
 
-    async def stop(self, limit_ms: float) -> None:
+    async def stop(self, limit: ShutdownLimit) -> None:
         """
         Refuse new work, transfer the key ranges and finish running calls.
 
         Parameters
         ----------
-        limit_ms : float
-            Maximum wait for the transfer, and again for running calls.
+        limit : ShutdownLimit
+            Limit of the whole stop; a lease that cannot be released by then
+            expires.
         """
         if self._has_once_stages():
-            await self._agent.leave(limit_ms)
-        await self._context.drain.wait_until_idle(limit_ms)
-        await self._order_agent.lease.release()
+            await self._agent.leave(limit)
+        await self._context.drain.wait_until_idle(limit.get_remaining_ms())
+        await limit.run(self._order_agent.lease.release())
 
     async def _run_agent(self) -> None:
         while True:
--- a/tests/features/steps/daemon_exit.py
+++ b/tests/features/steps/daemon_exit.py
@@ -8,6 +8,8 @@
 from measure.fleet_plan import HOST
 from ragworthollow.utils import make_identifier
 from tests.fixtures.daemon_process import DaemonProcess
+from tests.fixtures.daemon_service import DaemonHarness
+from tests.fixtures.operator_connection import connect, make_head
 
 _CHANGES_PATH = '/v1/operator/changes'
 _READ_PATH = '/api/kv-key'
@@ -55,3 +57,33 @@
 @then('the operator got the complete response to the change')
 def check_change(context):
     assert context.answer.get('accepted'), context.answer
+
+
+@when('an entry with a limit of {limit_ms:d} ms stops, and a request hangs')
+def stop_with_endless_request(context, limit_ms):
+    context.limit_ms = limit_ms
+    harness = context.daemon_service
+    harness.run(_stop_with_endless_request(harness, limit_ms))
+
+
+async def _stop_with_endless_request(
+    harness: DaemonHarness, limit_ms: int
+) -> None:
+    await harness.start_entry(balancer_lag_ms=limit_ms, drain_limit_ms=limit_ms)
+    _, writer = await connect(harness.port)
+    # The body of the request never comes.
+    writer.write(make_head('POST', _CHANGES_PATH, 1))
+    await harness.wait_for_requests(1)
+    harness.service.request_shutdown()
+    await harness.service.serve()
+    writer.close()
+    await harness.service.stop()
+
+
+@then('the whole stop did not take twice its limit')
+def check_limit(context):
+    (stopped,) = (
+        fields for event, fields in context.log_lines if event == 'stopped'
+    )
+    assert stopped['cut'] == 1, stopped
+    assert stopped['elapsed_ms'] < 2 * context.limit_ms, stopped
