Close the connections of a stopping entry or sidecar before it exits

A response that its caller read slowly was lost with the buffers of the process.

Now a process that has drained stops listening, closes idle connections, and exits once no connection is left: what arrives on an open one is served. Its long polls get their response at that moment, so that all connections can be waited for and none delays the exit for nothing. A sidecar releases its right to order the engine after that, when the call to the store can delay nobody.

The port stays bound until the exit, although nobody listens: the next process of an instance takes a port that it can bind as the end of the one before, and then owns its keys.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/daemon_service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/daemon_service.py
@@ -13,7 +13,7 @@
 from ragworthollow_daemon.process_context import ProcessContext
 from ragworthollow_daemon.shutdown_limit import ShutdownLimit
 from ragworthollow_daemon.sidecar.role import SidecarRole
-from ragworthollow_daemon.web import make_application, run_site
+from ragworthollow_daemon.web import Listener, make_application
 
 _ABORTED_EXIT_CODE = 1
 
@@ -43,7 +43,10 @@
         # Bind the port before joining the fleet: binding fails while an earlier
         # process of this instance is still running. Key ownership relies on
         # there being no such process.
-        self._runner = await run_site(application, self.settings.listen)
+        self._listener = Listener(
+            application=application, listen=self.settings.listen
+        )
+        await self._listener.start()
         await self._context.start()
         await self._role.start()
         log_event(
@@ -56,7 +59,7 @@
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close the listener, the background tasks and the sessions."""
-        await self._runner.cleanup()
+        await self._listener.cleanup()
         await self._context.close()
 
     async def serve(self) -> None:
@@ -64,15 +67,25 @@
         await self._shutdown_requested.wait()
         started_ms = get_monotonic_ms()
         limit = ShutdownLimit(limit_ms=self.settings.drain_limit_ms)
-        await self._role.stop(limit)
+        await self._role.leave(limit)
         drain = self._context.drain
+        await drain.wait_until_idle(limit.get_remaining_ms())
+        # On an open connection a request may arrive at any moment, and a
+        # response that was written may not have been delivered.
+        open_connections, _ = await asyncio.gather(
+            self._listener.close(limit.get_remaining_ms()),
+            drain.wait_until_idle(limit.get_remaining_ms()),
+        )
+        await self._role.end(limit)
         drain.log_interrupted_requests()
-        log = log_error if drain.in_flight else log_event
+        is_clean = not (drain.in_flight or open_connections)
+        log = log_event if is_clean else log_error
         log(
             'stopped',
             step='lifecycle',
             peer=self.settings.instance,
             cut=drain.in_flight,
+            open_connections=open_connections,
             elapsed_ms=round(get_monotonic_ms() - started_ms),
         )
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/role.py
@@ -45,9 +45,9 @@
         """Start the background tasks."""
         self._context.spawn(self._pools.run())
 
-    async def stop(self, limit: ShutdownLimit) -> None:
+    async def leave(self, limit: ShutdownLimit) -> None:
         """
-        Wait for the load balancer to stop sending, then until idle.
+        Wait for the load balancer to stop sending.
 
         The load balancer polls readiness at intervals, so that requests
         keep arriving for a while after the first negative response. They
@@ -56,10 +56,12 @@
         Parameters
         ----------
         limit : ShutdownLimit
-            Limit of both waits together.
+            Limit of the whole stop.
         """
         lag_ms = self._context.settings.balancer_lag_ms
         await asyncio.sleep(
             min(lag_ms, limit.get_remaining_ms()) / _MILLISECONDS,
         )
-        await self._context.drain.wait_until_idle(limit.get_remaining_ms())
+
+    async def end(self, limit: ShutdownLimit) -> None:
+        """Do nothing: an entry holds nothing that others wait for."""
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/role.py
@@ -93,19 +93,28 @@
         self._context.spawn(self._run_agent())
         self._context.spawn(self._order_agent.run())
 
-    async def stop(self, limit: ShutdownLimit) -> None:
+    async def leave(self, limit: ShutdownLimit) -> None:
         """
-        Refuse new work, transfer the key ranges and finish running calls.
+        Transfer the key ranges to other members.
 
         Parameters
         ----------
         limit : ShutdownLimit
-            Limit of the whole stop; a lease that cannot be released by then
-            expires.
+            Limit of the whole stop.
         """
         if self._has_once_stages():
             await self._agent.leave(limit)
-        await self._context.drain.wait_until_idle(limit.get_remaining_ms())
+
+    async def end(self, limit: ShutdownLimit) -> None:
+        """
+        Release the right to order the engine, once all calls have ended.
+
+        Parameters
+        ----------
+        limit : ShutdownLimit
+            Limit of the whole stop; a lease that cannot be released by then
+            expires.
+        """
         await limit.run(self._order_agent.lease.release())
 
     async def _run_agent(self) -> None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/application.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/application.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from ragworthollow.conf import ListenSettings, global_settings
+from ragworthollow.conf import global_settings
 from ragworthollow.transport.authentication import is_authentic
 from ragworthollow.transport.responses import Problem, respond
 from ragworthollow_daemon.process_context import ProcessContext
@@ -61,43 +61,3 @@
     HealthRoutes(context=context).add_to(application)
     ConfigurationRoutes(context=context).add_to(application)
     return application
-
-
-async def run_site(
-    application: web.Application,
-    listen: ListenSettings,
-) -> web.AppRunner:
-    """
-    Start to listen for connections.
-
-    Parameters
-    ----------
-    application : Application
-        Application to serve.
-    listen : ListenSettings
-        Host and port to listen on.
-
-    Returns
-    -------
-    AppRunner
-        Runner that the caller must clean up.
-    """
-    runner = web.AppRunner(
-        application,
-        access_log=None,
-        handler_cancellation=True,
-        max_field_size=global_settings.MAX_HEADER_BYTES,
-        max_line_size=global_settings.MAX_HEADER_BYTES,
-        keepalive_timeout=2 * global_settings.KEEPALIVE_MS / 1000,
-        shutdown_timeout=1,
-    )
-    await runner.setup()
-    site = web.TCPSite(
-        runner,
-        listen.host,
-        listen.port,
-        backlog=global_settings.MAX_CONNECTIONS,
-        reuse_address=True,
-    )
-    await site.start()
-    return runner
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/configuration_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/configuration_routes.py
@@ -42,6 +42,7 @@
     def __init__(self, *, context: ProcessContext) -> None:
         self._context = context
         self._changed = asyncio.Event()
+        self._is_closing = False
         context.store.add_listener(self._notify_waiters)
 
     def add_to(self, application: web.Application) -> None:
@@ -51,6 +52,7 @@
             '/v1/configuration/announcements',
             self.apply_announcement,
         )
+        application.on_shutdown.append(self._release_waiters)
 
     async def get_newer(self, request: web.Request) -> web.Response:
         """Return a newer generation, or status 204 after a long poll."""
@@ -60,7 +62,7 @@
         except (KeyError, ValueError):
             return respond(Problem(error='have and wait_ms'), status=400)
         store = self._context.store
-        if store.generation <= have:
+        if store.generation <= have and not self._is_closing:
             await self._wait_for_change(
                 min(wait_ms, global_settings.CONFIGURATION_WAIT_MS)
             )
@@ -91,3 +93,8 @@
     def _notify_waiters(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
+
+    async def _release_waiters(self, _application: web.Application) -> None:
+        """Respond to long polls, which must not delay an exit."""
+        self._is_closing = True
+        self._notify_waiters()
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/listener.py
@@ -0,0 +1,83 @@
+"""Listen for the connections of a process, and close them for its shutdown."""
+
+import socket
+
+from aiohttp import web
+
+from ragworthollow.conf import ListenSettings, global_settings
+from ragworthollow.transport.listener_closing import close_listener
+
+# The shutdown has already waited for requests.
+_CLEANUP_TIMEOUT_S = 0.1
+
+
+class Listener:
+    """
+    Own the listening socket of a process and its connections.
+
+    Parameters
+    ----------
+    application : Application
+        Application to serve.
+    listen : ListenSettings
+        Host and port to listen on.
+    """
+
+    def __init__(
+        self, *, application: web.Application, listen: ListenSettings
+    ) -> None:
+        self._listen = listen
+        self._runner = web.AppRunner(
+            application,
+            access_log=None,
+            handler_cancellation=True,
+            max_field_size=global_settings.MAX_HEADER_BYTES,
+            max_line_size=global_settings.MAX_HEADER_BYTES,
+            keepalive_timeout=2 * global_settings.KEEPALIVE_MS / 1000,
+            shutdown_timeout=_CLEANUP_TIMEOUT_S,
+        )
+        self._socket = socket.socket()
+
+    async def start(self) -> None:
+        """Bind the port and start to listen."""
+        await self._runner.setup()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind((self._listen.host, self._listen.port))
+        site = web.SockSite(
+            self._runner,
+            self._socket.dup(),
+            backlog=global_settings.MAX_CONNECTIONS,
+        )
+        await site.start()
+
+    async def close(self, limit_ms: float) -> int:
+        """
+        Refuse new connections, then wait until all open ones are closed.
+
+        The port stays bound: an instance has only one process, and the next
+        one may not start before this one has ended.
+
+        Parameters
+        ----------
+        limit_ms : float
+            Maximum wait in milliseconds.
+
+        Returns
+        -------
+        int
+            Number of connections that are still open.
+        """
+        for site in tuple(self._runner.sites):
+            await site.stop()
+        # Linux keeps the port of a listening socket that is shut down, and
+        # without SO_REUSEADDR nobody else can bind it.
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 0)
+        self._socket.shutdown(socket.SHUT_RDWR)
+        # Responds to long polls.
+        await self._runner.shutdown()
+        return await close_listener(self._runner, limit_ms)
+
+    async def cleanup(self) -> None:
+        """Close all connections at once and release the port."""
+        await self._runner.cleanup()
+        self._socket.close()
