Do not report idle connections as open at the limit of a stop

A process that reached its limit closed its idle connections and counted them at once, before they were gone: it logged more open connections than it interrupted. It gives them one poll interval now.

Seen with a sidecar whose store did not respond: stopped, cut 0, open_connections 1.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/listener.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/listener.py
@@ -75,7 +75,10 @@
         self._socket.shutdown(socket.SHUT_RDWR)
         # Responds to long polls.
         await self._runner.shutdown()
-        return await close_listener(self._runner, limit_ms)
+        # Idle connections take a moment to close and would be counted as open.
+        return await close_listener(
+            self._runner, max(limit_ms, global_settings.SHUTDOWN_POLL_MS)
+        )
 
     async def cleanup(self) -> None:
         """Close all connections at once and release the port."""
--- a/tests/features/steps/daemon_exit.py
+++ b/tests/features/steps/daemon_exit.py
@@ -168,12 +168,14 @@
 ) -> None:
     await harness.start_entry(balancer_lag_ms=limit_ms, drain_limit_ms=limit_ms)
     _, writer = await connect(harness.port)
+    _, idle_writer = await connect(harness.port)
     # The body of the request never comes.
     writer.write(make_head('POST', _CHANGES_PATH, 1))
     await harness.wait_for_requests(1)
     harness.service.request_shutdown()
     await harness.service.serve()
     writer.close()
+    idle_writer.close()
     await harness.service.stop()
 
 
@@ -183,6 +185,7 @@
         fields for event, fields in context.log_lines if event == 'stopped'
     )
     assert stopped['cut'] == 1, stopped
+    assert stopped['open_connections'] == 1, stopped
     assert stopped['elapsed_ms'] < 2 * context.limit_ms, stopped
 
 
