--- /dev/null
+++ b/tests/features/steps/gateway_soak.py
@@ -0,0 +1,21 @@
+"""Steps of the soak test of gateway processes."""
+
+from behave import then, when
+
+from measure.gateway_soak import count_faults, run
+
+_GATEWAYS = 4
+
+
+@when(
+    'gateway processes are disturbed at random from seed {seed:d} for {span:d} '
+    'seconds'
+)
+def run_gateways(context, seed, span):
+    context.summary = run(seed=seed, seconds=span, gateways=_GATEWAYS)
+
+
+@then('no request was cut by a stop, doubled, crossed or falsely refused')
+def check_requests(context):
+    assert not count_faults(context.summary), context.summary
+    assert context.summary['answered'], context.summary
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -9,7 +9,7 @@
 
 _REQUEST_ID_HEADER = 'x-ragworthollow-request-id'
 _LAST_EVENT_ID_HEADER = 'last-event-id'
-_EVENT_COUNT = 5
+EVENT_COUNT = 5
 # An instance crashes when it is asked to run a piece with this key.
 CRASHING_KEY = 'crash'
 # More than the buffers of a connection hold.
@@ -25,7 +25,7 @@
     whose execution has started, `arrivals` all received requests.
     """
 
-    def __init__(self, name: str, *, stop_after: int = _EVENT_COUNT) -> None:
+    def __init__(self, name: str, *, stop_after: int = EVENT_COUNT) -> None:
         self.name = name
         self.stop_after = stop_after
         self.runs: list[SimpleNamespace] = []
@@ -269,6 +269,28 @@
     return True
 
 
+def _read_pause_s(request) -> float:
+    """Return the pause that a request asks for, as in `delay?120`."""
+    return int(request.path.partition('?')[2]) / 1000
+
+
+async def _respond_after_pause(standin, request, _reader, writer):
+    headers = standin.record_run(request)
+    await asyncio.sleep(_read_pause_s(request))
+    _write_response(writer, '200 OK', headers, request.request_id.encode())
+    return True
+
+
+async def _stream_with_pauses(standin, request, _reader, writer):
+    _start_stream(standin, request, writer)
+    for number in range(1, EVENT_COUNT + 1):
+        await asyncio.sleep(_read_pause_s(request))
+        event = f'id: {number}\ndata: {request.request_id}\n\n'
+        _write_chunk(writer, event.encode())
+    _write_chunk(writer, b'')
+    return True
+
+
 async def _respond_at_length(standin, request, _reader, writer):
     headers = standin.record_run(request)
     _write_response(writer, '200 OK', headers, bytes(LARGE_BODY_BYTES))
@@ -287,7 +309,7 @@
 async def _stream(standin, request, _reader, writer):
     first = int(request.headers.get(_LAST_EVENT_ID_HEADER, '0')) + 1
     _start_stream(standin, request, writer)
-    for number in range(first, _EVENT_COUNT + 1):
+    for number in range(first, EVENT_COUNT + 1):
         _write_chunk(writer, _render_event(number))
     _write_chunk(writer, b'')
     return True
@@ -295,8 +317,8 @@
 
 async def _pause_stream(standin, request, _reader, writer):
     _start_stream(standin, request, writer)
-    for number in range(1, _EVENT_COUNT + 1):
-        if number == _EVENT_COUNT // 2:
+    for number in range(1, EVENT_COUNT + 1):
+        if number == EVENT_COUNT // 2:
             await standin.resume_event.wait()
         _write_chunk(writer, _render_event(number))
     _write_chunk(writer, b'')
@@ -306,10 +328,10 @@
 async def _break_stream(standin, request, _reader, writer):
     first = int(request.headers.get(_LAST_EVENT_ID_HEADER, '0')) + 1
     _start_stream(standin, request, writer)
-    last = min(_EVENT_COUNT, first + standin.stop_after - 1)
+    last = min(EVENT_COUNT, first + standin.stop_after - 1)
     for number in range(first, last + 1):
         _write_chunk(writer, _render_event(number))
-    if last < _EVENT_COUNT:
+    if last < EVENT_COUNT:
         _write_chunk(writer, _render_event(last + 1)[:6])
         return False
     _write_chunk(writer, b'')
@@ -346,6 +368,8 @@
     'twice': _respond_twice,
     'wait': _wait_for_disconnect,
     'hold': _respond_when_allowed,
+    'delay': _respond_after_pause,
+    'paced': _stream_with_pauses,
     'large': _respond_at_length,
     'crash': _crash,
     'stream': _stream,
