--- a/tests/features/steps/process_exit.py
+++ b/tests/features/steps/process_exit.py
@@ -127,7 +127,12 @@
 async def _stop_in_body(harness: GatewayProcess) -> int | None:
     await harness.raise_time_limits(_TIME_LIMIT_MS)
     connection = await harness.connect()
-    connection.send('/unsafe/answer', _REQUEST_ID, 'Content-Length: 9')
+    connection.send(
+        '/unsafe/answer',
+        _REQUEST_ID,
+        'Content-Length: 9',
+        limit_ms=_TIME_LIMIT_MS,
+    )
     harness.terminate()
     return await connection.read_status()
 
