Do not count pauses of a gateway as time an upstream takes to accept

A caller got 503 connect_failed although every upstream accepted. After a pause of the event loop longer than the connect timeout (300 ms), the timeout is due in the same turn as the established connection, and wins. Pauses in both attempts use up both instances of a pool; each instance also becomes suspect.

The limit now counts in ten periods, of which a pause uses at most one. The first new scenario failed before. The second passes before and after, and fails without a limit (504 after 5 s).

--- a/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
@@ -1,11 +1,13 @@
 """Reuse connections to upstreams only if they hold no unexpected data."""
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ClientRequest
 from aiohttp.connector import Connection
 from aiohttp.tracing import Trace
 
 from ragworthollow.conf import global_settings
+from ragworthollow.transport.timeouts import limit_running_time
 
 _MILLISECONDS = 1000
 
@@ -33,6 +35,20 @@
                 return connection
             connection.close()
 
+    async def _create_connection(
+        self,
+        req: ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> ResponseHandler:
+        """Connect without counting pauses of this process as waiting."""
+        async with limit_running_time(timeout.sock_connect):
+            return await super()._create_connection(
+                req,
+                traces,
+                aiohttp.ClientTimeout(ceil_threshold=timeout.ceil_threshold),
+            )
+
 
 def make_upstream_session() -> aiohttp.ClientSession:
     """
--- a/packages/ragworthollow/src/ragworthollow/transport/timeouts.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/timeouts.py
@@ -1,10 +1,15 @@
 """Build timeouts for exchanges between processes."""
 
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
 import aiohttp
 
 from ragworthollow.conf import global_settings
 
 _MILLISECONDS = 1000
+_RUNNING_TIME_PERIODS = 10
 
 
 def make_inactivity_timeout(
@@ -56,3 +61,34 @@
         total=total_ms / 1000,
         sock_connect=connect_ms / 1000,
     )
+
+
+@asynccontextmanager
+async def limit_running_time(limit_s: float | None) -> AsyncIterator[None]:
+    """
+    Raise TimeoutError once the event loop has run for as long as a limit.
+
+    After a pause of this process, an ordinary timeout expires before the loop
+    has handled what arrived meanwhile, so that the pause is taken for a failure
+    of the peer. Here a pause counts as at most one period of the limit.
+
+    Parameters
+    ----------
+    limit_s : float or None
+        Limit in seconds; None for no limit.
+    """
+    if limit_s is None:
+        yield
+        return
+    async with asyncio.timeout(None) as timeout:
+        expiring = asyncio.ensure_future(_expire(timeout, limit_s))
+        try:
+            yield
+        finally:
+            expiring.cancel()
+
+
+async def _expire(timeout: asyncio.Timeout, limit_s: float) -> None:
+    for _ in range(_RUNNING_TIME_PERIODS):
+        await asyncio.sleep(limit_s / _RUNNING_TIME_PERIODS)
+    timeout.reschedule(asyncio.get_running_loop().time())
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -44,6 +44,20 @@
     And 20 callers post to /unsafe/answer
     Then each of them got its own complete response
 
+  Scenario: A gateway pauses while it connects to its upstreams
+    # Guards against a refusal although every upstream accepts: the connect
+    # timeout passes while the process of the gateway does not run.
+    Given a gateway that pauses each time it connects to an upstream
+    When a caller posts to /unsafe/answer
+    Then it gets status 200 and the request has run 1 times
+
+  Scenario: An upstream does not accept connections
+    # Guards against a request that waits for a frozen upstream until its time
+    # has passed.
+    Given instance u1 does not accept connections
+    When 20 callers post to /unsafe/answer
+    Then each of them got its own complete response
+
   Scenario: Headers reserved for the system are not accepted from a caller
     # A caller that forges another organisation's name would run as that
     # organisation; one that forges a hold would use memory reserved for others.
--- a/tests/features/steps/gateway.py
+++ b/tests/features/steps/gateway.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import re
+import socket
+import time
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -18,6 +20,8 @@
     'X-Ragworthollow-Request-Priority': '0',
     'X-Ragworthollow-Expect-Instance': 'i-forged',
 }
+# More connections than a queue of length 0 takes.
+_ACCEPT_QUEUE_LENGTH = 4
 
 
 def _count_runs(context) -> int:
@@ -89,6 +93,37 @@
         assert echoed == response.request_id
 
 
+@given('a gateway that pauses each time it connects to an upstream')
+def pause_connecting(context):
+    stage = context.gateway_stage
+    connect = stage.loop.sock_connect
+    addresses = {upstream.address for upstream in stage.upstreams.values()}
+    pause_s = 2 * global_settings.UPSTREAM_CONNECT_TIMEOUT_MS / 1000
+
+    async def connect_and_pause(sock, address) -> None:
+        if ':'.join(map(str, address)) in addresses:
+            # Runs once the connection has been requested.
+            stage.loop.call_soon(time.sleep, pause_s)
+        await connect(sock, address)
+
+    stage.loop.sock_connect = connect_and_pause
+
+
+@given('instance {name:w} does not accept connections')
+def fill_accept_queue(context, name):
+    stage = context.gateway_stage
+    upstream = stage.upstreams[name]
+    stage.run(upstream.stop())
+    host, _, port = upstream.address.partition(':')
+    listener = socket.create_server((host, int(port)), backlog=0)
+    context.add_cleanup(listener.close)
+    for _ in range(_ACCEPT_QUEUE_LENGTH):
+        client = socket.socket()
+        context.add_cleanup(client.close)
+        client.setblocking(False)
+        client.connect_ex((host, int(port)))
+
+
 @when('a caller forges the headers that the system sets')
 def send_forged_headers(context):
     stage = context.gateway_stage
