--- a/tests/features/steps/late_service.py
+++ b/tests/features/steps/late_service.py
@@ -16,6 +16,7 @@
 from ragworthollow_daemon.gateway.admission import Admission
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.deferral_queue import DeferralQueue
+from ragworthollow_daemon.gateway.shutdown_state import ShutdownState
 
 _SEEDS = (1, 2, 3)
 _PATTERNS = ('bursts', 'lost-gin-sync')
@@ -268,6 +269,7 @@
         _has_route_table=has_route_table,
         set_route_table=set_route_table,
         wait_for_route_table=wait_for_route_table,
+        stop=ShutdownState(),
     )
 
 
