Fail a test run when a fixture or hook fails beside a known failure

Whoever reads a run saw "5 passed, 0 failed" although the fleet of door.feature could not start. Behave reports no scenarios of a feature whose fixture fails, and tests/run.py looked at the exit code only if all scenarios had passed, which a known failure prevents.

The status of each feature and scenario now tells of errors of hooks, fixtures and cleanups, and no entry of KNOWN-RED.txt excuses them. An entry with an empty name no longer matches every scenario.

The three new scenarios fail with these errors left out of the verdict (0 of 3 passed) and pass with them.

--- /dev/null
+++ b/tests/features/steps/verdicts.py
@@ -0,0 +1,97 @@
+"""Steps that run behave on features made for the purpose."""
+
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+from tests.outcomes import judge
+from tests.run import run_features
+
+_KNOWN_RED = ('A known failure',)
+_ENVIRONMENT = """
+def before_tag(context, tag):
+    if tag == 'fixture.broken':
+        raise TimeoutError('the fleet did not start')
+    if tag == 'fixture.unclean':
+        context.add_cleanup(_fail)
+
+
+def _fail():
+    raise TimeoutError('the fleet did not end')
+"""
+_STEPS = """
+from behave import when
+
+
+@when('{outcome}')
+def run(context, outcome):
+    assert outcome == 'passes'
+"""
+
+
+def _add_feature(context, name: str, text: str) -> None:
+    if not hasattr(context, 'folder'):
+        folder = tempfile.TemporaryDirectory()
+        context.add_cleanup(folder.cleanup)
+        context.folder = Path(folder.name)
+        (context.folder / 'steps').mkdir()
+        (context.folder / 'environment.py').write_text(_ENVIRONMENT)
+        (context.folder / 'steps' / 'outcomes.py').write_text(_STEPS)
+    (context.folder / f'{name}.feature').write_text(text)
+
+
+@given('a feature whose fixture fails')
+def add_broken_feature(context):
+    _add_feature(
+        context,
+        'broken',
+        '@fixture.broken\nFeature: Broken\n  Scenario: One\n    When passes\n',
+    )
+
+
+@given('a feature whose cleanup fails')
+def add_unclean_feature(context):
+    _add_feature(
+        context,
+        'unclean',
+        '@fixture.unclean\nFeature: Unclean\n  Scenario: One\n'
+        '    When passes\n',
+    )
+
+
+@given('a feature with a scenario that is known to fail')
+def add_known_failure(context):
+    _add_feature(
+        context,
+        'red',
+        'Feature: Red\n  Scenario: A known failure\n    When fails\n',
+    )
+
+
+@given(
+    'a feature with a scenario that is known to fail and whose fixture fails'
+)
+def add_broken_known_failure(context):
+    _add_feature(
+        context,
+        'red',
+        'Feature: Red\n  @fixture.broken\n  Scenario: A known failure\n'
+        '    When fails\n',
+    )
+
+
+@when('both are run')
+def run_both(context):
+    tests = run_features(str(context.folder))
+    context.verdict = judge({}, tests, _KNOWN_RED)
+
+
+@then('{count:d} scenario is a known failure')
+def check_known_failures(context, count):
+    assert len(context.verdict.known_failures) == count, context.verdict
+
+
+@then('the failed fixture is an unexpected failure')
+def check_unexpected_failure(context):
+    assert context.verdict.failures, context.verdict
--- /dev/null
+++ b/tests/features/verdicts.feature
@@ -0,0 +1,24 @@
+Feature: A test run fails if something did not run
+
+  Scenario: A fixture that fails beside a known failure fails the run
+    # Guards against a green run although a fleet could not start: behave reports
+    # no scenarios for it, and the known failure explained its exit code.
+    Given a feature whose fixture fails
+    And a feature with a scenario that is known to fail
+    When both are run
+    Then 1 scenario is a known failure
+    And the failed fixture is an unexpected failure
+
+  Scenario: A fixture that fails for a scenario known to fail fails the run
+    # Guards against a known failure that hides that its test no longer runs.
+    Given a feature with a scenario that is known to fail and whose fixture fails
+    When both are run
+    Then the failed fixture is an unexpected failure
+
+  Scenario: A cleanup that fails beside a known failure fails the run
+    # Guards against a fleet that does not end, in a run that is reported green.
+    Given a feature whose cleanup fails
+    And a feature with a scenario that is known to fail
+    When both are run
+    Then 1 scenario is a known failure
+    And the failed fixture is an unexpected failure
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,7 +1,8 @@
 """
 Run all checks and tests, and print a summary line at the end.
 
-Failures listed in KNOWN-RED.txt are printed but do not fail the run.
+Failed scenarios listed in KNOWN-RED.txt are printed but do not fail the run.
+Errors of hooks and fixtures always fail it.
 """
 
 import json
@@ -10,6 +11,8 @@
 import tempfile
 from pathlib import Path
 
+from tests.outcomes import TestOutcomes, judge, read_outcomes
+
 _ROOT = Path(__file__).resolve().parent.parent
 _BIN = Path(sys.executable).parent
 _KNOWN_RED = _ROOT / 'KNOWN-RED.txt'
@@ -39,14 +42,14 @@
     return completed.returncode == 0
 
 
-def run_features() -> dict[str, bool]:
-    """Run behave and return whether each scenario passed."""
+def run_features(*arguments: str) -> TestOutcomes:
+    """Run behave with further arguments, such as paths of feature files."""
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / 'report.json'
         completed = subprocess.run(
             [
                 str(_BIN / 'behave'),
-                *sys.argv[1:],
+                *arguments,
                 '--format=progress2',
                 '--format=json',
                 '--outfile=/dev/stdout',
@@ -56,19 +59,8 @@
             check=False,
         )
         features = json.loads(report.read_text() or '[]')
-    outcomes = {
-        f'{feature["name"]}: {scenario["name"]} ({scenario["location"]})': (
-            scenario.get('status') == 'passed'
-        )
-        for feature in features
-        for scenario in feature.get('elements', ())
-        if scenario['type'] == 'scenario'
-    }
     _print_failures(features)
-    if completed.returncode and all(outcomes.values()):
-        # A hook or a fixture failed outside of all scenarios.
-        outcomes['behave itself'] = False
-    return outcomes
+    return read_outcomes(features, is_success=not completed.returncode)
 
 
 def _print_failures(features: list[dict]) -> None:
@@ -92,26 +84,24 @@
 def read_known_red() -> list[str]:
     if not _KNOWN_RED.exists():
         return []
-    lines = _KNOWN_RED.read_text().splitlines()
-    return [line.split(';')[0].strip() for line in lines if line.strip()]
+    names = [
+        line.split(';')[0].strip()
+        for line in _KNOWN_RED.read_text().splitlines()
+    ]
+    return [name for name in names if name]
 
 
 def main() -> None:
-    outcomes = {' '.join(command): run_check(command) for command in _CHECKS}
-    outcomes.update(run_features())
-    known_red = read_known_red()
-    failed = [name for name, is_passed in outcomes.items() if not is_passed]
-    known_failures = [
-        name for name in failed if any(known in name for known in known_red)
-    ]
-    for name in known_failures:
+    checks = {' '.join(command): run_check(command) for command in _CHECKS}
+    tests = run_features(*sys.argv[1:])
+    verdict = judge(checks, tests, read_known_red())
+    for name in verdict.known_failures:
         print(f'KNOWN RED: {name}')
-    unexpected = [name for name in failed if name not in known_failures]
-    for name in unexpected:
+    for name in verdict.failures:
         print(f'FAILED: {name}')
-    passed = len(outcomes) - len(failed)
-    print(f'{passed} passed, {len(unexpected)} failed', flush=True)
-    sys.exit(1 if unexpected else 0)
+    failed = len(verdict.failures)
+    print(f'{verdict.passed} passed, {failed} failed', flush=True)
+    sys.exit(1 if failed else 0)
 
 
 if __name__ == '__main__':
