Reserve the ports of a test fleet while its processes are down

Cause: a fleet chose ports on which nothing listened at that moment and did not hold them. A process that is killed or stopped frees its port for up to 12 seconds; a fleet that starts meanwhile may take it, and the process ends with settings.E009 when it is started again. The status page then answers for the other fleet's process, so that the fleet counts as healthy and as configured, and fails only where details are compared.

--- a/measure/fleet.py
+++ b/measure/fleet.py
@@ -62,10 +62,10 @@
         leave_out: tuple[str, ...] = (),
     ) -> None:
         self._folder = Path(tempfile.mkdtemp(prefix='ragworthollow-'))
-        self.plan: FleetPlan = plan_fleet(
-            deployment,
-            Ports(rng=random.Random(f'{seed}/{os.getpid()}/{deployment}')),
+        self._ports = Ports(
+            rng=random.Random(f'{seed}/{os.getpid()}/{deployment}'),
         )
+        self.plan: FleetPlan = plan_fleet(deployment, self._ports)
         self.processes = Processes(folder=self._folder)
         self._settings = settings or {}
         self._split_upstreams = split_upstreams
@@ -108,6 +108,7 @@
         if self.session is not None:
             await self.session.close()
         self.processes.end_all()
+        self._ports.release()
 
     def start_daemon(self, name: str) -> None:
         settings = self._folder / f'{name}.yaml'
--- a/measure/small_fleet.py
+++ b/measure/small_fleet.py
@@ -68,6 +68,7 @@
     async def stop(self) -> None:
         await self.session.close()
         self.processes.end_all()
+        self.ports.release()
 
     async def add_daemon(
         self,
--- a/tests/features/steps/daemon_exit.py
+++ b/tests/features/steps/daemon_exit.py
@@ -237,7 +237,8 @@
 
 
 async def _close_with_request() -> SimpleNamespace:
-    port = Ports(rng=random.Random(os.getpid())).take()
+    ports = Ports(rng=random.Random(os.getpid()))
+    port = ports.take()
     is_running = asyncio.Event()
     may_end = asyncio.Event()
 
--- a/tests/features/steps/hop.py
+++ b/tests/features/steps/hop.py
@@ -87,7 +87,8 @@
 
 
 async def _call_sidecar(behaviour: str, kind: str) -> StageAnswer:
-    port = Ports(rng=random.Random(behaviour)).take()
+    ports = Ports(rng=random.Random(behaviour))
+    port = ports.take()
     server = None
     serving = []
     reads, reply = _BEHAVIOURS.get(behaviour, ('', None))
