Grant each lease of the store's stand-in once

The stand-in numbered leases by the time and the count of those in force, so that two processes that asked for one within a few milliseconds could get the same, if others had ended meanwhile. The keys of one then expired with the lease of the other, or outlived their process. Found while tracing fleets that did not settle; not shown to have been the cause there.

The new scenario fails on the numbering before (200 grants, half of them ended) and passes now.

--- /dev/null
+++ b/tests/features/store_standin.feature
@@ -0,0 +1,8 @@
+Feature: The stand-in of the store keeps apart what processes hold
+
+  Scenario: No two processes get the same lease
+    # Guards against a process whose keys expire with the lease of another, or
+    # are kept alive by it after the process has ended.
+    Given a stand-in of the store
+    When many processes are granted a lease and some of these end meanwhile
+    Then each has been granted a lease of its own
--- a/tests/standins/key_value.py
+++ b/tests/standins/key_value.py
@@ -51,6 +51,7 @@
         self.entries: dict[str, Entry] = {}
         # TTL in milliseconds and expiry on time.monotonic(), by lease.
         self.leases: dict[int, list[float]] = {}
+        self.last_lease = 0
         self.history: list[tuple[int, dict]] = []
         self.change_condition = asyncio.Condition()
         self.counts: dict[str, int] = {}
@@ -79,6 +80,15 @@
         self.revision += 1
         self._put(key, base64.b64encode(value).decode(), 0)
 
+    def grant_lease(self, ttl_ms: float) -> int:
+        """Grant a lease that was never granted before, also after a restart."""
+        self.last_lease = max(self.last_lease + 1, int(time.time() * 1000))
+        self.leases[self.last_lease] = [
+            ttl_ms,
+            time.monotonic() + ttl_ms / 1000,
+        ]
+        return self.last_lease
+
     def make_application(self) -> web.Application:
         application = web.Application(client_max_size=16_000_000)
         self.faults.add_to(application)
@@ -259,8 +269,7 @@
 
     async def _grant(self, request: web.Request) -> web.Response:
         ttl_ms = msgspec.json.decode(await request.read())['ttl_ms']
-        lease = len(self.leases) + int(time.time() * 1000)
-        self.leases[lease] = [ttl_ms, time.monotonic() + ttl_ms / 1000]
+        lease = self.grant_lease(ttl_ms)
         return web.json_response({'lease': lease, 'ttl_ms': ttl_ms})
 
     async def _renew(self, request: web.Request) -> web.Response:
