Add to the untracked space of an instance instead of replacing it

Callers saw: after all gateways of a fleet of 100 were killed, 131 requests in four seconds were refused with stage_failed ("a piece ended with outcome no_room"), beside 21 others.

Cause: an instance without space refuses pieces. The scheduler then assumes that the space it had taken for free is occupied, for 100 ms, but replaced what it had assumed before. If a tracked result was released meanwhile, one piece followed, was refused too, and its small figure replaced the large one: the whole instance counted as free again and got the next full call. An instance that accepts no piece answers at once, so that such calls followed each other every 4 ms and used up the retry budget of the pool.

The space that untracked results were known to occupy is now added.

The new scenario fails on the code before (a call every 4 ms).

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/result_space_recorder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/result_space_recorder.py
@@ -40,7 +40,7 @@
 
         If the instance had no space for some of the pieces, the free space
         that it was assumed to have beyond the results it did store must be
-        occupied by untracked results.
+        occupied by untracked results, besides those that were known of.
         """
         expires_ms = get_monotonic_ms() + self._get_result_ttl_ms(pool)
         stored_results = [
@@ -54,7 +54,10 @@
             stored_bytes = sum(result.result_bytes for result in stored_results)
             scheduler.result_space.record_untracked(
                 call.instance.instance,
-                int(max(0, call.free_bytes - stored_bytes)),
+                int(
+                    call.untracked_bytes
+                    + max(0, call.free_bytes - stored_bytes)
+                ),
                 get_monotonic_ms() + global_settings.RESULT_SPACE_RETRY_MS,
             )
 
--- a/packages/ragworthollow/src/ragworthollow/pieces/call.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/call.py
@@ -28,6 +28,8 @@
         Number of pieces that remained in the queue.
     free_bytes : float
         Free space for results at the instance, as accounted for here.
+    untracked_bytes : float
+        Space there that untracked results occupy, as accounted for here.
     hedged : set of WaitingPiece
         Pieces that were also queued for another call because this call is
         slow.
@@ -40,6 +42,7 @@
     limit: BatchLimit = BatchLimit.queue
     remaining_pieces: int = 0
     free_bytes: float = 0
+    untracked_bytes: float = 0
     hedged: set[WaitingPiece] = field(default_factory=set)
 
 
--- a/packages/ragworthollow/src/ragworthollow/pieces/result_space.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/result_space.py
@@ -66,6 +66,11 @@
             expires_ms=expires_ms,
         )
 
+    def get_untracked_bytes(self, instance: str) -> int:
+        """Return the space that untracked results occupy at an instance."""
+        untracked = self._untracked_by_instance.get(instance)
+        return 0 if untracked is None else untracked.result_bytes
+
     def add(self, stored: StoredResult) -> None:
         """
         Record a result that occupies space until it is released or expires.
--- a/packages/ragworthollow/src/ragworthollow/pieces/scheduler.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/scheduler.py
@@ -347,6 +347,9 @@
             limit=limit,
             remaining_pieces=len(self._queue),
             free_bytes=free_bytes,
+            untracked_bytes=self.result_space.get_untracked_bytes(
+                instance.instance,
+            ),
         )
         self.running.own.append(call)
         return call
--- a/tests/features/pieces.feature
+++ b/tests/features/pieces.feature
@@ -154,3 +154,12 @@
     Given a pool of 1 instance with calls of 4 pieces
     When 1 piece for its own domain and 1 for another that is idle soon wait
     Then the call reports that held kept it from carrying more
+
+  Scenario: An instance full of untracked results gets few calls
+    # Guards against calls every few milliseconds to an instance that refuses all
+    # their pieces at once: they used up the retry budget of the pool.
+    Given a pool of 1 instance with calls of 4 pieces
+    And space for 9 results at each instance
+    When it is full for 2000 ms and a tracked result is released while 8 pieces wait
+    Then it gets at most 1 call per 100 ms and 1 for the released result
+    And all of them are made afterwards
