Keep counting the results of a terminated scheduler until they expire

Callers saw: after all gateways of a fleet were killed, or a failure domain with the host of a scheduler, requests were refused for three to four seconds with stage_failed ("a piece ended with outcome no_room").

Cause: results of gateways that were killed stay at their instances until they expire, 4 s on the users' platform; nobody knows their handles. The next scheduler fills the instances as if they were empty. Each refusal was believed for 100 ms, which fits results whose release is on its way, so that the same space was tried again and again; each refused piece is paid from the retry budget of the pool, and requests whose pieces it does not cover are refused.

A scheduler that has started, or has taken a pool over, less than the lifetime of a result ago now believes a refusal until that lifetime is over.

The new scenario fails without the change (40 calls to a full instance instead of 2).

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/result_space_recorder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/result_space_recorder.py
@@ -58,7 +58,7 @@
                     call.untracked_bytes
                     + max(0, call.free_bytes - stored_bytes)
                 ),
-                get_monotonic_ms() + global_settings.RESULT_SPACE_RETRY_MS,
+                self._get_untracked_expiry_ms(pool, scheduler),
             )
 
     def record_lost(
@@ -75,6 +75,22 @@
                 _make_stored_result(call, waiting, handle, expires_ms)
             )
 
+    def _get_untracked_expiry_ms(
+        self,
+        pool: str,
+        scheduler: PieceScheduler,
+    ) -> float:
+        """
+        Return until when untracked results are assumed to occupy space.
+
+        Those of an earlier scheduler that has terminated stay until they
+        expire; others are released after a short time.
+        """
+        return max(
+            get_monotonic_ms() + global_settings.RESULT_SPACE_RETRY_MS,
+            scheduler.started_ms + self._get_result_ttl_ms(pool),
+        )
+
     def _get_result_ttl_ms(self, pool: str) -> float:
         pool_config = self._context.route_table.pools[pool]
         return pool_config.pieces.result_ttl_ms
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/scheduler_registry.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/scheduler_registry.py
@@ -39,7 +39,11 @@
 
     def get(self, pool: str) -> PieceScheduler:
         """Return the scheduler of a pool, creating it if needed."""
-        return self._schedulers.setdefault(pool, PieceScheduler())
+        scheduler = self._schedulers.get(pool)
+        if scheduler is None:
+            scheduler = PieceScheduler(started_ms=get_monotonic_ms())
+            self._schedulers[pool] = scheduler
+        return scheduler
 
     def get_pools(self) -> tuple[str, ...]:
         """Return the pools that have a scheduler here."""
--- a/tests/features/steps/untracked_results.py
+++ b/tests/features/steps/untracked_results.py
@@ -2,13 +2,14 @@
 
 from types import SimpleNamespace
 
-from behave import then, when
+from behave import given, then, when
 
 from ragworthollow.metrics import Metrics
 from ragworthollow.pieces import (
     PieceCall,
     PieceOutcome,
     PieceResult,
+    PieceScheduler,
     StoredResult,
 )
 from ragworthollow.utils import override_clocks
@@ -102,6 +103,12 @@
     return PieceResult(outcome=PieceOutcome.done, handle=handle)
 
 
+@given('its scheduler has just started and results expire after {ttl_ms:d} ms')
+def start_scheduler(context, ttl_ms):
+    assert context.pool.profile.result_ttl_ms == ttl_ms
+    context.pool.scheduler = PieceScheduler(started_ms=0)
+
+
 @when(
     'it is full for {span_ms:d} ms and a tracked result is released while '
     '{count:d} pieces wait'
@@ -134,6 +141,12 @@
     assert len(calls_ms) <= allowed, calls_ms
 
 
+@then('it gets 1 call and 1 for the released result')
+def check_two_calls(context):
+    calls_ms = context.full.refused_calls_ms
+    assert len(calls_ms) == 2, calls_ms
+
+
 @then('all of them are made afterwards')
 def check_made(context):
     assert context.full.made == context.count, context.full.made
