Record in the soak how far the sending of a request came

A run beside load counted 30 requests as cut by a stop, all left unanswered for 6 s. Its logs could not tell whether the entry did not respond or the caller had no connection: the callers of a soak share one session with at most 100 connections, which requests to a frozen entry hold. Each attempt now tells when it had a connection and when its head was written. The check is unchanged.

--- a/measure/caller.py
+++ b/measure/caller.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from measure.fleet import Fleet, get_caller_key
+from measure.request_progress import RequestProgress
 from ragworthollow.configuration import Deployment, Pipeline
 from ragworthollow.configuration.checks import check_files
 from ragworthollow.configuration.merge import SourceFile
@@ -21,12 +22,29 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Attempt:
-    """Remember where and when a request was sent, and how that ended."""
+    """
+    Remember where and when a request was sent, and how that ended.
+
+    Attributes
+    ----------
+    address : str
+        Entry that it was sent to.
+    started, ended : float
+        Time on the monotonic clock, in seconds.
+    outcome : str
+        How it ended.
+    connected_s, head_sent_s : float or None
+        Time until there was a connection and until the head was written; None
+        if that never happened.  They tell a process that does not respond from
+        a caller that could not send.
+    """
 
     address: str
     started: float
     ended: float
     outcome: str
+    connected_s: float | None = None
+    head_sent_s: float | None = None
 
 
 @dataclass(kw_only=True)
@@ -132,10 +150,13 @@
         if stream is None:
             stream = self._rng.random() < 0.3
         started = time.monotonic()
+        progress = RequestProgress(started=started)
         address = address or self.balancer.choose()
         try:
             async with asyncio.timeout(deadline_ms / 1000 + _GRACE_S):
-                outcome = await self._post(sent, address, deadline_ms, stream)
+                outcome = await self._post(
+                    sent, address, deadline_ms, stream, progress
+                )
         except aiohttp.ClientConnectorError:
             outcome = 'unreached'
         except (aiohttp.ClientError, TimeoutError, OSError):
@@ -148,6 +169,8 @@
                 started=started,
                 ended=time.monotonic(),
                 outcome=outcome,
+                connected_s=progress.connected_s,
+                head_sent_s=progress.head_sent_s,
             ),
         )
         sent.elapsed_ms = (time.monotonic() - started) * 1000
@@ -171,6 +194,7 @@
         address: str,
         deadline_ms: float,
         stream: bool,
+        progress: RequestProgress,
     ) -> str:
         pipeline = self.deployment.pipelines[sent.pipeline]
         headers = {
@@ -190,6 +214,7 @@
             f'http://{address}/v1/pipelines/{sent.pipeline}',
             json=body,
             headers=headers,
+            trace_request_ctx=progress,
         ) as response:
             if response.content_type == 'text/event-stream':
                 answer = await _read_events(sent, response)
--- a/measure/fleet.py
+++ b/measure/fleet.py
@@ -23,6 +23,7 @@
 )
 from measure.ports import Ports
 from measure.processes import Processes
+from measure.request_progress import make_progress_trace
 from ragworthollow.utils import hash_secret
 
 CLUSTER_KEY = 'cluster-key-of-the-demo-0123456789'
@@ -92,7 +93,9 @@
 
     async def start(self) -> None:
         """Start everything, apply the configuration, wait until ready."""
-        self.session = aiohttp.ClientSession()
+        self.session = aiohttp.ClientSession(
+            trace_configs=[make_progress_trace()],
+        )
         self._start_standins()
         await self._wait_for(self._is_platform_up)
         await self.publish_instances()
