Do not count misdirected requests among the attempts of a route

Callers saw: after a failure domain had come back, requests of routes that allow one attempt were refused with 503 misdirected, 40 of them within four seconds with 100 gateways. The instance that the list showed had been replaced at its address, and the new one had refused the request unread (421).

An attempt that reached another instance than the one it was meant for has not run and says nothing of the instance that was meant. It no longer counts among the attempts that the route allows; the further attempt is paid from the retry budget like any other.

The new scenario fails without the change (503 misdirected) and passes with it; gateway, streams, quarantine and upstreams pass (81 scenarios).

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
@@ -75,6 +75,9 @@
         self._allowed_regions = job.get_allowed_regions()
         self._tried_instances: set[str] = set()
         self._sent_attempts = 0
+        # Attempts that the limit of the route applies to: not those that
+        # reached another instance than the one they were meant for.
+        self._counted_attempts = 0
         self._may_have_run = False
         self._last_failure: UpstreamFailure | None = None
         self._error_response: UpstreamResponse | None = None
@@ -142,6 +145,7 @@
         record = self._context.load_tracker.get(instance.instance)
         record.in_flight += 1
         self._sent_attempts += 1
+        self._counted_attempts += 1
         try:
             yield
         finally:
@@ -151,7 +155,7 @@
         """Return whether a response is passed on instead of retried."""
         if status < _SERVER_ERROR or not self.job.route.is_idempotent():
             return True
-        return self._sent_attempts >= self.job.route.max_attempts
+        return self._counted_attempts >= self.job.route.max_attempts
 
     def record_response(self, plan: AttemptPlan, status: int) -> None:
         """Record a response that is passed on to the caller."""
@@ -198,6 +202,9 @@
         if failure.reason is Reason.connect_failed:
             # Nothing was sent, so the upstream does not count this attempt.
             self._sent_attempts -= 1
+            self._counted_attempts -= 1
+        if failure.reason is Reason.misdirected:
+            self._counted_attempts -= 1
         if failure.outcome is not Outcome.not_run:
             self._may_have_run = True
         self._last_failure = self._adjust_outcome(failure)
@@ -277,7 +284,7 @@
             return None
         if self._may_have_run and not job.route.is_idempotent():
             return self._last_failure
-        if self._sent_attempts >= job.route.max_attempts:
+        if self._counted_attempts >= job.route.max_attempts:
             return self._last_failure
         if self._last_failure.reason is Reason.inputs_gone:
             return self._last_failure
@@ -287,7 +294,7 @@
         remaining_ms = max(1, self.job.get_remaining_ms())
         may_retry = (
             self.job.route.is_idempotent()
-            and self._sent_attempts + 1 < self.job.route.max_attempts
+            and self._counted_attempts + 1 < self.job.route.max_attempts
         )
         if may_retry:
             return remaining_ms * global_settings.ATTEMPT_TIME_SHARE
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -121,6 +121,14 @@
     When 10 callers post to /unsafe/answer
     Then each of them got its own complete response
 
+  Scenario: A misdirected request uses up no attempt of its route
+    # Guards against requests that are refused after a failure domain has come
+    # back, since the list still shows the instances of before.
+    Given the route of /unsafe/ allows 1 attempt
+    And instance u1 was replaced at its address by another one
+    When 10 callers post to /unsafe/answer
+    Then each of them got its own complete response
+
   Scenario: A configuration becomes active although watches receive no update
     Given the store leaves watches waiting and drops its history
     When the operators add a route for /new/
--- a/tests/features/steps/gateway.py
+++ b/tests/features/steps/gateway.py
@@ -265,6 +265,20 @@
     context.gateway_stage.upstreams[name].name = 'i-newcomer'
 
 
+@given('the route of {prefix} allows 1 attempt')
+def limit_attempts(context, prefix):
+    stage = context.gateway_stage
+    routes = [
+        {**route, 'max_attempts': 1}
+        if route['path_prefix'] == prefix
+        else route
+        for route in stage.configuration['routes']
+    ]
+    version = stage.configuration['version'] + 1
+    stage.run(stage.configure(routes=routes, version=version))
+    stage.run(stage.wait_for_configuration())
+
+
 @given('the store leaves watches waiting and drops its history')
 def silence_watches(context):
     stage = context.gateway_stage
