Believe a refusal for long only after the start of the process

The change before believed that an instance was full until results had expired whenever a scheduler was new, also where a living gateway had taken it over or traffic had just begun. There results are known to their requesters, who report them, and a refusal means a release that is on its way: space was left unused.

What is believed for long is now what is refused within the lifetime of a result after the start of the process: when all gateways were killed, the next hosts have just started, and nobody knows the results of before.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/result_space_recorder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/result_space_recorder.py
@@ -27,6 +27,7 @@
 
     def __init__(self, *, context: GatewayContext) -> None:
         self._context = context
+        self._started_ms = get_monotonic_ms()
 
     def record_results(
         self,
@@ -58,7 +59,7 @@
                     call.untracked_bytes
                     + max(0, call.free_bytes - stored_bytes)
                 ),
-                self._get_untracked_expiry_ms(pool, scheduler),
+                self._get_untracked_expiry_ms(pool),
             )
 
     def record_lost(
@@ -75,20 +76,16 @@
                 _make_stored_result(call, waiting, handle, expires_ms)
             )
 
-    def _get_untracked_expiry_ms(
-        self,
-        pool: str,
-        scheduler: PieceScheduler,
-    ) -> float:
+    def _get_untracked_expiry_ms(self, pool: str) -> float:
         """
         Return until when untracked results are assumed to occupy space.
 
-        Those of an earlier scheduler that has terminated stay until they
-        expire; others are released after a short time.
+        Those of gateways that were killed together with this one stay until
+        they expire; others are released after a short time.
         """
         return max(
             get_monotonic_ms() + global_settings.RESULT_SPACE_RETRY_MS,
-            scheduler.started_ms + self._get_result_ttl_ms(pool),
+            self._started_ms + self._get_result_ttl_ms(pool),
         )
 
     def _get_result_ttl_ms(self, pool: str) -> float:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/scheduler_handover.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/scheduler_handover.py
@@ -97,7 +97,6 @@
             self._release_queue(pool, scheduler, host)
         calls = _make_call_messages(scheduler)
         now_ms = get_monotonic_ms()
-        scheduler.started_ms = now_ms
         results = make_result_messages(scheduler.result_space.pop_all(), now_ms)
         if calls or results or pool in self._notified:
             transfer = SchedulerTransfer(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/scheduler_registry.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/scheduler_registry.py
@@ -39,11 +39,7 @@
 
     def get(self, pool: str) -> PieceScheduler:
         """Return the scheduler of a pool, creating it if needed."""
-        scheduler = self._schedulers.get(pool)
-        if scheduler is None:
-            scheduler = PieceScheduler(started_ms=get_monotonic_ms())
-            self._schedulers[pool] = scheduler
-        return scheduler
+        return self._schedulers.setdefault(pool, PieceScheduler())
 
     def get_pools(self) -> tuple[str, ...]:
         """Return the pools that have a scheduler here."""
--- a/packages/ragworthollow/src/ragworthollow/pieces/scheduler.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/scheduler.py
@@ -26,8 +26,6 @@
 from ragworthollow.routes.upstream_pool import PieceProfile
 from ragworthollow.upstreams import LoadTracker, UpstreamInstance
 
-_LONG_AGO_MS = float('-inf')
-
 
 class PieceScheduler:
     """
@@ -38,16 +36,9 @@
     latest start that still meets their latency objective.  Pieces that have
     missed it come last, since one response in time is worth several late
     responses.
-
-    Parameters
-    ----------
-    started_ms : float
-        Since when it schedules the pool, on the monotonic clock.  Results that
-        an earlier scheduler requested may be untracked.
     """
 
-    def __init__(self, *, started_ms: float = _LONG_AGO_MS) -> None:
-        self.started_ms = started_ms
+    def __init__(self) -> None:
         self.result_space = ResultSpace()
         self._queue: list[WaitingPiece] = []
         self.running = RunningCalls()
