Count a step that raises an error as a failed scenario, not as a fixture

The verdict of a run took behave's status "error" for an error of a hook or fixture. It is what a step gets that raises anything but an AssertionError, such as the TimeoutError of a soak that does not settle, so that a listed test would have failed the run. The new scenario fails on the code before.

--- a/tests/features/steps/verdicts.py
+++ b/tests/features/steps/verdicts.py
@@ -26,6 +26,8 @@
 
 @when('{outcome}')
 def run(context, outcome):
+    if outcome == 'raises':
+        raise TimeoutError('the fleet did not settle')
     assert outcome == 'passes'
 """
 
@@ -81,6 +83,15 @@
     )
 
 
+@given('a feature with a scenario that is known to raise an error')
+def add_known_error(context):
+    _add_feature(
+        context,
+        'red',
+        'Feature: Red\n  Scenario: A known failure\n    When raises\n',
+    )
+
+
 @when('both are run')
 def run_both(context):
     tests = run_features(str(context.folder))
@@ -95,3 +106,8 @@
 @then('the failed fixture is an unexpected failure')
 def check_unexpected_failure(context):
     assert context.verdict.failures, context.verdict
+
+
+@then('nothing else failed')
+def check_nothing_else(context):
+    assert not context.verdict.failures, context.verdict
--- a/tests/features/verdicts.feature
+++ b/tests/features/verdicts.feature
@@ -22,3 +22,10 @@
     When both are run
     Then 1 scenario is a known failure
     And the failed fixture is an unexpected failure
+
+  Scenario: A known failure that raises an error is a known failure
+    # Guards against a run that fails for a test that is listed.
+    Given a feature with a scenario that is known to raise an error
+    When both are run
+    Then 1 scenario is a known failure
+    And nothing else failed
--- a/tests/outcomes.py
+++ b/tests/outcomes.py
@@ -3,7 +3,8 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-_ERROR_STATUSES = frozenset(('hook_error', 'cleanup_error', 'error'))
+# Not `error`, which a step causes that raises an exception.
+_ERROR_STATUSES = frozenset(('hook_error', 'cleanup_error'))
 
 
 @dataclass(frozen=True, kw_only=True)
