Do not let a cancelled watch block the stand-in of the store

Cause, from the log of the stand-in: "RuntimeError: Lock is not acquired" eight times. A watch waited for changes on a condition with a timeout. Cancelled while the timeout ends, as a caller that goes away does, it leaves behind a wait that takes the condition's lock and never returns it; each write waits for that lock. From then on no process can join, renew or move anything.

Watches now wait for an event that each change replaces, without a lock.

--- a/tests/standins/key_value.py
+++ b/tests/standins/key_value.py
@@ -53,7 +53,8 @@
         self.leases: dict[int, list[float]] = {}
         self.last_lease = 0
         self.history: list[tuple[int, dict]] = []
-        self.change_condition = asyncio.Condition()
+        # Set by the next change, and then replaced by another one.
+        self._next_change = asyncio.Event()
         self.counts: dict[str, int] = {}
         self.sent_bytes = 0
         self.timeline = 0
@@ -150,7 +151,7 @@
     async def _compact(self, _request: web.Request) -> web.Response:
         self.compacted_revision = self.revision
         self.history.clear()
-        await self._notify_watchers()
+        self.notify_watchers()
         return web.Response()
 
     async def _write_as_operator(self, request: web.Request) -> web.Response:
@@ -162,7 +163,7 @@
                 self._remove(key)
             else:
                 self._put(key, base64.b64encode(text.encode()).decode(), 0)
-        await self._notify_watchers()
+        self.notify_watchers()
         return web.json_response({'rev': self.revision})
 
     async def _read(self, request: web.Request) -> web.Response:
@@ -206,7 +207,7 @@
                 return web.json_response(
                     {'events': events, 'as_of': self.revision},
                 )
-            await self._wait_for_change(min(remaining_s, 0.1))
+            await self.wait_for_change(min(remaining_s, 0.1))
 
     def _find_events(self, prefix: str, after: int) -> list[dict]:
         if self.faults.active.get('deaf'):
@@ -217,16 +218,17 @@
             if revision > after and event['key'].startswith(prefix)
         ]
 
-    async def _wait_for_change(self, seconds: float) -> None:
-        async with self.change_condition:
-            try:
-                await asyncio.wait_for(self.change_condition.wait(), seconds)
-            except TimeoutError:
-                return
+    async def wait_for_change(self, seconds: float) -> None:
+        """Wait for the next change; a cancelled wait leaves nothing behind."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._next_change.wait()
+        except TimeoutError:
+            return
 
-    async def _notify_watchers(self) -> None:
-        async with self.change_condition:
-            self.change_condition.notify_all()
+    def notify_watchers(self) -> None:
+        self._next_change.set()
+        self._next_change = asyncio.Event()
 
     async def _txn(self, request: web.Request) -> web.Response:
         body = msgspec.json.decode(await request.read())
@@ -245,7 +247,7 @@
             self._remove(key)
         if self._triggers_outage(body):
             self.faults.active = {'down': 1}
-        await self._notify_watchers()
+        self.notify_watchers()
         return web.json_response({'rev': self.revision})
 
     def _triggers_outage(self, body: dict) -> bool:
@@ -295,7 +297,7 @@
             self.revision += 1
         for key in orphaned_keys:
             self._remove(key)
-        await self._notify_watchers()
+        self.notify_watchers()
 
     async def _run_lease_expiry(self, _application: web.Application):
         async def loop() -> None:
