Log how the stream of an upstream ended

The logs of a stream that was broken off and looked complete could not tell whether its connection was reset or whether it ended inside an event: they named neither the framing, nor the end of the connection, nor what was left of an event. 'answered' and 'attempt_failed' of streams have these now.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
@@ -1,8 +1,9 @@
 """Decide which attempts are made for a request."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
+from types import MappingProxyType
 
 from aiohttp import web
 from result import Err, Ok, Result
@@ -43,6 +44,7 @@
 # Failures that a crash of the instance would cause.
 _CONNECTION_LOSS_REASONS = frozenset((Reason.connection_lost, Reason.truncated))
 _SUCCESS_STATUSES = range(200, 300)
+_NO_FIELDS: Mapping[str, object] = MappingProxyType({})
 
 ForwardResult = Result[web.StreamResponse, UpstreamFailure]
 
@@ -157,13 +159,24 @@
             return True
         return self._counted_attempts >= self.job.route.max_attempts
 
-    def record_response(self, plan: AttemptPlan, status: int) -> None:
+    def record_response(
+        self,
+        plan: AttemptPlan,
+        status: int,
+        body_fields: Mapping[str, object] = _NO_FIELDS,
+    ) -> None:
         """Record a response that is passed on to the caller."""
         self._context.load_tracker.record_success(plan.instance.instance)
         if status in _SUCCESS_STATUSES:
             self._context.quarantine.record_success(self.job.fingerprint)
         late_ms = get_monotonic_ms() - self.job.get_objective_deadline_ms()
-        self._log(plan, 'answered', status=status, late_ms=round(late_ms))
+        self._log(
+            plan,
+            'answered',
+            status=status,
+            late_ms=round(late_ms),
+            **body_fields,
+        )
 
     def record_error_response(
         self,
@@ -184,7 +197,10 @@
         )
 
     def record_failure(
-        self, plan: AttemptPlan, failure: UpstreamFailure
+        self,
+        plan: AttemptPlan,
+        failure: UpstreamFailure,
+        body_fields: Mapping[str, object] = _NO_FIELDS,
     ) -> None:
         """Record a failed attempt."""
         self._context.metrics.count_attempt(
@@ -214,6 +230,7 @@
             reason=failure.reason,
             outcome=failure.outcome,
             detail=failure.detail,
+            **body_fields,
         )
 
     async def wait_for_crash_check(self, plan: AttemptPlan) -> None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/event_buffer.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/event_buffer.py
@@ -11,11 +11,19 @@
     An upstream may disconnect in the middle of an event.  A caller that has
     received part of an event could not resume at another upstream, since
     event ids identify complete events.
+
+    Attributes
+    ----------
+    last_event_id : str
+        Id of the last complete event; empty if it had none.
+    event_count : int
+        Complete events so far.
     """
 
     def __init__(self) -> None:
         self._incomplete = b''
         self.last_event_id = ''
+        self.event_count = 0
 
     def feed(self, chunk: bytes) -> bytes:
         """
@@ -34,6 +42,7 @@
         end += len(_SEPARATOR)
         self._incomplete = data[end:]
         complete = data[:end]
+        self.event_count += complete.count(_SEPARATOR)
         self._record_last_id(complete)
         return complete
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
@@ -164,11 +164,15 @@
             await relay.start(upstream)
             await relay.relay_events(upstream, on_first_event)
         except (TimeoutError, ClientError) as error:
-            series.record_failure(plan, _make_truncation_failure(plan, error))
+            series.record_failure(
+                plan,
+                _make_truncation_failure(plan, error),
+                relay.describe_end(),
+            )
             return None
         finally:
             upstream.close()
-        series.record_response(plan, upstream.status)
+        series.record_response(plan, upstream.status, relay.describe_end())
         return await relay.finish()
 
     def _make_first_event_callback(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
@@ -5,6 +5,7 @@
 from aiohttp import ClientResponse, web
 
 from ragworthollow.platform.response_wire import make_caller_headers
+from ragworthollow_daemon.gateway.body_end import BodyEnd
 from ragworthollow_daemon.gateway.event_buffer import EventBuffer
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.response_progress import ResponseProgress
@@ -63,6 +64,8 @@
         self._is_draining = is_draining
         self._response: web.StreamResponse | None = None
         self._event_buffer = EventBuffer()
+        self._body_end: BodyEnd | None = None
+        self._unfinished_bytes = 0
 
     def is_started(self) -> bool:
         """Return whether the head of the response has been sent."""
@@ -75,6 +78,17 @@
             or self._job.request_parameters.last_event_id
         )
 
+    def describe_end(self) -> dict[str, object]:
+        """Return log fields that tell how the last upstream ended its body."""
+        if self._body_end is None:
+            return {}
+        return {
+            'framing': self._body_end.framing,
+            'connection_end': self._body_end.get_connection_end(),
+            'events': self._event_buffer.event_count,
+            'unfinished_bytes': self._unfinished_bytes,
+        }
+
     async def start(self, upstream: ClientResponse) -> None:
         """Send the head, unless that of an earlier upstream has been sent."""
         if self._response is not None:
@@ -113,13 +127,16 @@
             If the upstream disconnects; `get_last_event_id` returns the event
             after which to resume.
         """
+        self._body_end = BodyEnd(response=upstream)
         self._event_buffer.pop_incomplete()
+        self._unfinished_bytes = 0
         async for chunk, _ in upstream.content.iter_chunks():
             complete = self._event_buffer.feed(chunk)
             if complete:
                 on_first_event()
                 await self._write(complete)
         incomplete = self._event_buffer.pop_incomplete()
+        self._unfinished_bytes = len(incomplete)
         if incomplete:
             await self._write(incomplete)
 
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -1,12 +1,16 @@
 """Stand in for one upstream instance, with faults chosen by path."""
 
 import asyncio
-import socket
-import struct
 from types import SimpleNamespace
 
 import msgspec
 
+from tests.standins.partial_streams import (
+    PartialStream,
+    reset_when_read,
+    write_stream,
+)
+
 _REQUEST_ID_HEADER = 'x-ragworthollow-request-id'
 _LAST_EVENT_ID_HEADER = 'last-event-id'
 EVENT_COUNT = 5
@@ -28,6 +32,8 @@
     def __init__(self, name: str, *, stop_after: int = EVENT_COUNT) -> None:
         self.name = name
         self.stop_after = stop_after
+        # Streams that end elsewhere or differently, each used once.
+        self.partial_streams: list[PartialStream] = []
         self.runs: list[SimpleNamespace] = []
         self.arrivals: list[SimpleNamespace] = []
         self.disconnected_request_ids: list[str] = []
@@ -101,6 +107,12 @@
         handle = _BEHAVIOURS[request.path.partition('?')[0].split('/')[-1]]
         return await handle(self, request, reader, writer)
 
+    def take_partial_stream(self) -> PartialStream:
+        """Return the stream to send next; a complete one if none is left."""
+        if self.partial_streams:
+            return self.partial_streams.pop()
+        return PartialStream(framing='chunked')
+
     def record_run(self, request) -> dict[str, str]:
         """Record that execution has started; return the response headers."""
         self.runs.append(request)
@@ -164,13 +176,6 @@
     writer.write(head + body)
 
 
-def _reset(writer) -> None:
-    """Close a connection with a TCP reset."""
-    raw = writer.get_extra_info('socket')
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
-    writer.transport.abort()
-
-
 async def _respond(standin, request, _reader, writer):
     _write_response(
         writer, '200 OK', standin.record_run(request), b'whole answer'
@@ -232,8 +237,7 @@
     _write_unframed(writer, standin.record_run(request))
     await writer.drain()
     # The client must read the head first: a reset discards unread data.
-    await asyncio.sleep(0.05)
-    _reset(writer)
+    await reset_when_read(writer)
     return False
 
 
@@ -315,6 +319,14 @@
     return True
 
 
+async def _stream_partly(standin, request, _reader, writer):
+    first = int(request.headers.get(_LAST_EVENT_ID_HEADER, '0')) + 1
+    stream = standin.take_partial_stream()
+    return await write_stream(
+        writer, standin.record_run(request), stream, first
+    )
+
+
 async def _pause_stream(standin, request, _reader, writer):
     _start_stream(standin, request, writer)
     for number in range(1, EVENT_COUNT + 1):
@@ -374,5 +386,6 @@
     'crash': _crash,
     'stream': _stream,
     'break': _break_stream,
+    'partial': _stream_partly,
     'pause': _pause_stream,
 }
