Add failing tests of streams that look complete though they were broken off

Sixteen scenarios fail on the present code and are listed: callers get status 200, a signature and a regular end - of a stream without a length whose connection is reset (between events, inside one, after the head), or closed after the head (connection_end failed, closed); - of a stream that ends inside an event, whatever its framing (unfinished_bytes 18); - and status 500 with a part of an error answer whose connection is reset. Events whose lines end with CRLF or CR are held back until the stream ends.

--- a/tests/features/broken_streams.feature
+++ b/tests/features/broken_streams.feature
@@ -15,3 +15,96 @@
       | connection | reset   | failed         | 1      | 18         |
       | length     | regular | None           | 1      | 18         |
       | chunked    | regular | None           | 1      | 18         |
+
+  Scenario Outline: A stream is broken off: framed by its <framing>, <stop>, <end>
+    # Guards against a part of a dossier that its caller takes for the whole.
+    Given upstreams whose next stream is framed by its <framing>, stops <stop> and ends by <end>
+    When a caller posts to /stream/partial
+    Then it gets <count> whole events and a broken connection
+
+    Examples:
+      | framing    | stop               | end     | count |
+      | connection | after its head     | close   | 0     |
+      | connection | after its head     | reset   | 0     |
+      | connection | between two events | reset   | 1     |
+      | connection | inside an event    | reset   | 1     |
+      | connection | inside an event    | close   | 1     |
+      | length     | after its head     | close   | 0     |
+      | length     | between two events | close   | 1     |
+      | length     | between two events | reset   | 1     |
+      | length     | inside an event    | close   | 1     |
+      | length     | inside an event    | reset   | 1     |
+      | length     | inside an event    | regular | 1     |
+      | chunked    | after its head     | reset   | 0     |
+      | chunked    | between two events | close   | 1     |
+      | chunked    | between two events | reset   | 1     |
+      | chunked    | inside an event    | close   | 1     |
+      | chunked    | inside an event    | reset   | 1     |
+      | chunked    | inside an event    | regular | 1     |
+
+  Scenario Outline: A broken stream resumes: framed by its <framing>, <stop>, <end>
+    # Guards against a resumed stream with a gap or with a part of an event.
+    Given upstreams whose next stream is framed by its <framing>, stops <stop> and ends by <end>
+    When a caller posts to /resumable/partial
+    Then it gets all 5 events once, in order, and the end
+
+    Examples:
+      | framing    | stop               | end     |
+      | connection | after its head     | close   |
+      | connection | between two events | reset   |
+      | connection | inside an event    | reset   |
+      | connection | inside an event    | close   |
+      | length     | inside an event    | regular |
+      | chunked    | inside an event    | regular |
+
+  Scenario Outline: A complete stream stays complete: <framing>, <lines>, <trailer>
+    # Guards against complete answers that are cut or delayed because of how
+    # they are framed or how their lines end.
+    Given upstreams whose next stream is framed by its <framing>, whole, with <lines> lines and <trailer> after it
+    When a caller posts to /stream/partial
+    Then it gets all 5 events once, in order, and the end
+    And the caller's body is what the upstream sent
+
+    Examples:
+      | framing    | lines | trailer     |
+      | connection | LF    | nothing     |
+      | connection | CRLF  | nothing     |
+      | connection | CR    | nothing     |
+      | connection | LF    | a comment   |
+      | connection | CRLF  | a blank line |
+      | length     | LF    | nothing     |
+      | length     | CRLF  | nothing     |
+      | chunked    | LF    | a blank line |
+      | chunked    | CRLF  | nothing     |
+      | chunked    | CR    | a comment   |
+
+  Scenario: A resumed stream without further events is complete
+    # Guards against a caller that has all events and is told that its stream
+    # was broken off once more.
+    Given upstreams whose next stream is framed by its connection, whole, with LF lines and nothing after it
+    When a caller resumes /resumable/partial after event 5
+    Then it gets all 0 events once, in order, and the end
+
+  Scenario Outline: Events with <lines> lines reach the caller as they arrive
+    # Guards against a stream that is held back until its end, since its blank
+    # lines are not recognised.
+    Given upstreams that hold streams with <lines> lines after their first event
+    When a caller opens /stream/held
+    Then it gets the first event before the stream goes on
+
+    Examples:
+      | lines |
+      | LF    |
+      | CRLF  |
+      | CR    |
+
+  Scenario Outline: An error answer of a stream that is <end>
+    # Guards against a part of an error answer that is passed on as the whole.
+    Given upstreams whose next error answer has no length and ends by <end>
+    When a caller posts to /stream/error
+    Then it gets status <status> and the request has run 1 times
+
+    Examples:
+      | end   | status |
+      | close | 500    |
+      | reset | 502    |
--- a/tests/features/steps/broken_streams.py
+++ b/tests/features/steps/broken_streams.py
@@ -1,7 +1,10 @@
 """Steps for streams that upstreams break off or frame in different ways."""
 
-from behave import given, then
+import asyncio
 
+from behave import given, then, when
+
+from tests.fixtures.gateways import API_KEY
 from tests.standins.partial_streams import End, PartialStream, Stop
 
 _STOPS = {
@@ -9,9 +12,13 @@
     'between two events': Stop.between,
     'inside an event': Stop.inside,
 }
+_NEWLINES = {'LF': '\n', 'CRLF': '\r\n', 'CR': '\r'}
+_FIRST_EVENT = b'data: token 1'
+_READ_TIMEOUT_S = 5
 
 
 def _prepare(context, stream: PartialStream) -> None:
+    context.partial_stream = stream
     for upstream in context.gateway_stage.upstreams.values():
         upstream.partial_streams.append(stream)
 
@@ -25,6 +32,97 @@
     _prepare(context, stream)
 
 
+@given(
+    'upstreams whose next stream is framed by its {framing:S}, whole, '
+    'with {lines:S} lines and {trailer} after it'
+)
+def prepare_complete_streams(context, framing, lines, trailer):
+    newline = _NEWLINES[lines]
+    trailers = {
+        'nothing': '',
+        'a comment': f': end{newline}',
+        'a blank line': newline,
+    }
+    _prepare(
+        context,
+        PartialStream(
+            framing=framing, newline=newline, trailer=trailers[trailer]
+        ),
+    )
+
+
+@given(
+    'upstreams that hold streams with {lines:S} lines after their first event'
+)
+def prepare_held_streams(context, lines):
+    _prepare(
+        context, PartialStream(framing='chunked', newline=_NEWLINES[lines])
+    )
+
+
+@given('upstreams whose next error answer has no length and ends by {end:S}')
+def prepare_error(context, end):
+    _prepare(context, PartialStream(framing='connection', end=End(end)))
+
+
+@when('a caller resumes {path:S} after event {event_id:d}')
+def resume(context, path, event_id):
+    stage = context.gateway_stage
+    context.response = stage.run(
+        stage.send(path, headers={'Last-Event-Id': str(event_id)})
+    )
+
+
+@when('a caller opens {path:S}')
+def open_stream(context, path):
+    context.held_path = path
+
+
+@then('it gets the first event before the stream goes on')
+def check_first_event(context):
+    stage = context.gateway_stage
+    stage.run(_read_held_stream(stage, context.held_path))
+
+
+async def _read_held_stream(stage, path):
+    address = stage.get_context().settings.front_address
+    async with stage.session.post(
+        f'http://{address}{path}',
+        headers={
+            'Host': 'service.example',
+            'Authorization': f'Bearer {API_KEY}',
+            'X-Ragworthollow-Request-Id': 'held',
+            'X-Ragworthollow-Deadline-Ms': '5000',
+        },
+    ) as response:
+        async with asyncio.timeout(_READ_TIMEOUT_S):
+            received = b''
+            while _FIRST_EVENT not in received:
+                received += await response.content.readany()
+                assert not response.content.at_eof(), received
+        for upstream in stage.upstreams.values():
+            upstream.resume_event.set()
+        received += await response.read()
+    assert b'data: token 5' in received, received
+
+
+@then('it gets {count:d} whole events and a broken connection')
+def check_whole_events(context, count):
+    whole = PartialStream(framing='chunked').render(1)
+    ends = [0]
+    while len(ends) <= count:
+        ends.append(whole.index(b'\n\n', ends[-1]) + 2)
+    body = context.response.body
+    assert body == whole[: ends[-1]], body
+    assert not context.response.is_whole, body
+
+
+@then("the caller's body is what the upstream sent")
+def check_body(context):
+    body = context.response.body
+    assert body == context.partial_stream.render(1), body
+
+
 @then(
     'the log has framing {framing:S}, connection end {connection_end:S}, '
     '{events:d} event and {unfinished:d} unfinished bytes'
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from tests.standins.partial_streams import (
+    End,
     PartialStream,
     reset_when_read,
     write_stream,
@@ -241,9 +242,9 @@
     return False
 
 
-def _write_unframed(writer, headers) -> None:
+def _write_unframed(writer, headers, status='200 OK') -> None:
     lines = [f'{name}: {text}' for name, text in headers.items()]
-    head = '\r\n'.join(['HTTP/1.1 200 OK', *lines, '', '']).encode()
+    head = '\r\n'.join([f'HTTP/1.1 {status}', *lines, '', '']).encode()
     writer.write(head + b'to the end of the connection')
 
 
@@ -327,6 +328,28 @@
     )
 
 
+async def _hold_stream(standin, request, _reader, writer):
+    body = standin.take_partial_stream().render(1)
+    # The first event, whatever its line endings are.
+    first_length = len(body) // EVENT_COUNT
+    _start_stream(standin, request, writer)
+    _write_chunk(writer, body[:first_length])
+    await standin.resume_event.wait()
+    _write_chunk(writer, body[first_length:])
+    _write_chunk(writer, b'')
+    return True
+
+
+async def _fail_unframed(standin, request, _reader, writer):
+    _write_unframed(
+        writer, standin.record_run(request), '500 Internal Server Error'
+    )
+    await writer.drain()
+    if standin.take_partial_stream().end is End.reset:
+        await reset_when_read(writer)
+    return False
+
+
 async def _pause_stream(standin, request, _reader, writer):
     _start_stream(standin, request, writer)
     for number in range(1, EVENT_COUNT + 1):
@@ -387,5 +410,7 @@
     'stream': _stream,
     'break': _break_stream,
     'partial': _stream_partly,
+    'held': _hold_stream,
+    'error': _fail_unframed,
     'pause': _pause_stream,
 }
