Treat a failed connection as an incomplete response in every session

Callers got status 200, a signature and a regular end for a stream whose engine had broken it off. Cause: a response with neither a length nor chunks ends with its connection, and the HTTP library reports the same end whether the peer closed the connection or it was reset or timed out. Whole answers of plain routes were checked by hand; streams and error answers of stream routes were not.

The protocol that reads a connection now fails a body that is not at its end when the connection fails. It stands below all readers, so that none can forget it: gateways towards upstreams, daemons among each other, and the platform. The check by hand is gone; where it could not see the connection any more it would have refused a complete answer.

Failed before: the reset rows of broken_streams.feature (eight scenarios, with the error answer) and of response_ends.feature (four). The resume scenarios had both instances break their stream, so that there was nobody to resume at; now the first attempt only. They fail on the code before as well.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
@@ -160,7 +160,7 @@
     response = opened.ok_value
     try:
         async with asyncio.timeout((end_ms - get_monotonic_ms()) / 1000):
-            body = await _read_full_body(response)
+            body = await response.read()
     except TimeoutError as error:
         return _make_error(plan, Reason.attempt_timeout, error, Outcome.unknown)
     except (aiohttp.ClientError, OSError) as error:
@@ -176,33 +176,6 @@
     )
 
 
-async def _read_full_body(response: aiohttp.ClientResponse) -> bytes:
-    """
-    Read a body and verify that the upstream ended it.
-
-    A body without a length ends when its connection closes.  If the
-    connection was reset instead, aiohttp still reports a complete body, so
-    the result of the close is checked as well.
-    """
-    connection = response.connection
-    is_framed = (
-        response.headers.get('Content-Length') is not None
-        or response.headers.get('Transfer-Encoding') is not None
-    )
-    if is_framed:
-        return await response.read()
-    closed = None
-    if connection is not None and connection.protocol is not None:
-        closed = connection.protocol.closed
-    body = await response.read()
-    if closed is None:
-        raise aiohttp.ClientPayloadError(
-            'cannot verify the end of a body without a length'
-        )
-    await closed
-    return body
-
-
 def _check_response_head(
     context: GatewayContext,
     job: RequestJob,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/event_buffer.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/event_buffer.py
@@ -46,11 +46,13 @@
         self._record_last_id(complete)
         return complete
 
-    def pop_incomplete(self) -> bytes:
-        """Remove and return the bytes of an incomplete event."""
-        incomplete = self._incomplete
+    def get_incomplete(self) -> bytes:
+        """Return the bytes of an incomplete event."""
+        return self._incomplete
+
+    def discard_incomplete(self) -> None:
+        """Discard the bytes of an incomplete event."""
         self._incomplete = b''
-        return incomplete
 
     def _record_last_id(self, complete: bytes) -> None:
         for line in reversed(complete.split(b'\n')):
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
@@ -65,7 +65,6 @@
         self._response: web.StreamResponse | None = None
         self._event_buffer = EventBuffer()
         self._body_end: BodyEnd | None = None
-        self._unfinished_bytes = 0
 
     def is_started(self) -> bool:
         """Return whether the head of the response has been sent."""
@@ -86,7 +85,7 @@
             'framing': self._body_end.framing,
             'connection_end': self._body_end.get_connection_end(),
             'events': self._event_buffer.event_count,
-            'unfinished_bytes': self._unfinished_bytes,
+            'unfinished_bytes': len(self._event_buffer.get_incomplete()),
         }
 
     async def start(self, upstream: ClientResponse) -> None:
@@ -128,15 +127,13 @@
             after which to resume.
         """
         self._body_end = BodyEnd(response=upstream)
-        self._event_buffer.pop_incomplete()
-        self._unfinished_bytes = 0
+        self._event_buffer.discard_incomplete()
         async for chunk, _ in upstream.content.iter_chunks():
             complete = self._event_buffer.feed(chunk)
             if complete:
                 on_first_event()
                 await self._write(complete)
-        incomplete = self._event_buffer.pop_incomplete()
-        self._unfinished_bytes = len(incomplete)
+        incomplete = self._event_buffer.get_incomplete()
         if incomplete:
             await self._write(incomplete)
 
--- a/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
@@ -1,8 +1,5 @@
 """Reuse connections to upstreams only if they hold no unexpected data."""
 
-import functools
-from typing import Any
-
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ClientRequest
@@ -10,30 +7,21 @@
 from aiohttp.tracing import Trace
 
 from ragworthollow.conf import global_settings
-from ragworthollow.transport.response_protocol import ResponseProtocol
+from ragworthollow.transport.connector import Connector
 from ragworthollow.transport.timeouts import limit_running_time
 
 _MILLISECONDS = 1000
 
 
-class CheckedConnector(aiohttp.TCPConnector):
+class CheckedConnector(Connector):
     """
     Skip idle connections on which unsolicited bytes have arrived.
 
     An upstream may send a second response after a complete one. aiohttp
     would use it as the response to the next request on the connection. That
     request may have run by then, and its own response would be lost.
-
-    Parameters
-    ----------
-    **options
-        Options of `aiohttp.TCPConnector`.
     """
 
-    def __init__(self, **options: Any) -> None:
-        super().__init__(**options)
-        self._factory = functools.partial(ResponseProtocol, loop=self._loop)
-
     async def connect(
         self,
         req: ClientRequest,
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/transport/connector.py
@@ -0,0 +1,23 @@
+"""Open connections whose responses are checked for completeness."""
+
+import functools
+from typing import Any
+
+import aiohttp
+
+from ragworthollow.transport.response_protocol import ResponseProtocol
+
+
+class Connector(aiohttp.TCPConnector):
+    """
+    Open connections that are read by a `ResponseProtocol`.
+
+    Parameters
+    ----------
+    **options
+        Options of `aiohttp.TCPConnector`.
+    """
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self._factory = functools.partial(ResponseProtocol, loop=self._loop)
--- a/packages/ragworthollow/src/ragworthollow/transport/session.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/session.py
@@ -4,6 +4,7 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.transport.authentication import CLUSTER_HEADER
+from ragworthollow.transport.connector import Connector
 
 _MILLISECONDS = 1000
 
@@ -23,7 +24,7 @@
         Session that the caller must close.
     """
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
+        connector=Connector(
             limit=0,
             limit_per_host=global_settings.POOL_CONNECTIONS_PER_PEER,
             keepalive_timeout=global_settings.KEEPALIVE_MS / _MILLISECONDS,
@@ -45,7 +46,7 @@
         Session that the caller must close.
     """
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False),
+        connector=Connector(limit=0, use_dns_cache=False),
         read_bufsize=global_settings.STREAM_READ_LIMIT_BYTES,
         auto_decompress=False,
     )
--- a/tests/features/steps/broken_streams.py
+++ b/tests/features/steps/broken_streams.py
@@ -19,8 +19,10 @@
 
 def _prepare(context, stream: PartialStream) -> None:
     context.partial_stream = stream
+    # Shared, so that only the first attempt gets this stream.
+    streams = [stream]
     for upstream in context.gateway_stage.upstreams.values():
-        upstream.partial_streams.append(stream)
+        upstream.partial_streams = streams
 
 
 @given(
