Recognise events whose lines end with CRLF or CR

Callers of such a stream got its events only when it had ended, since the relay knew one form of a blank line, LF LF, and took the rest for one unfinished event. The buffer splits at a blank line under each line ending of the standard.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/event_buffer.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/event_buffer.py
@@ -1,6 +1,10 @@
 """Split an event stream into complete events."""
 
-_SEPARATOR = b'\n\n'
+import re
+
+# A blank line, under each line ending that the standard of event streams
+# allows.  An atomic group keeps CRLF from counting as two line endings.
+_EVENT_END = re.compile(rb'(?>\r\n|\n|\r){2,}')
 _ID_FIELD = b'id:'
 
 
@@ -35,14 +39,14 @@
             The events that are complete now, unchanged; may be empty.
         """
         data = self._incomplete + chunk
-        end = data.rfind(_SEPARATOR)
-        if end < 0:
+        event_ends = [match.end() for match in _EVENT_END.finditer(data)]
+        if not event_ends:
             self._incomplete = data
             return b''
-        end += len(_SEPARATOR)
+        end = event_ends[-1]
         self._incomplete = data[end:]
         complete = data[:end]
-        self.event_count += complete.count(_SEPARATOR)
+        self.event_count += len(event_ends)
         self._record_last_id(complete)
         return complete
 
@@ -55,7 +59,7 @@
         self._incomplete = b''
 
     def _record_last_id(self, complete: bytes) -> None:
-        for line in reversed(complete.split(b'\n')):
+        for line in reversed(complete.splitlines()):
             if line.startswith(_ID_FIELD):
                 event_id = line[len(_ID_FIELD) :].strip()
                 self.last_event_id = event_id.decode('latin-1')
--- a/tests/features/broken_streams.feature
+++ b/tests/features/broken_streams.feature
@@ -108,3 +108,8 @@
       | end   | status |
       | close | 500    |
       | reset | 502    |
+
+  Scenario: Events in any division into chunks are passed on unchanged
+    # Guards against events that are lost, joined or held back where a chunk ends
+    # inside a line ending.
+    Then any events with any line endings in any chunks leave the buffer whole
