Treat a stream that ends inside an event as broken off

Callers got status 200, a signature and a regular end for a stream that its upstream ended in the middle of an event, and a part of that event as its last bytes. Cause: the relay wrote what was left in its buffer and ended the response; it trusted the end of the body alone. A connection that is closed, or a last chunk, says nothing of the last event.

What is left of an event is now a truncation like that of a lost connection: the stream resumes at another instance where its route allows it, else the caller's connection is closed without an end. Blank lines and comments after the last event are passed on. A body that ends with its connection and has no event at all is a truncation too, unless the caller resumes: a process that crashes after its head closes its connection in the same way.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/event_buffer.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/event_buffer.py
@@ -5,6 +5,8 @@
 # A blank line, under each line ending that the standard of event streams
 # allows.  An atomic group keeps CRLF from counting as two line endings.
 _EVENT_END = re.compile(rb'(?>\r\n|\n|\r){2,}')
+_LINE_ENDINGS = b'\r\n'
+_COMMENT_START = b':'
 _ID_FIELD = b'id:'
 
 
@@ -51,11 +53,26 @@
         return complete
 
     def get_incomplete(self) -> bytes:
-        """Return the bytes of an incomplete event."""
+        """Return the bytes after the last complete event."""
         return self._incomplete
 
+    def has_partial_event(self) -> bool:
+        """
+        Return whether the bytes after the last event are part of another.
+
+        Blank lines and whole comment lines belong to no event.
+        """
+        return any(
+            line.strip(_LINE_ENDINGS)
+            and not (
+                line.startswith(_COMMENT_START)
+                and line.endswith((b'\n', b'\r'))
+            )
+            for line in self._incomplete.splitlines(keepends=True)
+        )
+
     def discard_incomplete(self) -> None:
-        """Discard the bytes of an incomplete event."""
+        """Discard the bytes after the last complete event."""
         self._incomplete = b''
 
     def _record_last_id(self, complete: bytes) -> None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable
 
-from aiohttp import ClientResponse, web
+from aiohttp import ClientPayloadError, ClientResponse, web
 
 from ragworthollow.platform.response_wire import make_caller_headers
+from ragworthollow.transport.body_framing import BodyFraming
 from ragworthollow_daemon.gateway.body_end import BodyEnd
 from ragworthollow_daemon.gateway.event_buffer import EventBuffer
 from ragworthollow_daemon.gateway.request_job import RequestJob
@@ -123,8 +124,8 @@
         Raises
         ------
         ClientError
-            If the upstream disconnects; `get_last_event_id` returns the event
-            after which to resume.
+            If the upstream disconnects or ends its stream inside an event;
+            `get_last_event_id` returns the event after which to resume.
         """
         self._body_end = BodyEnd(response=upstream)
         self._event_buffer.discard_incomplete()
@@ -133,9 +134,10 @@
             if complete:
                 on_first_event()
                 await self._write(complete)
-        incomplete = self._event_buffer.get_incomplete()
-        if incomplete:
-            await self._write(incomplete)
+        self._check_end()
+        rest = self._event_buffer.get_incomplete()
+        if rest:
+            await self._write(rest)
 
     async def finish(self) -> web.StreamResponse:
         """End the response as complete."""
@@ -159,5 +161,16 @@
             transport.close()
         return StreamAborted(response=self._response, failure=failure)
 
+    def _check_end(self) -> None:
+        """Raise ClientPayloadError if a regular end leaves events missing."""
+        if self._event_buffer.has_partial_event():
+            raise ClientPayloadError('the stream ended inside an event')
+        is_empty = not (
+            self._event_buffer.event_count or self.get_last_event_id()
+        )
+        # A process that crashes after the head closes its connection too.
+        if is_empty and self._body_end.framing is BodyFraming.connection:
+            raise ClientPayloadError('the connection ended before any event')
+
     async def _write(self, events: bytes) -> None:
         await self._response.write(events)
