Do not log a stream that its upstream broke off as left by its caller

Operators found 'request_abandoned' with a CancelledError, reason cancelled and the cause 'caller left' for streams that an upstream had broken off. Cause: the relay closed the caller's connection before its error had reached the handler, and a closed connection cancels the handler. Where the error came first, the request was counted and logged as done.

The handler closes the connection itself, and a broken stream ends with the outcome and reason of its failure in request_ended and in the counters.

'A broken stream is not counted as served' failed before: no request_ended, request_abandoned with CancelledError() instead. broken_streams, losses, gateway, graceful_stop and grace_time.feature: 114 scenarios passed.

--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/loss_account.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/loss_account.py
@@ -59,7 +59,7 @@
             self._add_end(line)
 
     def _add_end(self, line: LogLine) -> None:
-        # An aborted stream logs a second end line, as if it were complete.
+        # An aborted stream logs a second end line.
         if line.request_id in self._ended_requests:
             return
         self._ended_requests.add(line.request_id)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_handler.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_handler.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from aiohttp import web
-from result import Err, Ok
+from result import Err
 
 from ragworthollow.logs.events import log_event
 from ragworthollow.outcomes import Outcome, Reason
@@ -14,13 +14,11 @@
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.admission import Admission
 from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.ended_request import EndedRequest
 from ragworthollow_daemon.gateway.piece_client import PieceClient
 from ragworthollow_daemon.gateway.refusals import refuse
 from ragworthollow_daemon.gateway.request_job import RequestJob
-from ragworthollow_daemon.gateway.request_runner import (
-    RequestRunner,
-    ResponseResult,
-)
+from ragworthollow_daemon.gateway.request_runner import RequestRunner
 from ragworthollow_daemon.gateway.response_progress import ResponseProgress
 from ragworthollow_daemon.gateway.stream_relay import StreamAborted
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
@@ -57,12 +55,13 @@
         with self._context.drain.serving(request_id, request.remote or ''):
             admitted = await self._admission.admit(request, received_ms)
             if isinstance(admitted, Err):
-                result: ResponseResult = admitted
+                ended = self._refuse(admitted.err_value)
                 job = None
             else:
                 job = admitted.ok_value
-                result = await self._run_while_connected(job)
-            response = self._finish(request, received_ms, job, result)
+                ended = await self._run_while_connected(job)
+            self._record_end(request, received_ms, job, ended)
+            response = ended.response
         if self._context.drain.is_draining and not response.prepared:
             response.force_close()
         return response
@@ -71,14 +70,13 @@
         """Start deferred requests if there is capacity for them."""
         self._runner.deferral.start_ready()
 
-    async def _run_while_connected(self, job: RequestJob) -> ResponseResult:
+    async def _run_while_connected(self, job: RequestJob) -> EndedRequest:
         """Run a request; record a cancellation if the caller disconnects."""
         progress = ResponseProgress(step='stages', peer=job.pool)
         try:
-            return await self._runner.run(job, progress)
+            result = await self._runner.run(job, progress)
         except StreamAborted as aborted:
-            self._record_aborted_stream(job, aborted.failure)
-            return Ok(aborted.response)
+            return self._abort_stream(job, aborted)
         except (asyncio.CancelledError, ConnectionError) as error:
             self._context.metrics.count_request(
                 job.route.name,
@@ -98,6 +96,26 @@
                 elapsed_ms=round(get_monotonic_ms() - job.received_ms),
             )
             raise
+        if isinstance(result, Err):
+            return self._refuse(result.err_value)
+        return EndedRequest(response=result.ok_value)
+
+    def _abort_stream(
+        self, job: RequestJob, aborted: StreamAborted
+    ) -> EndedRequest:
+        """
+        Close the connection so that the response does not look complete.
+
+        Data already written is still delivered; the server cannot terminate
+        the body regularly on a connection that is closing.  Closed any
+        earlier, the connection would cancel this handler, as if the caller
+        had left.
+        """
+        transport = job.request.transport
+        if transport is not None:
+            transport.close()
+        self._record_aborted_stream(job, aborted.failure)
+        return EndedRequest(response=aborted.response, failure=aborted.failure)
 
     def _record_aborted_stream(
         self,
@@ -116,20 +134,22 @@
             detail=failure.detail,
         )
 
-    def _finish(
+    def _refuse(self, failure: UpstreamFailure) -> EndedRequest:
+        return EndedRequest(
+            response=refuse(failure, self._context.rng), failure=failure
+        )
+
+    def _record_end(
         self,
         request: web.BaseRequest,
         received_ms: float,
         job: RequestJob | None,
-        result: ResponseResult,
-    ) -> web.StreamResponse:
+        ended: EndedRequest,
+    ) -> None:
         elapsed_ms = get_monotonic_ms() - received_ms
-        failure = result.err_value if isinstance(result, Err) else None
-        if failure is None:
-            response = result.ok_value
-            outcome, reason = Outcome.done, None
-        else:
-            response = refuse(failure, self._context.rng)
+        failure = ended.failure
+        outcome, reason = Outcome.done, None
+        if failure is not None:
             outcome, reason = failure.outcome, failure.reason
         route = '' if job is None else job.route.name
         self._context.metrics.count_request(route, outcome, reason)
@@ -157,7 +177,7 @@
                     )
                 )
             ),
-            status=response.status,
+            status=ended.response.status,
             outcome=outcome,
             reason=reason,
             peer=None if failure is None else failure.peer,
@@ -167,4 +187,3 @@
             waited_ms=None if job is None else round(job.waited_ms),
             pieces=request_parameters.piece_counts,
         )
-        return response
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
@@ -20,7 +20,7 @@
     Parameters
     ----------
     response : StreamResponse
-        The partial response; its connection is closed.
+        The partial response, whose connection has to be closed.
     failure : UpstreamFailure
         Why the stream cannot be resumed.
     """
@@ -145,20 +145,7 @@
         return self._response
 
     def abort(self, failure: UpstreamFailure) -> StreamAborted:
-        """
-        Close the connection so that the response does not look complete.
-
-        Data already written is still delivered; the server cannot terminate
-        the body regularly on a connection that is closing.
-
-        Returns
-        -------
-        StreamAborted
-            Exception for the calling function to raise.
-        """
-        transport = self._job.request.transport
-        if transport is not None:
-            transport.close()
+        """Return the exception to raise if the stream cannot go on."""
         return StreamAborted(response=self._response, failure=failure)
 
     def _check_end(self) -> None:
--- a/tests/features/broken_streams.feature
+++ b/tests/features/broken_streams.feature
@@ -42,6 +42,14 @@
       | chunked    | inside an event    | reset   | 1     |
       | chunked    | inside an event    | regular | 1     |
 
+  @fixture.log_lines
+  Scenario: A broken stream is not counted as served
+    # Guards against logs and metrics in which requests are served whose callers
+    # got a part of their answer.
+    Given upstreams whose next stream is framed by its connection, stops inside an event and ends by reset
+    When a caller posts to /stream/partial
+    Then the request is logged and counted with outcome unknown and reason truncated
+
   Scenario Outline: A broken stream resumes: framed by its <framing>, <stop>, <end>
     # Guards against a resumed stream with a gap or with a part of an event.
     Given upstreams whose next stream is framed by its <framing>, stops <stop> and ends by <end>
--- a/tests/features/steps/broken_streams.py
+++ b/tests/features/steps/broken_streams.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from ragworthollow.outcomes import Reason
 from tests.fixtures.gateways import API_KEY
 from tests.standins.partial_streams import End, PartialStream, Stop
 
@@ -15,6 +16,12 @@
 _NEWLINES = {'LF': '\n', 'CRLF': '\r\n', 'CR': '\r'}
 _FIRST_EVENT = b'data: token 1'
 _READ_TIMEOUT_S = 5
+_ATTEMPT_EVENTS = frozenset(('answered', 'attempt_failed'))
+_END_EVENTS = frozenset(('request_ended',))
+
+
+def _find_log_lines(context, events: frozenset[str]) -> list[dict]:
+    return [fields for event, fields in context.log_lines if event in events]
 
 
 def _prepare(context, stream: PartialStream) -> None:
@@ -130,11 +137,7 @@
     '{events:d} event and {unfinished:d} unfinished bytes'
 )
 def check_log(context, framing, connection_end, events, unfinished):
-    (fields,) = [
-        fields
-        for event, fields in context.log_lines
-        if event in {'answered', 'attempt_failed'}
-    ]
+    (fields,) = _find_log_lines(context, _ATTEMPT_EVENTS)
     found = (
         str(fields['framing']),
         str(fields['connection_end']),
@@ -142,3 +145,16 @@
         fields['unfinished_bytes'],
     )
     assert found == (framing, connection_end, events, unfinished), fields
+
+
+@then(
+    'the request is logged and counted with outcome {outcome:S} and reason '
+    '{reason:S}'
+)
+def check_end(context, outcome, reason):
+    stage = context.gateway_stage
+    stage.run(stage.wait_for(lambda: _find_log_lines(context, _END_EVENTS)))
+    (fields,) = _find_log_lines(context, _END_EVENTS)
+    assert (fields['outcome'], fields['reason']) == (outcome, reason), fields
+    metrics = stage.get_context().metrics
+    assert metrics.get_requests(Reason(reason)) == 1
