Do not exit when the store breaks off an answer

An answer of the store without a length that is closed in the middle looks complete to the transport; decoding it then raised DecodeError in a background task, and a gateway whose task fails drains and exits: all gateways at once if the store does this.

The transport decodes the answer itself, and one that cannot be decoded is a failed call that may have been applied, like one whose connection is lost.

'The store closes its connections in the middle of its answers' failed before: task_failed, and the process ended itself. The store of the users' platform is not known to answer without a length.

--- a/packages/ragworthollow/src/ragworthollow/platform/store_client.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_client.py
@@ -80,12 +80,9 @@
             'POST',
             '/api/kv-lease',
             body=msgspec.json.encode(LeaseRequest(ttl_ms=ttl_ms)),
+            response_type=LeaseResponse,
         )
-        return result.map(
-            lambda response: (
-                msgspec.json.decode(response.body, type=LeaseResponse).lease
-            ),
-        )
+        return result.map(lambda response: response.message.lease)
 
     async def renew_lease(self, lease: int) -> Result[bool, PlatformError]:
         """Renew a lease; the result is False if it has expired."""
--- a/packages/ragworthollow/src/ragworthollow/platform/store_reader.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_reader.py
@@ -6,7 +6,6 @@
 from http import HTTPStatus
 
 import aiohttp
-import msgspec
 from result import Err, Ok, Result
 
 from ragworthollow.conf import global_settings
@@ -84,16 +83,14 @@
             'GET',
             '/api/kv-key',
             query={'key': f'{self._prefix}{key}'},
+            response_type=Item,
             absent_status=HTTPStatus.NOT_FOUND,
         )
         return result.map(
             lambda response: (
                 Stored(timeline=response.timeline)
-                if response.body is None
-                else _to_stored(
-                    msgspec.json.decode(response.body, type=Item),
-                    response.timeline,
-                )
+                if response.message is None
+                else _to_stored(response.message, response.timeline)
             ),
         )
 
@@ -118,13 +115,14 @@
                 'GET',
                 '/api/kv-range',
                 query=query,
+                response_type=RangePage,
             )
             if isinstance(result, Err):
                 return result
             body = result.ok_value.body
             timeline = result.ok_value.timeline
             timelines.add(timeline)
-            page = msgspec.json.decode(body, type=RangePage)
+            page = result.ok_value.message
             revision = revision or page.as_of
             size_bytes += len(body)
             entries.update(
@@ -277,6 +275,7 @@
                 'after': str(after_revision),
                 'wait_ms': str(wait_ms),
             },
+            response_type=WatchPage,
             absent_status=HTTPStatus.GONE,
             extra_ms=wait_ms,
             max_bytes=max_bytes,
@@ -284,9 +283,9 @@
         return result.map(
             lambda response: (
                 None
-                if response.body is None
+                if response.message is None
                 else _WatchResult(
-                    page=msgspec.json.decode(response.body, type=WatchPage),
+                    page=response.message,
                     timeline=response.timeline,
                 )
             ),
--- a/packages/ragworthollow/src/ragworthollow/platform/store_transport.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_transport.py
@@ -3,6 +3,7 @@
 from http import HTTPStatus
 
 import aiohttp
+import msgspec
 from result import Err, Ok, Result
 from yarl import URL
 
@@ -64,6 +65,7 @@
         *,
         query: dict[str, str] | None = None,
         body: bytes | None = None,
+        response_type: type | None = None,
         absent_status: HTTPStatus | None = None,
         extra_ms: float = 0,
         max_bytes: float = UNLIMITED_BYTES,
@@ -79,6 +81,8 @@
             Query parameters of the request.
         body : bytes, optional
             JSON body of the request.
+        response_type : type, optional
+            Type to decode the body of a response as.
         absent_status : HTTPStatus, optional
             Status with which the store reports that there is nothing to return.
         extra_ms : float
@@ -118,13 +122,30 @@
         if status == absent_status or not is_complete:
             return Ok(StoreResponse(body=None, timeline=timeline))
         if status == HTTPStatus.OK:
-            return Ok(
-                StoreResponse(body=received_body.join(), timeline=timeline)
+            return self._decode(
+                path, received_body.join(), timeline, response_type
             )
         # Every other status means that the store has not applied the request.
         detail = f'status {status}'
         return Err(self._explain(path, detail, applied=False))
 
+    def _decode(
+        self,
+        path: str,
+        body: bytes,
+        timeline: int,
+        response_type: type | None,
+    ) -> Result[StoreResponse, PlatformError]:
+        """Decode a body; one without a length may have been cut unnoticed."""
+        message = None
+        if response_type is not None:
+            try:
+                message = msgspec.json.decode(body, type=response_type)
+            except msgspec.DecodeError as error:
+                detail = f'{error}, after {len(body)} bytes'
+                return Err(self._explain(path, detail, applied=True))
+        return Ok(StoreResponse(body=body, timeline=timeline, message=message))
+
     def _record_timeline(self, response: aiohttp.ClientResponse) -> int:
         """Return the timeline of a response, by default the known timeline."""
         text = response.headers.get(_TIMELINE, '').strip()
--- a/tests/standins/key_value.py
+++ b/tests/standins/key_value.py
@@ -32,6 +32,17 @@
         }
 
 
+def _send_half(
+    request: web.Request, response: web.Response
+) -> web.StreamResponse:
+    """Send half of a body without a length and close the connection."""
+    head = f'HTTP/1.1 {response.status} OK\r\n\r\n'.encode()
+    body = response.body or b''
+    request.transport.write(head + body[: len(body) // 2])
+    request.transport.close()
+    return response
+
+
 class KeyValueStandin:
     """
     Store keys, leases and watches in memory, and count calls by path.
@@ -134,6 +145,8 @@
         rate = self.faults.active.get('bytes_per_s')
         if self.faults.has('stall'):
             return await send_slowly(request, response, 0)
+        if self.faults.has('cut'):
+            return _send_half(request, response)
         if rate:
             return await send_slowly(request, response, rate, self._record_sent)
         self._record_sent(len(response.body or b''))
