Keep the entity tag of an instance list only with the list

A list that was broken off and could not be decoded left its entity tag behind. The service then answered 'not modified', and the daemon kept its old list, or none, until the next change. The tag is kept once the list has been decoded.

'An instance list that was broken off is read again' failed before (0 instances).

--- a/packages/ragworthollow/src/ragworthollow/platform/instance_poller.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/instance_poller.py
@@ -93,6 +93,9 @@
         ) as response:
             if response.status == _NOT_MODIFIED:
                 return None
-            body = await response.read()
+            fetched = msgspec.json.decode(
+                await response.read(), type=InstanceList
+            )
+            # Kept only with its list: it makes the service leave that out.
             self._entity_tag = response.headers.get('ETag', '')
-            return msgspec.json.decode(body, type=InstanceList)
+            return fetched
--- a/tests/features/response_ends.feature
+++ b/tests/features/response_ends.feature
@@ -17,3 +17,10 @@
       | reset  | other daemons    | uvloop  | incomplete |
       | reset  | the platform     | uvloop  | incomplete |
       | reset  | upstreams        | asyncio | incomplete |
+
+  Scenario: An instance list that was broken off is read again
+    # Guards against a daemon that keeps an old list until the next change,
+    # since it presents the entity tag of a list that it could not read.
+    Given a list service that breaks off its first response
+    When the instance list is polled 2 times
+    Then the list has 1 instance
