Do not blame an upstream for a caller whose connection is closing

Found by reading what ends the relay of a stream. A write to a caller whose connection is closing raises the same errors as a read from an upstream that broke off. The relay took it for the latter: the instance became suspect, a lost connection was kept as evidence against the request, and a stream that may resume was planned again for nobody, until the cancellation of the handler came through. It takes both events in one turn of the loop.

Errors of writes to the caller are ConnectionErrors now, which the handler records as request_abandoned.

'A caller's connection is closing when events arrive for it' failed before (ClientConnectionResetError). The scenario beside it, a caller that leaves while all buffers are full, passed before as well: cancellation comes first there. broken_streams and gateway.feature: 102 scenarios passed.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
@@ -1,8 +1,9 @@
 """Relay an event stream to the caller, from one or several upstreams."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
-from aiohttp import ClientPayloadError, ClientResponse, web
+from aiohttp import ClientError, ClientPayloadError, ClientResponse, web
 
 from ragworthollow.platform.response_wire import make_caller_headers
 from ragworthollow.transport.body_framing import BodyFraming
@@ -91,6 +92,7 @@
 
     async def start(self, upstream: ClientResponse) -> None:
         """Send the head, unless that of an earlier upstream has been sent."""
+        self._body_end = BodyEnd(response=upstream)
         if self._response is not None:
             return
         response = web.StreamResponse(
@@ -103,7 +105,8 @@
             response.force_close()
         self._response = response
         self._progress.is_started = True
-        await response.prepare(self._job.request)
+        with _writing_to_caller():
+            await response.prepare(self._job.request)
 
     async def relay_events(
         self,
@@ -126,8 +129,9 @@
         ClientError
             If the upstream disconnects or ends its stream inside an event;
             `get_last_event_id` returns the event after which to resume.
+        ConnectionError
+            If the caller disconnects.
         """
-        self._body_end = BodyEnd(response=upstream)
         self._event_buffer.discard_incomplete()
         async for chunk, _ in upstream.content.iter_chunks():
             complete = self._event_buffer.feed(chunk)
@@ -141,7 +145,8 @@
 
     async def finish(self) -> web.StreamResponse:
         """End the response as complete."""
-        await self._response.write_eof()
+        with _writing_to_caller():
+            await self._response.write_eof()
         return self._response
 
     def abort(self, failure: UpstreamFailure) -> StreamAborted:
@@ -160,4 +165,18 @@
             raise ClientPayloadError('the connection ended before any event')
 
     async def _write(self, events: bytes) -> None:
-        await self._response.write(events)
+        with _writing_to_caller():
+            await self._response.write(events)
+
+
+@contextmanager
+def _writing_to_caller() -> Iterator[None]:
+    """
+    Report a lost caller differently from a lost upstream.
+
+    The HTTP library raises the same errors on both sides.
+    """
+    try:
+        yield
+    except ClientError as error:
+        raise ConnectionError(f'the caller disconnected: {error!r}') from error
--- a/tests/features/broken_streams.feature
+++ b/tests/features/broken_streams.feature
@@ -121,3 +121,16 @@
     # Guards against events that are lost, joined or held back where a chunk ends
     # inside a line ending.
     Then any events with any line endings in any chunks leave the buffer whole
+
+  Scenario: A caller's connection is closing when events arrive for it
+    # Guards against an instance that is blamed, and a stream resumed for nobody,
+    # since a write to a caller and a read from an upstream fail alike.
+    Given a caller whose connection is closing
+    When events of an upstream are relayed to it
+    Then the relay reports a lost caller and not a broken upstream
+
+  @fixture.log_lines
+  Scenario: A caller leaves while its stream waits for it to read
+    # Guards against an instance that is avoided because a caller has left.
+    When a caller leaves /stream/flood without reading it
+    Then the request is logged as abandoned, and no attempt as failed
--- a/tests/features/steps/broken_streams.py
+++ b/tests/features/steps/broken_streams.py
@@ -1,10 +1,16 @@
 """Steps for streams that upstreams break off or frame in different ways."""
 
 import asyncio
+from types import SimpleNamespace
+from unittest import mock
 
+import aiohttp
+from aiohttp.test_utils import make_mocked_request
 from behave import given, then, when
 
 from ragworthollow.outcomes import Reason
+from ragworthollow_daemon.gateway.response_progress import ResponseProgress
+from ragworthollow_daemon.gateway.stream_relay import StreamRelay
 from tests.fixtures.gateways import API_KEY
 from tests.standins.partial_streams import End, PartialStream, Stop
 
@@ -16,6 +22,8 @@
 _NEWLINES = {'LF': '\n', 'CRLF': '\r\n', 'CR': '\r'}
 _FIRST_EVENT = b'data: token 1'
 _READ_TIMEOUT_S = 5
+# Polls without progress after which all buffers are taken to be full.
+_UNCHANGED_COUNTS = 20
 _ATTEMPT_EVENTS = frozenset(('answered', 'attempt_failed'))
 _END_EVENTS = frozenset(('request_ended',))
 
@@ -158,3 +166,90 @@
     assert (fields['outcome'], fields['reason']) == (outcome, reason), fields
     metrics = stage.get_context().metrics
     assert metrics.get_requests(Reason(reason)) == 1
+
+
+@when('a caller leaves {path:S} without reading it')
+def leave_unread(context, path):
+    context.gateway_stage.run(_leave_unread(context.gateway_stage, path))
+
+
+async def _leave_unread(stage, path):
+    address = stage.get_context().settings.front_address
+    host, port = address.split(':')
+    _, writer = await asyncio.open_connection(host, int(port), limit=1)
+    lines = (
+        f'POST {path} HTTP/1.1',
+        'Host: service.example',
+        f'Authorization: Bearer {API_KEY}',
+        'X-Ragworthollow-Request-Id: left-unread',
+        'X-Ragworthollow-Deadline-Ms: 5000',
+        'Content-Length: 0',
+    )
+    writer.write('\r\n'.join([*lines, '', '']).encode())
+    await _wait_for_full_buffers(stage)
+    writer.transport.abort()
+
+
+async def _wait_for_full_buffers(stage):
+    """Wait until nobody reads what the upstreams write any more."""
+    counts = []
+    while len(counts) < _UNCHANGED_COUNTS or len(set(counts)) > 1:
+        await asyncio.sleep(0.01)
+        count = sum(
+            upstream.flood_count for upstream in stage.upstreams.values()
+        )
+        counts = [*counts[-_UNCHANGED_COUNTS + 1 :], count] if count else []
+
+
+@then('the request is logged as abandoned, and no attempt as failed')
+def check_abandoned(context):
+    stage = context.gateway_stage
+    events = frozenset(('request_abandoned',))
+    stage.run(stage.wait_for(lambda: _find_log_lines(context, events)))
+    assert not _find_log_lines(context, _ATTEMPT_EVENTS), context.log_lines
+
+
+@given('a caller whose connection is closing')
+def prepare_closing_caller(context):
+    writer = mock.AsyncMock()
+    writer.write.side_effect = aiohttp.ClientConnectionResetError('closing')
+    request = make_mocked_request('POST', '/stream/', writer=writer)
+    job = SimpleNamespace(
+        request=request,
+        request_parameters=SimpleNamespace(last_event_id=''),
+    )
+    context.relay = StreamRelay(
+        job=job,
+        is_draining=bool,
+        progress=ResponseProgress(step='forward', peer='plain'),
+    )
+
+
+@when('events of an upstream are relayed to it')
+def relay_to_closing_caller(context):
+    context.relay_error = asyncio.run(_relay_events(context.relay))
+
+
+async def _relay_events(relay: StreamRelay) -> Exception:
+    async def iterate():
+        yield PartialStream(framing='chunked').render(1), True
+
+    upstream = SimpleNamespace(
+        status=200,
+        headers={},
+        connection=None,
+        content=SimpleNamespace(iter_chunks=iterate),
+    )
+    try:
+        await relay.start(upstream)
+        await relay.relay_events(upstream, lambda: None)
+    except (aiohttp.ClientError, ConnectionError) as error:
+        return error
+    raise AssertionError('the relay reported no error')
+
+
+@then('the relay reports a lost caller and not a broken upstream')
+def check_lost_caller(context):
+    error = context.relay_error
+    assert isinstance(error, ConnectionError), repr(error)
+    assert not isinstance(error, aiohttp.ClientError), repr(error)
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -19,6 +19,7 @@
 CRASHING_KEY = 'crash'
 # More than the buffers of a connection hold.
 LARGE_BODY_BYTES = 32_000_000
+_LARGE_EVENT_CHARS = 100_000
 
 
 class UpstreamStandin:
@@ -41,6 +42,7 @@
         self.calls: list[list[dict]] = []
         self.released_handles: list[str] = []
         self.connections = 0
+        self.flood_count = 0
         self.piece_ms = 1
         self.failing_pieces = 0
         self.active_calls = 0
@@ -340,6 +342,17 @@
     return True
 
 
+async def _flood(standin, request, _reader, writer):
+    _start_stream(standin, request, writer)
+    number = 0
+    while True:
+        number += 1
+        standin.flood_count = number
+        event = f'id: {number}\ndata: {"x" * _LARGE_EVENT_CHARS}\n\n'
+        _write_chunk(writer, event.encode())
+        await writer.drain()
+
+
 async def _fail_unframed(standin, request, _reader, writer):
     _write_unframed(
         writer, standin.record_run(request), '500 Internal Server Error'
@@ -411,6 +424,7 @@
     'break': _break_stream,
     'partial': _stream_partly,
     'held': _hold_stream,
+    'flood': _flood,
     'error': _fail_unframed,
     'pause': _pause_stream,
 }
