Break off streams in the soak of gateways

Six more callers ask for streams that are spoiled in fifteen ways of framing, place and end, beside the stops, kills and freezes. A status 200 with a regular end must have every event.

The draws of the other callers stay as they were.

--- a/measure/gateway_soak.py
+++ b/measure/gateway_soak.py
@@ -3,22 +3,20 @@
 import asyncio
 import random
 import sys
-import time
 from collections import Counter
 
 import cyclopts
 import msgspec
 
+from measure.gateway_caller import GatewayCaller
 from measure.gateway_fleet import GatewayBreakage, GatewayFleet
+from measure.sent_request import Sent
+from measure.spoiled_streams import SpoiledStreamCaller, is_spoiled, is_stream
 from ragworthollow.conf import global_settings
-from tests.fixtures.open_connection import OpenConnection
 from tests.standins.upstream import EVENT_COUNT
 
 _CALLERS = 16
-_RESPONSE_LIMIT_S = 10
-_RECONNECT_S = 0.05
-_STREAM_PATH = '/stream/'
-_NEW_CONNECTION_RATIO = 0.2
+_SPOILED_STREAM_CALLERS = 6
 _OK = 200
 _REFUSED = 503
 # Earliest exit of a gateway that ends its stop with requests in flight.
@@ -32,124 +30,6 @@
 app = cyclopts.App(name='gateway_soak', help='Randomised run of gateways.')
 
 
-class Sent(msgspec.Struct, kw_only=True):
-    """Remember one request of a caller, and what became of it."""
-
-    request_id: str
-    path: str
-    limit_ms: int
-    gateway: str
-    is_first: bool
-    started_s: float
-    ended_s: float = 0
-    status: int | None = None
-    body: str = ''
-    runs: int = 0
-    verdict: str = ''
-
-
-class GatewayCaller:
-    """
-    Send requests to one gateway until its process is gone, then to another.
-
-    Parameters
-    ----------
-    name : str
-        Prefix of the identifiers of its requests.
-    fleet : GatewayFleet
-        Where to send them.
-    rng : Random
-        Makes the choices repeatable.
-    """
-
-    def __init__(
-        self, *, name: str, fleet: GatewayFleet, rng: random.Random
-    ) -> None:
-        self._name = name
-        self._fleet = fleet
-        self._rng = rng
-        self._gateway = rng.choice(tuple(fleet.front_ports))
-        self._connection: OpenConnection | None = None
-        self._is_first = True
-        self.sent: list[Sent] = []
-
-    def is_waiting(self) -> bool:
-        """Return whether a request has been sent and has not ended."""
-        return bool(self.sent) and not self.sent[-1].ended_s
-
-    async def run(self) -> None:
-        while True:
-            await asyncio.sleep(self._choose_pause_s())
-            if self._connection is not None and self._connection.has_ended():
-                self._disconnect()
-            if self._connection is None:
-                await self._connect()
-            is_last = await self._send(self._connection)
-            if is_last or self._rng.random() < _NEW_CONNECTION_RATIO:
-                self._disconnect()
-
-    def _choose_pause_s(self) -> float:
-        longest_s = self._rng.choice((0.1, 1, 4, 6))
-        return self._rng.uniform(0, longest_s)
-
-    def _choose_path(self) -> str:
-        kind = self._rng.choice(('safe', 'unsafe', 'unsafe', 'stream'))
-        if kind == 'stream':
-            pause_ms = self._rng.choice((10, 50, 300))
-            return f'{_STREAM_PATH}paced?{pause_ms}'
-        return f'/{kind}/delay?{self._rng.randint(5, 300)}'
-
-    def _choose_limit_ms(self, path: str) -> int:
-        # A stopping gateway refuses requests that may outlast its stop.
-        if path.startswith(_STREAM_PATH):
-            return self._rng.choice((2500, 4000))
-        return self._rng.choice((600, 1000, 2500))
-
-    async def _connect(self) -> None:
-        while self._connection is None:
-            port = self._fleet.front_ports[self._gateway]
-            connection = OpenConnection(port=port)
-            try:
-                await connection.open()
-            except OSError:
-                self._gateway = self._rng.choice(tuple(self._fleet.front_ports))
-                await asyncio.sleep(_RECONNECT_S)
-            else:
-                self._connection = connection
-                self._is_first = True
-
-    def _disconnect(self) -> None:
-        self._connection.close()
-        self._connection = None
-
-    async def _send(self, connection: OpenConnection) -> bool:
-        """Send a request; return whether its connection is of no more use."""
-        path = self._choose_path()
-        sent = Sent(
-            # Of one length: none is a part of another.
-            request_id=f'{self._name}-{len(self.sent):04}',
-            path=path,
-            limit_ms=self._choose_limit_ms(path),
-            gateway=self._gateway,
-            is_first=self._is_first,
-            started_s=time.monotonic(),
-        )
-        self._is_first = False
-        self.sent.append(sent)
-        connection.send(sent.path, sent.request_id, limit_ms=sent.limit_ms)
-        try:
-            response = await asyncio.wait_for(
-                connection.read_response(), _RESPONSE_LIMIT_S
-            )
-        except TimeoutError:
-            return True
-        finally:
-            sent.ended_s = time.monotonic()
-        sent.status = response.status
-        sent.body = response.body.decode('latin-1')
-        return response.is_last or response.status is None
-
-
 class Judge:
     """
     Tell what became of each request.
@@ -190,9 +70,8 @@
         return self._find_cut(sent) if sent.runs else 'not_run'
 
     def _is_whole(self, sent: Sent) -> bool:
-        is_stream = sent.path.startswith(_STREAM_PATH)
         return sent.body.count(sent.request_id) == (
-            EVENT_COUNT if is_stream else 1
+            EVENT_COUNT if is_stream(sent.path) else 1
         )
 
     def _find_cut(self, sent: Sent) -> str:
@@ -206,11 +85,13 @@
         for kind in ('kill', 'freeze'):
             if kind in kinds:
                 return f'cut_beside_{kind}'
-        is_stream = sent.path.startswith(_STREAM_PATH)
-        if is_stream and sent.ended_s - sent.started_s > sent.limit_ms / 1000:
+        if is_spoiled(sent.path):
+            return 'broken_by_upstream'
+        is_long = is_stream(sent.path)
+        if is_long and sent.ended_s - sent.started_s > sent.limit_ms / 1000:
             return 'stream_at_time_limit'
         stop_s = self._find_stop(sent)
-        if is_stream and stop_s and sent.ended_s - stop_s > _STOP_LIMIT_S:
+        if is_long and stop_s and sent.ended_s - stop_s > _STOP_LIMIT_S:
             return 'stream_at_stop_limit'
         return 'cut_by_stop'
 
@@ -244,6 +125,12 @@
         )
         for number in range(_CALLERS)
     ]
+    callers += [
+        SpoiledStreamCaller(
+            name=f's{number}', fleet=fleet, rng=random.Random(rng.random())
+        )
+        for number in range(_SPOILED_STREAM_CALLERS)
+    ]
     await fleet.start_all()
     calling = [asyncio.ensure_future(caller.run()) for caller in callers]
     await breakage.run(seconds)
--- /dev/null
+++ b/measure/sent_request.py
@@ -0,0 +1,19 @@
+"""Define what is remembered of a request of the soak."""
+
+import msgspec
+
+
+class Sent(msgspec.Struct, kw_only=True):
+    """Remember one request of a caller, and what became of it."""
+
+    request_id: str
+    path: str
+    limit_ms: int
+    gateway: str
+    is_first: bool
+    started_s: float
+    ended_s: float = 0
+    status: int | None = None
+    body: str = ''
+    runs: int = 0
+    verdict: str = ''
--- a/tests/standins/partial_streams.py
+++ b/tests/standins/partial_streams.py
@@ -45,6 +45,8 @@
         Line ending of its events.
     trailer : str
         Text after its last event.
+    text : str
+        Text in each of its events.
     """
 
     framing: str
@@ -52,11 +54,12 @@
     end: End = End.regular
     newline: str = '\n'
     trailer: str = ''
+    text: str = 'token'
 
     def render(self, first: int) -> bytes:
         """Return the body from an event on."""
         events = [
-            f'id: {number}\ndata: token {number}\n\n'.replace(
+            f'id: {number}\ndata: {self.text} {number}\n\n'.replace(
                 '\n', self.newline
             ).encode()
             for number in range(first, EVENT_COUNT + 1)
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -8,6 +8,7 @@
 from tests.standins.partial_streams import (
     End,
     PartialStream,
+    Stop,
     reset_when_read,
     write_stream,
 )
@@ -330,6 +331,24 @@
     )
 
 
+async def _spoil_stream(standin, request, _reader, writer):
+    """Stream as a query such as `connection-inside-reset` asks."""
+    framing, stop, end = request.path.partition('?')[2].split('-')
+    last_id = request.headers.get(_LAST_EVENT_ID_HEADER)
+    if last_id:
+        stream = PartialStream(framing='chunked', text=request.request_id)
+    else:
+        stream = PartialStream(
+            framing=framing,
+            stop=Stop(stop),
+            end=End(end),
+            text=request.request_id,
+        )
+    return await write_stream(
+        writer, standin.record_run(request), stream, int(last_id or 0) + 1
+    )
+
+
 async def _hold_stream(standin, request, _reader, writer):
     body = standin.take_partial_stream().render(1)
     # The first event, whatever its line endings are.
@@ -423,6 +442,7 @@
     'stream': _stream,
     'break': _break_stream,
     'partial': _stream_partly,
+    'spoiled': _spoil_stream,
     'held': _hold_stream,
     'flood': _flood,
     'error': _fail_unframed,
