--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -210,6 +210,21 @@
     When 6 callers post to /staged/answer through all gateways
     Then each of them got its own complete response
 
+  Scenario Outline: The answer to a call is broken off: by its <framing>, <end>
+    # Guards against results that are taken from a part of an answer, and against
+    # requests that are lost with it.
+    Given two more gateways and an instance for stage work
+    And the next 2 answers to calls are framed by their <framing>, cut in the middle, and end by <end>
+    When 6 callers post to /staged/answer through all gateways
+    Then each of them got its own complete response
+
+    Examples:
+      | framing    | end   |
+      | connection | close |
+      | connection | reset |
+      | length     | close |
+      | chunked    | reset |
+
   Scenario: The host of a scheduler is killed while it has pieces of others
     # The gateway that fills the calls of a pool is killed; gateways that sent
     # pieces to it get no response and must use another host.
--- a/tests/features/steps/gateway_fleet.py
+++ b/tests/features/steps/gateway_fleet.py
@@ -6,6 +6,7 @@
 
 from ragworthollow.utils import get_boottime_ms
 from tests.fixtures.stage_requests import GATEWAY_NAMES, send_stage_requests
+from tests.standins.partial_streams import End
 
 _PLAIN_INSTANCES = ('u1', 'u2')
 
@@ -57,6 +58,16 @@
     context.gateway_stage.upstreams['s1'].failing_pieces = count
 
 
+@given(
+    'the next {count:d} answers to calls are framed by their {framing:S}, cut '
+    'in the middle, and end by {end:S}'
+)
+def cut_answers(context, count, framing, end):
+    context.gateway_stage.upstreams['s1'].cut_answers = [
+        (framing, End(end)) for _ in range(count)
+    ]
+
+
 @when('{count:d} callers post to {path:S} through all gateways')
 def send_through_all(context, count, path):
     stage = context.gateway_stage
--- a/tests/standins/partial_streams.py
+++ b/tests/standins/partial_streams.py
@@ -80,30 +80,45 @@
     first: int,
 ) -> bool:
     """
-    Write a response from an event on.
+    Write a stream from an event on.
 
     Returns
     -------
     bool
         Whether the connection can take another request.
     """
-    body = stream.render(first)
-    is_regular = stream.end is End.regular
+    return await write_response(
+        writer,
+        {'Content-Type': 'text/event-stream', **headers},
+        stream.render(first),
+        framing=stream.framing,
+        end=stream.end,
+    )
+
+
+async def write_response(
+    writer: asyncio.StreamWriter,
+    headers: dict[str, str],
+    body: bytes,
+    *,
+    framing: str,
+    end: End,
+) -> bool:
+    """Write a response that ends as told; return as `write_stream` does."""
+    is_regular = end is End.regular
     lines = [f'{name}: {text}' for name, text in headers.items()]
-    if stream.framing == 'chunked':
+    if framing == 'chunked':
         lines.append('Transfer-Encoding: chunked')
         body = _encode_chunks(body, is_regular=is_regular)
-    elif stream.framing == 'length':
+    elif framing == 'length':
         length = len(body) if is_regular else len(body) + 1
         lines.append(f'Content-Length: {length}')
-    head = '\r\n'.join(
-        ['HTTP/1.1 200 OK', 'Content-Type: text/event-stream', *lines, '', '']
-    )
+    head = '\r\n'.join(['HTTP/1.1 200 OK', *lines, '', ''])
     writer.write(head.encode() + body)
     await writer.drain()
-    if stream.end is End.reset:
+    if end is End.reset:
         await reset_when_read(writer)
-    return is_regular and stream.framing != 'connection'
+    return is_regular and framing != 'connection'
 
 
 def _encode_chunks(body: bytes, *, is_regular: bool) -> bytes:
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -10,6 +10,7 @@
     PartialStream,
     Stop,
     reset_when_read,
+    write_response,
     write_stream,
 )
 
@@ -46,6 +47,8 @@
         self.flood_count = 0
         self.piece_ms = 1
         self.failing_pieces = 0
+        # Framing and end of answers to calls that are cut in the middle.
+        self.cut_answers: list[tuple[str, End]] = []
         self.active_calls = 0
         self.max_active_calls = 0
         # Paused streams and held responses continue once this is set.
@@ -140,6 +143,15 @@
         body = msgspec.json.encode(
             {'items': list(map(self._make_result, items))}
         )
+        if self.cut_answers:
+            framing, end = self.cut_answers.pop()
+            return await write_response(
+                writer,
+                self.response_headers,
+                body[: len(body) // 2],
+                framing=framing,
+                end=end,
+            )
         _write_response(writer, '200 OK', self.response_headers, body)
         return True
 
