Log which prompt parts a request has, and list crashes with evidence

The lines of requests that ran in crashes named a digest of the whole request only, so that the logs of the incident could not show what different requests had in common. request_ended now has the fingerprints of the prompt parts that other requests may share; with request_id and running, a crash leads to them.

--- a/measure/fleet_model/gateway.py
+++ b/measure/fleet_model/gateway.py
@@ -123,6 +123,7 @@
             route_table=self.context.route_table,
             waited_ms=self._typical_limits.record(route.name, time_limit_ms),
             fingerprint=parameters.request_id,
+            part_fingerprints=(),
             received_ms=now_ms,
             deadline_ms=now_ms + time_limit_ms,
         )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
@@ -9,7 +9,7 @@
 from ragworthollow.exchange import RequestParameters, TypicalTimeLimits
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.platform.request_wire import read_request_parameters
-from ragworthollow.quarantine import make_fingerprint
+from ragworthollow.quarantine import make_fingerprint, make_part_fingerprints
 from ragworthollow.routes import KeyHolder, Route, RouteTable
 from ragworthollow.utils import get_boottime_ms
 from ragworthollow.utils.hashing import hash_secret
@@ -93,6 +93,9 @@
                     holder_result.ok_value,
                     body_result.ok_value,
                 ),
+                part_fingerprints=make_part_fingerprints(
+                    part.part for part in request_parameters.get_shared_parts()
+                ),
                 received_ms=received_ms,
                 deadline_ms=received_ms + limit_ms,
             ),
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine.py
@@ -145,6 +145,10 @@
         """Return the number of requests with evidence against them."""
         return self._registry.count()
 
+    def list_crashes(self) -> set[str]:
+        """Return the crashed incarnations that evidence is held of."""
+        return self._registry.list_crashes()
+
     def _record_crash(self, incarnation: str, running: Iterable[str]) -> None:
         now_ms = get_boottime_ms()
         self.has_urgent_update.set()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
@@ -40,6 +40,9 @@
         retried; 0 for a first attempt.
     fingerprint : str
         Identifier that is the same for each attempt at the same work.
+    part_fingerprints : tuple of str
+        Identifiers of the prompt parts that other requests may share, in
+        order.
     received_ms, deadline_ms : float
         Times on the monotonic clock, in milliseconds; after the deadline the
         caller no longer waits for a response.
@@ -54,6 +57,7 @@
     route_table: RouteTable
     waited_ms: float
     fingerprint: str
+    part_fingerprints: tuple[str, ...]
     received_ms: float
     deadline_ms: float
 
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -450,6 +450,9 @@
 # Maximum number of requests that are remembered: several crashes of instances
 # with every slot in use.
 MAX_CRASH_RECORDS = 4_096
+# Maximum number of prompt parts of a request that are tracked; callers send
+# less than ten.
+MAX_TRACKED_PARTS = 32
 # How often expired crash evidence is removed.
 EVIDENCE_CLEANUP_INTERVAL_MS = 10_000
 # Maximum number of reports in one message between gateways; the rest follows
--- a/packages/ragworthollow/src/ragworthollow/exchange/request_parameters.py
+++ b/packages/ragworthollow/src/ragworthollow/exchange/request_parameters.py
@@ -55,6 +55,10 @@
     piece_key: str = ''
     last_event_id: str = ''
 
+    def get_shared_parts(self) -> tuple[PromptPart, ...]:
+        """Return the prompt parts that other requests may share."""
+        return self.prompt_parts[:-1]
+
     def get_affinity_key(self) -> str:
         """
         Return the deepest prompt part that other requests may share.
--- a/packages/ragworthollow/src/ragworthollow/quarantine/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/__init__.py
@@ -7,7 +7,10 @@
     make_report,
 )
 from ragworthollow.quarantine.evidence_update import CrashReport, EvidenceUpdate
-from ragworthollow.quarantine.fingerprint import make_fingerprint
+from ragworthollow.quarantine.fingerprint import (
+    make_fingerprint,
+    make_part_fingerprints,
+)
 
 __all__ = (
     'CrashRecord',
@@ -16,5 +19,6 @@
     'EvidenceExchange',
     'EvidenceUpdate',
     'make_fingerprint',
+    'make_part_fingerprints',
     'make_report',
 )
--- a/packages/ragworthollow/src/ragworthollow/quarantine/crash_registry.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/crash_registry.py
@@ -140,6 +140,14 @@
         """Return the number of recorded requests."""
         return len(self._records)
 
+    def list_crashes(self) -> set[str]:
+        """Return the crashed incarnations that evidence is held of."""
+        return {
+            incarnation
+            for record in self._records.values()
+            for incarnation in record.crashes
+        }
+
     def list_changes(self, after: int) -> list[tuple[int, str, CrashRecord]]:
         """Return the changes after a sequence number, oldest first."""
         changes = []
--- a/packages/ragworthollow/src/ragworthollow/quarantine/fingerprint.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/fingerprint.py
@@ -1,7 +1,12 @@
 """Identify requests that are sent repeatedly."""
 
 import hashlib
+from collections.abc import Iterable
 
+from ragworthollow.conf import global_settings
+
+# Distinguishes the fingerprints of prompt parts from those of requests.
+PART_PREFIX = 'part-'
 _DIGEST_BYTES = 16
 _LENGTH_BYTES = 8
 
@@ -42,3 +47,31 @@
         digest.update(len(part).to_bytes(_LENGTH_BYTES))
         digest.update(part)
     return digest.hexdigest()
+
+
+def make_part_fingerprints(parts: Iterable[str]) -> tuple[str, ...]:
+    """
+    Return a digest of each prompt part, in order and without repetitions.
+
+    The organisation is excluded: a part that crashes engines does so for every
+    caller.
+
+    Parameters
+    ----------
+    parts : iterable of str
+        Identifiers of the parts, as sent by the caller.
+
+    Returns
+    -------
+    tuple of str
+        Digests in hexadecimal, which differ from those of whole requests.
+    """
+    names = tuple(dict.fromkeys(parts))[: global_settings.MAX_TRACKED_PARTS]
+    return tuple(map(_make_part_fingerprint, names))
+
+
+def _make_part_fingerprint(part: str) -> str:
+    # Headers may hold bytes that are not valid text.
+    name = part.encode(errors='surrogateescape')
+    digest = hashlib.blake2b(name, digest_size=_DIGEST_BYTES)
+    return f'{PART_PREFIX}{digest.hexdigest()}'
--- a/tests/features/steps/overload.py
+++ b/tests/features/steps/overload.py
@@ -213,6 +213,7 @@
         ),
         waited_ms=0,
         fingerprint='1',
+        part_fingerprints=(),
         received_ms=now_ms,
         deadline_ms=now_ms + 1000,
     )
