Add failing tests of a prompt part that crashes engines

Eight different requests that have one part of their prompts in common are sent in turn to three gateways, each after the crash before it is known to all.

--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -76,3 +76,27 @@
       | plain     | plain | /safe/popular/hold    |
       | streaming | plain | /stream/popular/pause |
       | staged    | stage | /staged/popular/answer |
+
+  Scenario Outline: Different <kind> requests share a harmful <position> prompt part
+    # Guards against evidence held per request only: no two requests are alike, but all have the part that crashes instances.
+    Given two more gateways and an instance for stage work
+    And instances that crash restart under another name
+    When callers post 8 different requests to /<route> whose <position> prompt part is harmful
+    Then no more than 5 instances have crashed
+    And the last attempts were refused as not run, with a long retry delay
+    And requests with the other prompt parts are served at each gateway
+
+    Examples:
+      | kind      | route     | position |
+      | plain     | safe      | second   |
+      | streaming | resumable | second   |
+      | streaming | stream    | first    |
+
+  Scenario: Harmless requests have no success between crashes of a harmful part
+    # Guards against refusing a template that each crashed request had too, when no engine was left to serve it in between.
+    Given two more gateways and an instance for stage work
+    And instances that crash restart under another name
+    When callers post 8 different requests to /stream whose second prompt part is harmful, and no others
+    Then no more than 5 instances have crashed
+    And the last attempts were refused as not run, with a long retry delay
+    And requests with the other prompt parts are served at each gateway
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -18,6 +18,9 @@
 _LAST_ATTEMPTS = 4
 _MIN_RETRY_AFTER_S = 10
 _RECORDS_PREFIX = 'quarantine/'
+_PARTS_HEADER = 'X-Ragworthollow-Prefix-Hash'
+_HARMFUL_PART = 'bad0:40'
+_TEMPLATE = 'c0de:100'
 
 
 @dataclass(kw_only=True)
@@ -176,3 +179,92 @@
 
 def _count_records(stage) -> int:
     return sum(key.startswith(_RECORDS_PREFIX) for key in stage.store.entries)
+
+
+@when(
+    'callers post {count:d} different requests to /{route:w} whose '
+    '{position:w} prompt part is harmful'
+)
+def send_harmful_parts(context, count, route, position):
+    stage = context.gateway_stage
+    context.harmless_path = f'/{route}/harmless/answer'
+    context.responses = stage.run(
+        _send_harmful_parts(
+            stage,
+            context.crashing_pool,
+            [f'/{route}/{number}/crash' for number in range(count)],
+            position,
+            harmless_path=context.harmless_path,
+        )
+    )
+
+
+@when(
+    'callers post {count:d} different requests to /{route:w} whose '
+    '{position:w} prompt part is harmful, and no others'
+)
+def send_only_harmful_parts(context, count, route, position):
+    stage = context.gateway_stage
+    context.harmless_path = f'/{route}/harmless/answer'
+    context.responses = stage.run(
+        _send_harmful_parts(
+            stage,
+            context.crashing_pool,
+            [f'/{route}/{number}/crash' for number in range(count)],
+            position,
+        )
+    )
+
+
+async def _send_harmful_parts(
+    stage, crashing_pool, paths, position, harmless_path=''
+) -> list:
+    shared = {
+        'first': (_HARMFUL_PART, _TEMPLATE),
+        'second': (_TEMPLATE, _HARMFUL_PART),
+    }[position]
+    responses = []
+    for number, path in enumerate(paths):
+        gateway = GATEWAY_NAMES[number % len(GATEWAY_NAMES)]
+        headers = {_PARTS_HEADER: ','.join((*shared, f'{number:x}:10'))}
+        responses.append(
+            await stage.send(path, gateway=gateway, headers=headers)
+        )
+        await _wait_for_evidence(stage)
+        await _replace_crashed(stage, crashing_pool)
+        if harmless_path:
+            await _send_harmless(stage, harmless_path, gateway)
+    return responses
+
+
+async def _wait_for_evidence(stage) -> None:
+    await stage.wait_for(lambda: _has_exchanged_evidence(stage))
+
+
+def _has_exchanged_evidence(stage) -> bool:
+    """Tell whether each crash was detected and all gateways know of it."""
+    contexts = [stage.get_context(name) for name in GATEWAY_NAMES]
+    detected = {
+        incarnation
+        for gateway in contexts
+        for incarnation in gateway.quarantine.list_crashes()
+    }
+    crashed = sum(upstream.has_crashed for upstream in stage.upstreams.values())
+    counts = {gateway.quarantine.count() for gateway in contexts}
+    return len(detected) == crashed and len(counts) == 1
+
+
+async def _send_harmless(stage, path, gateway):
+    """Send a request with the template of the harmful ones."""
+    headers = {_PARTS_HEADER: f'{_TEMPLATE},f00d:40,{stage.request_count:x}:10'}
+    return await stage.send(path, gateway=gateway, headers=headers)
+
+
+@then('requests with the other prompt parts are served at each gateway')
+def check_harmless_served(context):
+    stage = context.gateway_stage
+    for gateway in GATEWAY_NAMES:
+        response = stage.run(
+            _send_harmless(stage, context.harmless_path, gateway)
+        )
+        assert response.status == 200, response
