--- a/measure/quarantine_model/model.py
+++ b/measure/quarantine_model/model.py
@@ -3,21 +3,33 @@
 import heapq
 import itertools
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from measure.quarantine_model.scenario import Scenario
 from ragworthollow.conf import global_settings
-from ragworthollow.quarantine import CrashRegistry, EvidenceExchange
+from ragworthollow.quarantine import (
+    CrashRegistry,
+    EvidenceExchange,
+    QuarantineLimits,
+    RunningRequest,
+)
+from ragworthollow.quarantine.fingerprint import PART_PREFIX
 
 _CRASH_AFTER_MS = 100
+# From the moment at which a request with a harmful part reaches an engine: it
+# waits, its prompt is read, and the first tokens are generated.
+_PART_CRASH_AFTER_MS = (100, 1_000)
+# After this many crashes, and the time in which gateways must have heard of
+# them, no more than three requests with a harmful part may reach an engine.
+_ALLOWED_PART_CRASHES = 5
+_CONTACT_MS = 3_000
 _RUN_TIME_MS = (300, 3_000)
 _RESTART_MS = 3_000
 _CALLER_RETRY_MS = (200, 600)
 _MESSAGE_DELAY_MS = 2
 _NO_CRASH_LIMIT = 10**6
-_QUARANTINE_MS = global_settings.QUARANTINE_MS
 _HARMFUL = 'harmful'
 
 
@@ -26,11 +38,20 @@
     """Represent one attempt of a request at an engine."""
 
     fingerprint: str
+    parts: tuple[str, ...]
     gateway: int
     is_resumable: bool
     is_caller_retry: bool
     attempt_number: int = 1
     is_ended: bool = False
+    started_ms: float = 0
+
+    def get_fingerprints(self) -> tuple[str, ...]:
+        return (self.fingerprint, *self.parts)
+
+    def get_harmful_part(self) -> str:
+        """Return the part that crashes engines; empty if there is none."""
+        return next((part for part in self.parts if _HARMFUL in part), '')
 
 
 @dataclass(kw_only=True)
@@ -60,6 +81,8 @@
 
     def __init__(self, *, scenario: Scenario, seed: int) -> None:
         self.counts: Counter[str] = Counter()
+        # Late runs by harmful part.
+        self.late_part_runs: Counter[str] = Counter()
         self._scenario = scenario
         self._rng = random.Random(seed)
         self._now_ms: float = 0
@@ -70,8 +93,15 @@
         ]
         self._registries = [
             CrashRegistry(
-                crash_limit=scenario.crash_limit or _NO_CRASH_LIMIT,
-                quarantine_ms=_QUARANTINE_MS,
+                limits=QuarantineLimits(
+                    crashes=scenario.crash_limit or _NO_CRASH_LIMIT,
+                    part_crashes=(scenario.part_crash_limit or _NO_CRASH_LIMIT),
+                    sound_part_crashes=(
+                        global_settings.QUARANTINE_SOUND_PART_CRASHES
+                        if scenario.part_crash_limit
+                        else _NO_CRASH_LIMIT
+                    ),
+                )
             )
             for _ in range(scenario.gateways)
         ]
@@ -79,10 +109,12 @@
             EvidenceExchange(
                 incarnation=str(number),
                 registry=registry,
-                on_quarantine=lambda _: None,
             )
             for number, registry in enumerate(self._registries)
         ]
+        self._part_crash_times_ms: defaultdict[str, list[float]] = defaultdict(
+            list
+        )
 
     def play(self) -> Counter[str]:
         """Run the simulation to the end and return the counts."""
@@ -104,6 +136,7 @@
             is_hot = self._rng.random() < scenario.hot_share
             attempt = _Attempt(
                 fingerprint='hot' if is_hot else f'r{number}',
+                parts=self._draw_parts(),
                 gateway=self._draw_gateway(),
                 is_resumable=self._rng.random() < scenario.resumable_share,
                 is_caller_retry=False,
@@ -112,9 +145,13 @@
                 at_ms, lambda attempt=attempt: self._start_attempt(attempt)
             )
         for number in range(scenario.harmful):
+            parts = self._draw_parts()
             for at_ms in self._draw_times(scenario.harmful_per_s):
+                if at_ms < scenario.harmful_from_s * 1000:
+                    continue
                 attempt = _Attempt(
                     fingerprint=f'{_HARMFUL}{number}',
+                    parts=parts,
                     gateway=self._draw_gateway(),
                     is_resumable=bool(number % 2),
                     is_caller_retry=False,
@@ -122,8 +159,11 @@
                 self._schedule(
                     at_ms, lambda attempt=attempt: self._start_attempt(attempt)
                 )
+        self._schedule_harmful_parts()
         for at_ms in self._draw_times(scenario.crashes_per_s):
             self._schedule(at_ms, self._crash_random_engine)
+        for at_ms in self._draw_times(scenario.outages_per_s):
+            self._schedule(at_ms, self._crash_together)
         for gateway in range(1, scenario.gateways):
             first_ms = self._rng.uniform(0, global_settings.HOST_PING_MS)
             pings = int((end_ms - first_ms) / global_settings.HOST_PING_MS)
@@ -133,6 +173,34 @@
                     lambda gateway=gateway: self._ping(gateway),
                 )
 
+    def _schedule_harmful_parts(self) -> None:
+        for number in range(self._scenario.harmful_parts):
+            harmful = f'{PART_PREFIX}{_HARMFUL}{number}'
+            template = self._draw_template()
+            first_ms = self._scenario.harmful_from_s * 1000
+            for at_ms in self._draw_times(self._scenario.harmful_part_per_s):
+                if at_ms < first_ms:
+                    continue
+                attempt = _Attempt(
+                    fingerprint=f'p{number}-{at_ms}',
+                    parts=(template, harmful),
+                    gateway=self._draw_gateway(),
+                    is_resumable=bool(number % 2),
+                    is_caller_retry=False,
+                )
+                self._schedule(
+                    at_ms, lambda attempt=attempt: self._start_attempt(attempt)
+                )
+
+    def _draw_template(self) -> str:
+        return f'{PART_PREFIX}t{self._rng.randrange(self._scenario.templates)}'
+
+    def _draw_parts(self) -> tuple[str, ...]:
+        if not self._scenario.templates:
+            return ()
+        document = self._rng.randrange(self._scenario.documents)
+        return (self._draw_template(), f'{PART_PREFIX}d{document}')
+
     def _draw_times(self, per_s: float) -> list[float]:
         times = []
         at_ms: float = 0
@@ -147,9 +215,10 @@
         return self._rng.randrange(self._scenario.gateways)
 
     def _start_attempt(self, attempt: _Attempt) -> None:
-        is_harmful = attempt.fingerprint.startswith(_HARMFUL)
+        harmful_part = attempt.get_harmful_part()
+        is_harmful = attempt.fingerprint.startswith(_HARMFUL) or harmful_part
         if self._registries[attempt.gateway].get_remaining_ms(
-            attempt.fingerprint,
+            attempt.get_fingerprints(),
             self._now_ms,
         ):
             self.counts['harmful quarantined' if is_harmful else 'refused'] += 1
@@ -164,6 +233,14 @@
             return
         engine = self._rng.choice(available)
         engine.running[attempt] = None
+        attempt.started_ms = self._now_ms
+        if harmful_part:
+            self._count_part_run(harmful_part)
+            self._schedule(
+                self._now_ms + self._rng.uniform(*_PART_CRASH_AFTER_MS),
+                lambda: self._crash_unless_ended(engine, attempt),
+            )
+            return
         if is_harmful:
             self.counts['harmful runs'] += 1
             self._schedule(
@@ -183,17 +260,39 @@
         attempt.is_ended = True
         engine.running.pop(attempt, None)
         self.counts['served'] += 1
-        self._registries[attempt.gateway].clear(
-            attempt.fingerprint, self._now_ms
-        )
+        for fingerprint in attempt.get_fingerprints():
+            self._registries[attempt.gateway].record_success(
+                fingerprint, self._now_ms
+            )
+
+    def _count_part_run(self, part: str) -> None:
+        self.counts['part runs'] += 1
+        crash_times_ms = self._part_crash_times_ms[part]
+        if (
+            len(crash_times_ms) >= _ALLOWED_PART_CRASHES
+            and self._now_ms
+            > crash_times_ms[_ALLOWED_PART_CRASHES - 1] + _CONTACT_MS
+        ):
+            self.counts['late part runs'] += 1
+            self.late_part_runs[part] += 1
 
     def _crash_random_engine(self) -> None:
         self._crash(self._rng.choice(self._engines))
 
-    def _crash_unless_ended(self, engine: _Engine, attempt: _Attempt) -> None:
-        if not attempt.is_ended:
+    def _crash_together(self) -> None:
+        count = round(self._scenario.outage_share * len(self._engines))
+        for engine in self._rng.sample(self._engines, count):
             self._crash(engine)
 
+    def _crash_unless_ended(self, engine: _Engine, attempt: _Attempt) -> None:
+        if attempt.is_ended:
+            return
+        part = attempt.get_harmful_part()
+        if part:
+            self._part_crash_times_ms[part].append(self._now_ms)
+            self.counts['part crashes'] += 1
+        self._crash(engine)
+
     def _crash(self, engine: _Engine) -> None:
         if engine.available_ms > self._now_ms:
             return
@@ -205,8 +304,13 @@
         engine.available_ms = self._now_ms + _RESTART_MS
         for attempt in lost:
             attempt.is_ended = True
+            self._registries[attempt.gateway].record_loss(attempt.parts)
             self._registries[attempt.gateway].record_crash(
-                attempt.fingerprint,
+                RunningRequest(
+                    fingerprint=attempt.fingerprint,
+                    part_fingerprints=attempt.parts,
+                    started_ms=attempt.started_ms,
+                ),
                 incarnation,
                 self._now_ms,
             )
@@ -224,6 +328,7 @@
         is_gateway_retry = attempt.attempt_number == 1
         retry = _Attempt(
             fingerprint=attempt.fingerprint,
+            parts=attempt.parts,
             gateway=attempt.gateway
             if is_gateway_retry
             else self._draw_gateway(),
@@ -241,7 +346,8 @@
         )
 
     def _count_lost(self, attempt: _Attempt) -> None:
-        if not attempt.fingerprint.startswith(_HARMFUL):
+        is_harmful = attempt.fingerprint.startswith(_HARMFUL)
+        if not is_harmful and not attempt.get_harmful_part():
             self.counts['lost in crashes'] += 1
 
     def _ping(self, gateway: int) -> None:
--- a/measure/quarantine_model/scenario.py
+++ b/measure/quarantine_model/scenario.py
@@ -22,11 +22,26 @@
         Number of distinct requests that crash the engine that runs them.
     harmful_per_s : float
         Rate at which the caller of each harmful request sends it.
+    harmful_parts : int
+        Number of prompt parts that crash the engine that runs a request with
+        them, each in requests that all differ.
+    harmful_part_per_s : float
+        Rate of requests with each of these parts.
+    harmful_from_s : float
+        When requests that crash engines begin, in seconds.
+    templates, documents : int
+        Numbers of parts from which the prompts of all requests are composed:
+        a template, then a document; 0 for requests without a prompt.
     crashes_per_s : float
         Rate of engine crashes that no request causes.
+    outages_per_s, outage_share : float
+        Rate of outages, and the share of the engines that each of them ends at
+        the same time.
     crash_limit : int
         Number of crashes at which a request is quarantined; 0 to disable
         quarantine.
+    part_crash_limit : int
+        The same for prompt parts.
     length_s : float
         Duration of the traffic, in seconds.
     """
@@ -38,6 +53,14 @@
     resumable_share: float = 0.3
     harmful: int = 1
     harmful_per_s: float = 1
+    harmful_parts: int = 0
+    harmful_part_per_s: float = 2
+    harmful_from_s: float = 0
+    templates: int = 0
+    documents: int = 0
     crashes_per_s: float = 0
+    outages_per_s: float = 0
+    outage_share: float = 0.6
     crash_limit: int = 2
+    part_crash_limit: int = 3
     length_s: float = 60
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
@@ -59,6 +59,8 @@
     ----------
     instance : UpstreamInstance
         Target instance.
+    planned_ms : float
+        Time on the boot-time clock, in milliseconds.
     timeout_ms : float
         Timeout for the complete response, or for the head of a stream.
     inputs : tuple of str
@@ -68,6 +70,7 @@
     """
 
     instance: UpstreamInstance
+    planned_ms: float
     timeout_ms: float
     inputs: tuple[str, ...] = ()
     last_event_id: str = ''
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
@@ -12,13 +12,14 @@
 from ragworthollow.logs.events import log_event
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.platform.response_wire import make_caller_headers
+from ragworthollow.quarantine import RunningRequest
 from ragworthollow.routes.allowed_regions import is_region_allowed
 from ragworthollow.upstreams import (
     UpstreamCriteria,
     UpstreamInstance,
     choose_upstream,
 )
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.attempt import AttemptPlan, UpstreamResponse
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.pool_throttle import PoolThrottle
@@ -135,6 +136,7 @@
         return Ok(
             AttemptPlan(
                 instance=instance,
+                planned_ms=get_boottime_ms(),
                 timeout_ms=self._get_timeout_ms(),
                 inputs=self._inputs,
                 last_event_id=last_event_id,
@@ -168,7 +170,7 @@
         """Record a response that is passed on to the caller."""
         self._context.load_tracker.record_success(plan.instance.instance)
         if status in _SUCCESS_STATUSES:
-            self._context.quarantine.record_success(self.job.fingerprint)
+            self._context.quarantine.record_success(self.job.get_fingerprints())
         late_ms = get_monotonic_ms() - self.job.get_objective_deadline_ms()
         self._log(
             plan,
@@ -213,7 +215,13 @@
         if failure.reason in _CONNECTION_LOSS_REASONS:
             self._context.quarantine.record_connection_loss(
                 plan.instance,
-                (self.job.fingerprint,),
+                (
+                    RunningRequest(
+                        fingerprint=self.job.fingerprint,
+                        part_fingerprints=self.job.part_fingerprints,
+                        started_ms=plan.planned_ms,
+                    ),
+                ),
             )
         if failure.reason is Reason.connect_failed:
             # Nothing was sent, so the upstream does not count this attempt.
@@ -285,7 +293,7 @@
 
     def _find_quarantine_failure(self) -> UpstreamFailure | None:
         remaining_ms = self._context.quarantine.get_remaining_ms(
-            self.job.fingerprint
+            self.job.get_fingerprints()
         )
         if not remaining_ms:
             return None
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_result_handler.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_result_handler.py
@@ -12,6 +12,7 @@
     PieceScheduler,
     WaitingPiece,
 )
+from ragworthollow.quarantine import RunningRequest
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.result_space_recorder import (
@@ -102,11 +103,11 @@
             return
         self._context.quarantine.record_connection_loss(
             call.instance,
-            {
-                waiting.piece.fingerprint
+            [
+                RunningRequest(fingerprint=waiting.piece.fingerprint)
                 for waiting in call.pieces
                 if waiting.piece.fingerprint
-            },
+            ],
         )
         await self._context.quarantine.wait_for_crash_check(call.instance)
 
@@ -222,7 +223,9 @@
         waiting.resolve(last_result)
 
     def _may_retry(self, waiting: WaitingPiece) -> bool:
-        if self._context.quarantine.get_remaining_ms(waiting.piece.fingerprint):
+        if self._context.quarantine.get_remaining_ms(
+            (waiting.piece.fingerprint,)
+        ):
             return False
         return waiting.attempts + 1 < global_settings.PIECE_ATTEMPTS
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/crash_detector.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/crash_detector.py
@@ -6,6 +6,7 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.metrics import Metrics
+from ragworthollow.quarantine import RunningRequest
 from ragworthollow.upstreams import Directory, UpstreamInstance
 from ragworthollow.utils import get_boottime_ms
 
@@ -17,7 +18,7 @@
 
 class CrashDetector:
     """
-    Report which requests were running on an instance when it crashed.
+    Report what was running on an instance when it crashed.
 
     A connection may be lost because its instance crashed, but also because a
     response was truncated, a link was reset or an instance shut down as
@@ -33,9 +34,8 @@
     spawn : callable
         Runs a task that outlives the request that caused it.
     on_crash : callable
-        Called with the crashed incarnation and the fingerprints of the
-        requests that were running there; called again with those that become
-        known later.
+        Called with the crashed incarnation and what was running there; called
+        again with what becomes known later.
     """
 
     def __init__(
@@ -44,20 +44,20 @@
         directory: Directory,
         metrics: Metrics,
         spawn: Spawn,
-        on_crash: Callable[[str, Iterable[str]], None],
+        on_crash: Callable[[str, Iterable[RunningRequest]], None],
     ) -> None:
         self._directory = directory
         self._metrics = metrics
         self._spawn = spawn
         self._on_crash = on_crash
-        self._running_requests: dict[str, set[str]] = {}
+        self._running: dict[str, list[RunningRequest]] = {}
         self._probes: dict[str, asyncio.Task[None]] = {}
         self._crash_times_ms: dict[str, float] = {}
 
     def record_connection_loss(
         self,
         instance: UpstreamInstance,
-        fingerprints: Iterable[str],
+        running: Iterable[RunningRequest],
     ) -> None:
         """
         Record that a connection with running requests was lost.
@@ -66,19 +66,17 @@
         ----------
         instance : UpstreamInstance
             Instance at the other end of the connection.
-        fingerprints : iterable of str
-            Fingerprints of the requests that were running on it.
+        running : iterable of RunningRequest
+            Requests that were running on it.
         """
         listed = self._directory.get(instance.instance)
         if listed is None or not listed.is_same_incarnation(instance):
             return
         incarnation = instance.get_incarnation()
         if incarnation in self._crash_times_ms:
-            self._on_crash(incarnation, fingerprints)
+            self._on_crash(incarnation, running)
             return
-        self._running_requests.setdefault(incarnation, set()).update(
-            fingerprints
-        )
+        self._running.setdefault(incarnation, []).extend(running)
         if incarnation not in self._probes:
             self._probes[incarnation] = self._spawn(self._probe(instance))
 
@@ -93,7 +91,7 @@
         try:
             has_crashed = await _is_connection_refused(instance.address)
         finally:
-            running = self._running_requests.pop(incarnation)
+            running = self._running.pop(incarnation)
             self._probes.pop(incarnation)
         if not has_crashed:
             self._metrics.count_event('connection_broken')
@@ -112,7 +110,13 @@
             peer=instance.instance,
             started_unix_ms=instance.started_unix_ms,
             pool=instance.pool,
-            running=sorted(running),
+            running=sorted(
+                {
+                    fingerprint
+                    for request in running
+                    for fingerprint in request.get_fingerprints()
+                }
+            ),
         )
         self._on_crash(incarnation, running)
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine.py
@@ -1,7 +1,7 @@
-"""Quarantine requests that crash the instances that run them."""
+"""Quarantine requests and prompt parts that crash instances."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import msgspec
 
@@ -14,6 +14,8 @@
     CrashReport,
     EvidenceExchange,
     EvidenceUpdate,
+    QuarantineLimits,
+    RunningRequest,
     make_report,
 )
 from ragworthollow.quarantine.operator_messages import QuarantinedRequest
@@ -58,13 +60,15 @@
     ) -> None:
         self._metrics = metrics
         self._registry = CrashRegistry(
-            crash_limit=settings.quarantine_crashes,
-            quarantine_ms=settings.quarantine_ms,
+            limits=QuarantineLimits(
+                crashes=settings.quarantine_crashes,
+                part_crashes=settings.quarantine_part_crashes,
+                quarantine_ms=settings.quarantine_ms,
+            ),
         )
         self._exchange = EvidenceExchange(
             incarnation=incarnation,
             registry=self._registry,
-            on_quarantine=self._record_quarantine,
         )
         self._crash_detector = CrashDetector(
             directory=directory,
@@ -78,12 +82,19 @@
         self.has_urgent_update = asyncio.Event()
         self.has_polled_peers = False
 
-    def get_remaining_ms(self, fingerprint: str) -> float:
-        """Return how long a request stays quarantined; 0 if it is not."""
-        return self._registry.get_remaining_ms(fingerprint, get_boottime_ms())
+    def get_remaining_ms(self, fingerprints: Collection[str]) -> float:
+        """
+        Return how long a request stays quarantined; 0 if it is not.
+
+        Parameters
+        ----------
+        fingerprints : collection of str
+            Fingerprints of the request and of its prompt parts.
+        """
+        return self._registry.get_remaining_ms(fingerprints, get_boottime_ms())
 
     def list_quarantined(self) -> list[QuarantinedRequest]:
-        """Return the requests that are quarantined."""
+        """Return the requests and prompt parts that are quarantined."""
         quarantined = self._registry.list_quarantined(get_boottime_ms())
         return [
             QuarantinedRequest(
@@ -97,30 +108,48 @@
     def record_connection_loss(
         self,
         instance: UpstreamInstance,
-        fingerprints: Iterable[str],
+        running: Collection[RunningRequest],
     ) -> None:
         """Record that a connection with running requests was lost."""
-        self._crash_detector.record_connection_loss(instance, fingerprints)
+        for request in running:
+            self._registry.record_loss(request.part_fingerprints)
+        self._crash_detector.record_connection_loss(instance, running)
 
     async def wait_for_crash_check(self, instance: UpstreamInstance) -> None:
         """Wait until the running check of an instance, if any, has ended."""
         await self._crash_detector.wait_for_crash_check(instance)
 
-    def record_success(self, fingerprint: str) -> None:
-        """Clear all evidence against a request that succeeded."""
-        self._clear(fingerprint, 'request_cleared')
+    def record_success(self, fingerprints: Iterable[str]) -> None:
+        """Clear a request that succeeded, and its prompt parts."""
+        for fingerprint in fingerprints:
+            is_quarantined = self.get_quarantine_ms(fingerprint) > 0
+            if self._registry.record_success(fingerprint, get_boottime_ms()):
+                self._record_clearance(
+                    fingerprint, 'request_cleared', is_quarantined
+                )
 
     def release(self, fingerprint: str) -> bool:
         """
-        Clear all evidence against a request on behalf of an operator.
+        Clear a request or a prompt part on behalf of an operator.
 
         Returns
         -------
         bool
-            Whether there was any.
+            Whether there was any evidence against it.
         """
         self.has_urgent_update.set()
-        return self._clear(fingerprint, 'request_released')
+        is_quarantined = self.get_quarantine_ms(fingerprint) > 0
+        has_evidence = self._registry.clear(fingerprint, get_boottime_ms())
+        if has_evidence:
+            self._record_clearance(
+                fingerprint, 'request_released', is_quarantined
+            )
+        return has_evidence
+
+    def get_quarantine_ms(self, fingerprint: str) -> float:
+        """Return how long one quarantine lasts; 0 if there is none."""
+        quarantined = self._registry.list_quarantined(get_boottime_ms())
+        return quarantined.get(fingerprint, 0)
 
     def make_update(self, peer: str) -> EvidenceUpdate | None:
         """Make the update another gateway has yet to receive, or None."""
@@ -130,42 +159,44 @@
         """Apply the update of another gateway, if there is one."""
         if update is not None:
             self._exchange.apply_update(peer, update, get_boottime_ms())
+            self._record_quarantines()
 
     def apply_report(self, report: CrashReport) -> None:
-        """Apply the evidence that the store holds against a request."""
-        self._exchange.apply_report(report, get_boottime_ms())
+        """Apply evidence that the store holds."""
+        self._registry.apply_report(report, get_boottime_ms())
+        self._record_quarantines()
 
     def encode_record(self, fingerprint: str) -> str:
-        """Encode the evidence against a request for the store."""
+        """Encode the evidence against a request or part for the store."""
         crash_record = self._registry.get_record(fingerprint) or CrashRecord()
         report = make_report(fingerprint, crash_record, get_boottime_ms())
         return msgspec.json.encode(report).decode()
 
     def count(self) -> int:
-        """Return the number of requests with evidence against them."""
+        """Return the number of requests and parts with evidence."""
         return self._registry.count()
 
     def list_crashes(self) -> set[str]:
         """Return the crashed incarnations that evidence is held of."""
         return self._registry.list_crashes()
 
-    def _record_crash(self, incarnation: str, running: Iterable[str]) -> None:
+    def _record_crash(
+        self, incarnation: str, running: Iterable[RunningRequest]
+    ) -> None:
         now_ms = get_boottime_ms()
         self.has_urgent_update.set()
-        for fingerprint in running:
-            if self._registry.record_crash(fingerprint, incarnation, now_ms):
-                self._record_quarantine(fingerprint)
-                self.changed_decisions.put_nowait(fingerprint)
+        for request in running:
+            self._registry.record_crash(request, incarnation, now_ms)
+        for quarantined in self._record_quarantines():
+            self.changed_decisions.put_nowait(quarantined)
 
-    def _clear(self, fingerprint: str, event: str) -> bool:
-        is_quarantined = self.get_remaining_ms(fingerprint) > 0
-        has_evidence = self._registry.clear(fingerprint, get_boottime_ms())
+    def _record_clearance(
+        self, fingerprint: str, event: str, is_quarantined: bool
+    ) -> None:
         if is_quarantined:
             self.changed_decisions.put_nowait(fingerprint)
-        if has_evidence:
-            self._metrics.count_event(event)
-            log_event(event, step=_STEP, fingerprint=fingerprint)
-        return has_evidence
+        self._metrics.count_event(event)
+        log_event(event, step=_STEP, fingerprint=fingerprint)
 
     def _list_crashes(self, fingerprint: str) -> tuple[str, ...]:
         crash_record = self._registry.get_record(fingerprint)
@@ -173,12 +204,18 @@
             () if crash_record is None else tuple(sorted(crash_record.crashes))
         )
 
-    def _record_quarantine(self, fingerprint: str) -> None:
-        self._metrics.count_event('request_quarantined')
-        log_event(
-            'request_quarantined',
-            step=_STEP,
-            fingerprint=fingerprint,
-            crashes=self._list_crashes(fingerprint),
-            left_ms=round(self.get_remaining_ms(fingerprint)),
-        )
+    def _record_quarantines(self) -> list[str]:
+        """Log and return what the evidence has newly quarantined."""
+        now_ms = get_boottime_ms()
+        quarantined = self._registry.announce_quarantines(now_ms)
+        remaining_ms = self._registry.list_quarantined(now_ms)
+        for fingerprint in quarantined:
+            self._metrics.count_event('request_quarantined')
+            log_event(
+                'request_quarantined',
+                step=_STEP,
+                fingerprint=fingerprint,
+                crashes=self._list_crashes(fingerprint),
+                left_ms=round(remaining_ms[fingerprint]),
+            )
+        return quarantined
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine_records.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine_records.py
@@ -103,7 +103,7 @@
 
     async def _write_record(self, fingerprint: str) -> bool:
         """Write or remove a record, and return whether that succeeded."""
-        remaining_ms = self._context.quarantine.get_remaining_ms(fingerprint)
+        remaining_ms = self._context.quarantine.get_quarantine_ms(fingerprint)
         key = f'{_PREFIX}{fingerprint}'
         if not remaining_ms:
             return self._check_write(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
@@ -61,6 +61,10 @@
     received_ms: float
     deadline_ms: float
 
+    def get_fingerprints(self) -> tuple[str, ...]:
+        """Return the fingerprints of the request and of its shared parts."""
+        return (self.fingerprint, *self.part_fingerprints)
+
     def get_objective_deadline_ms(self) -> float:
         """Return the objective deadline, counted from the first attempt."""
         return self.received_ms - self.waited_ms + self.route.objective_ms
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
@@ -108,7 +108,7 @@
     def _find_final_refusal(self, job: RequestJob) -> UpstreamFailure | None:
         """Return a refusal that deferral could not avoid, or None."""
         remaining_ms = self._context.quarantine.get_remaining_ms(
-            job.fingerprint
+            job.get_fingerprints()
         )
         if remaining_ms:
             return make_refusal(
--- a/packages/ragworthollow/src/ragworthollow/conf/gateway_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/gateway_settings.py
@@ -60,6 +60,8 @@
     quarantine_crashes : int
         Number of instance crashes while a request was running, without a
         success since, from which the request is quarantined.
+    quarantine_part_crashes : int
+        The same for a prompt part that no successful request has had.
     quarantine_ms : float
         Duration of the quarantine after the last crash, in milliseconds.
     """
@@ -92,6 +94,9 @@
     quarantine_crashes: Annotated[int, Meta(ge=1)] = (
         global_settings.QUARANTINE_CRASHES
     )
+    quarantine_part_crashes: Annotated[int, Meta(ge=2)] = (
+        global_settings.QUARANTINE_PART_CRASHES
+    )
     quarantine_ms: Annotated[float, Meta(gt=0)] = global_settings.QUARANTINE_MS
 
     def get_region(self, failure_domain: str) -> str:
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -440,15 +440,30 @@
 # Number of crashes while a request was running, without a success since, from
 # which the request is quarantined.
 QUARANTINE_CRASHES = 2
+# The same for a prompt part that has never succeeded.  It is more than for a
+# request, since many requests share a part and all of them are then refused.
+QUARANTINE_PART_CRASHES = 3
+# The same for a prompt part that has succeeded before, such as a template that
+# all requests of a route have.
+QUARANTINE_SOUND_PART_CRASHES = 4
+# Crashes within this time count once against a part: an outage ends several
+# instances at once, a harmful part one after the other.
+COINCIDENT_CRASHES_MS = 250
 # Duration of a quarantine after the last crash, doubled with each further
 # crash.
 QUARANTINE_MS = 300_000
 QUARANTINE_DOUBLINGS_LIMIT = 3
+# The same for a prompt part that has never succeeded, and for one that has.  A
+# part that is quarantined by mistake cannot succeed meanwhile.
+PART_QUARANTINE_MS = 60_000
+SOUND_PART_QUARANTINE_MS = 30_000
+# Maximum number of prompt parts whose attempts and successes are remembered.
+MAX_TRACKED_HISTORIES = 4_096
 # Maximum lease that the store grants; a record that expires before its
 # quarantine is missed only if all gateways terminate at once after that.
 MAX_LEASE_MS = 600_000
-# Maximum number of requests that are remembered: several crashes of instances
-# with every slot in use.
+# Maximum number of requests and prompt parts that are remembered: several
+# crashes of instances with every slot in use.
 MAX_CRASH_RECORDS = 4_096
 # Maximum number of prompt parts of a request that are tracked; callers send
 # less than ten.
--- a/packages/ragworthollow/src/ragworthollow/quarantine/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/__init__.py
@@ -1,4 +1,4 @@
-"""Quarantine requests that crash the upstream instances that run them."""
+"""Quarantine requests and prompt parts that crash the upstream instances."""
 
 from ragworthollow.quarantine.crash_record import CrashRecord
 from ragworthollow.quarantine.crash_registry import CrashRegistry
@@ -11,6 +11,8 @@
     make_fingerprint,
     make_part_fingerprints,
 )
+from ragworthollow.quarantine.quarantine_limits import QuarantineLimits
+from ragworthollow.quarantine.running_request import RunningRequest
 
 __all__ = (
     'CrashRecord',
@@ -18,6 +20,8 @@
     'CrashReport',
     'EvidenceExchange',
     'EvidenceUpdate',
+    'QuarantineLimits',
+    'RunningRequest',
     'make_fingerprint',
     'make_part_fingerprints',
     'make_report',
--- a/packages/ragworthollow/src/ragworthollow/quarantine/crash_registry.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/crash_registry.py
@@ -1,14 +1,21 @@
-"""Decide which requests are quarantined."""
+"""Record crash evidence, and tell what is quarantined by it."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from ragworthollow.conf import global_settings
 from ragworthollow.quarantine.crash_record import NEVER_MS, CrashRecord
+from ragworthollow.quarantine.evidence_update import CrashReport
+from ragworthollow.quarantine.fingerprint import PART_PREFIX
+from ragworthollow.quarantine.part_history import PartHistory
+from ragworthollow.quarantine.quarantine_limits import QuarantineLimits
+from ragworthollow.quarantine.running_request import RunningRequest
+from ragworthollow.quarantine.verdict import Verdict
+from ragworthollow.quarantine.verdicts import find_verdicts
 
 
 class CrashRegistry:
     """
-    Record which requests were running in crashes, and decide which are harmful.
+    Record which requests and prompt parts were running in crashes.
 
     The evidence of several gateways can be added in any order and more than
     once.  Each change gets a sequence number, so that a gateway can send
@@ -16,51 +23,94 @@
 
     Parameters
     ----------
-    crash_limit : int
-        Number of crashes since its last success at which a request is
-        quarantined.
-    quarantine_ms : float
-        Duration of the quarantine after the last crash.
+    limits : QuarantineLimits
+        Numbers of crashes and durations.
     max_records : int
-        Maximum number of requests recorded.  Those with the oldest evidence
-        are dropped first, and quarantined requests last.
+        Maximum number of records.  Those with the oldest evidence are dropped
+        first, and those of quarantines last.
     """
 
     def __init__(
         self,
         *,
-        crash_limit: int,
-        quarantine_ms: float,
+        limits: QuarantineLimits,
         max_records: int = global_settings.MAX_CRASH_RECORDS,
     ) -> None:
-        self._crash_limit = crash_limit
-        self._quarantine_ms = quarantine_ms
+        self._limits = limits
         self._max_records = max_records
         self._records: dict[str, CrashRecord] = {}
-        # Sequence number of the last change of each request, ascending.
+        # Sequence number of the last change of each record, ascending.
         self._numbers: dict[str, int] = {}
+        self._history = PartHistory()
+        self._verdicts: dict[str, Verdict] = {}
+        self._judged_number = 0
+        self._announced: set[str] = set()
         self._next_forget_ms = NEVER_MS
         self.last_number = 0
 
+    def record_loss(self, part_fingerprints: Iterable[str]) -> None:
+        """Record that an attempt with these parts was lost."""
+        for part in part_fingerprints:
+            self._history.record_attempt(part)
+
     def record_crash(
         self,
-        fingerprint: str,
+        running: RunningRequest,
         incarnation: str,
         now_ms: float,
-    ) -> bool:
+    ) -> None:
         """
-        Record that a request was running when an instance crashed.
+        Record a request that was running when an instance crashed.
+
+        Parameters
+        ----------
+        running : RunningRequest
+            The request.
+        incarnation : str
+            Incarnation of the instance.
+        now_ms : float
+            Current time.
+        """
+        crashes = {incarnation: now_ms}
+        request_report = CrashReport(
+            fingerprint=running.fingerprint,
+            companions=running.part_fingerprints,
+        )
+        self._add(request_report, crashes, now_ms)
+        run_ms = (
+            {}
+            if running.started_ms is None
+            else {incarnation: now_ms - running.started_ms}
+        )
+        for part in running.part_fingerprints:
+            report = CrashReport(
+                fingerprint=part,
+                run_ms=run_ms,
+                companions=tuple(
+                    other
+                    for other in running.part_fingerprints
+                    if other != part
+                ),
+                attempts=self._history.get_attempts(part),
+            )
+            self._add(report, crashes, now_ms)
+
+    def record_success(self, fingerprint: str, now_ms: float) -> bool:
+        """
+        Clear a request or a prompt part that has succeeded.
 
         Returns
         -------
         bool
-            Whether the request is newly quarantined.
+            Whether any crash counted against it.
         """
-        return self.add(fingerprint, {incarnation: now_ms}, (), now_ms)
+        if fingerprint.startswith(PART_PREFIX):
+            self._history.record_success(fingerprint)
+        return self.clear(fingerprint, now_ms)
 
     def clear(self, fingerprint: str, now_ms: float) -> bool:
         """
-        Clear a request of all its crashes.
+        Clear a request or a prompt part of all its crashes.
 
         Returns
         -------
@@ -68,76 +118,75 @@
             Whether any crash counted against it.
         """
         record = self._records.get(fingerprint)
-        if record is None or not record.list_uncleared_ms():
+        if record is None or not record.get_uncleared():
             return False
-        self.add(fingerprint, {}, tuple(record.crashes), now_ms)
+        self._add(
+            CrashReport(fingerprint=fingerprint, cleared=tuple(record.crashes)),
+            {},
+            now_ms,
+        )
         return True
 
-    def add(
-        self,
-        fingerprint: str,
-        crashes: Mapping[str, float],
-        cleared: Iterable[str],
-        now_ms: float,
-    ) -> bool:
+    def apply_report(self, report: CrashReport, now_ms: float) -> None:
         """
-        Add evidence.
+        Add the evidence of another gateway or of the store.
 
         Parameters
         ----------
-        fingerprint : str
-            Fingerprint of the request.
-        crashes : mapping of str to float
-            Times at which incarnations of instances that were running it
-            ended, by incarnation.
-        cleared : iterable of str
-            Incarnations whose crashes do not count against it, since it has
-            succeeded later.
+        report : CrashReport
+            Evidence against one request or prompt part.
         now_ms : float
-            Current time, on the same clock as the crashes.
+            Current time, on the clock of the records.
+        """
+        crashes = {
+            incarnation: now_ms - age_ms
+            for incarnation, age_ms in report.crash_ages_ms.items()
+        }
+        self._add(report, crashes, now_ms)
 
-        Returns
-        -------
-        bool
-            Whether the request is newly quarantined.
+    def announce_quarantines(self, now_ms: float) -> list[str]:
+        """Return what has been quarantined since the last call."""
+        quarantined = set(self.list_quarantined(now_ms))
+        new = quarantined - self._announced
+        self._announced = quarantined
+        return sorted(new)
+
+    def get_remaining_ms(
+        self, fingerprints: Collection[str], now_ms: float
+    ) -> float:
         """
-        record = self._records.get(fingerprint)
-        if record is None:
-            record = CrashRecord()
-        was_quarantined = self.get_remaining_ms(fingerprint, now_ms) > 0
-        if not record.add(crashes, cleared):
-            return False
-        self._records[fingerprint] = record
-        self.last_number += 1
-        self._numbers.pop(fingerprint, None)
-        self._numbers[fingerprint] = self.last_number
-        self._forget(now_ms)
-        return (
-            not was_quarantined
-            and self.get_remaining_ms(fingerprint, now_ms) > 0
-        )
+        Return how long a request stays quarantined; 0 if it is not.
 
-    def get_remaining_ms(self, fingerprint: str, now_ms: float) -> float:
-        """Return the remaining time of a request in quarantine, or 0."""
-        record = self._records.get(fingerprint)
-        if record is None:
-            return 0
-        return max(0, self._get_release_ms(record) - now_ms)
+        Parameters
+        ----------
+        fingerprints : collection of str
+            Fingerprints of the request and of its prompt parts.
+        now_ms : float
+            Current time, on the clock of the records.
+        """
+        verdicts = self._judge()
+        release_times_ms = [
+            verdicts[fingerprint].release_ms
+            for fingerprint in fingerprints
+            if fingerprint in verdicts
+            and verdicts[fingerprint].companions.issubset(fingerprints)
+        ]
+        return max(0, max(release_times_ms, default=now_ms) - now_ms)
 
     def get_record(self, fingerprint: str) -> CrashRecord | None:
-        """Return the evidence against a request, or None."""
+        """Return the evidence against a request or prompt part, or None."""
         return self._records.get(fingerprint)
 
     def list_quarantined(self, now_ms: float) -> dict[str, float]:
-        """Return the remaining time of each quarantined request."""
+        """Return the remaining time of each quarantine, by fingerprint."""
         return {
-            fingerprint: self._get_release_ms(record) - now_ms
-            for fingerprint, record in self._records.items()
-            if self._get_release_ms(record) > now_ms
+            fingerprint: verdict.release_ms - now_ms
+            for fingerprint, verdict in self._judge().items()
+            if verdict.release_ms > now_ms
         }
 
     def count(self) -> int:
-        """Return the number of recorded requests."""
+        """Return the number of recorded requests and prompt parts."""
         return len(self._records)
 
     def list_crashes(self) -> set[str]:
@@ -158,15 +207,44 @@
         changes.reverse()
         return changes
 
-    def _get_release_ms(self, record: CrashRecord) -> float:
-        return record.get_release_ms(self._crash_limit, self._quarantine_ms)
+    def _add(
+        self,
+        report: CrashReport,
+        crashes: Mapping[str, float],
+        now_ms: float,
+    ) -> None:
+        fingerprint = report.fingerprint
+        record = self._records.get(fingerprint) or CrashRecord()
+        is_new = record.add(
+            crashes,
+            report.cleared,
+            run_ms=report.run_ms,
+            companions=report.companions,
+            attempts=report.attempts,
+            has_succeeded=report.has_succeeded
+            or fingerprint in self._history.succeeded,
+        )
+        if not is_new:
+            return
+        self._records[fingerprint] = record
+        self.last_number += 1
+        self._numbers.pop(fingerprint, None)
+        self._numbers[fingerprint] = self.last_number
+        self._forget(now_ms)
+
+    def _judge(self) -> dict[str, Verdict]:
+        """Return the verdicts by the present evidence."""
+        if self._judged_number != self.last_number:
+            self._judged_number = self.last_number
+            self._verdicts = find_verdicts(self._records, self._limits)
+        return self._verdicts
 
     def _forget(self, now_ms: float) -> None:
         """
         Discard crashes that are older than the longest quarantine.
 
-        Crashes are kept beyond a shorter quarantine: a request that is admitted
-        again and crashes an instance is quarantined at once.
+        Crashes are kept beyond a shorter quarantine: what is admitted again
+        and crashes an instance is quarantined at once.
         """
         is_full = len(self._records) > self._max_records
         if not is_full and now_ms < self._next_forget_ms:
@@ -175,19 +253,26 @@
             now_ms + global_settings.EVIDENCE_CLEANUP_INTERVAL_MS
         )
         max_quarantine_ms = (
-            self._quarantine_ms * 2**global_settings.QUARANTINE_DOUBLINGS_LIMIT
+            self._limits.quarantine_ms
+            * 2**global_settings.QUARANTINE_DOUBLINGS_LIMIT
         )
         for fingerprint, record in tuple(self._records.items()):
             record.forget_before(now_ms - max_quarantine_ms)
             if not record.crashes:
-                self._drop(fingerprint)
-        while len(self._records) > self._max_records:
-            self._drop(min(self._records, key=self._get_drop_order))
+                self._drop((fingerprint,))
+        excess = len(self._records) - self._max_records
+        if excess > 0:
+            by_age = sorted(self._records, key=self._get_drop_order)
+            self._drop(by_age[:excess])
 
     def _get_drop_order(self, fingerprint: str) -> tuple[float, float]:
-        record = self._records[fingerprint]
-        return self._get_release_ms(record), record.get_newest_ms()
+        verdict = self._judge().get(fingerprint)
+        return (
+            NEVER_MS if verdict is None else verdict.release_ms,
+            self._records[fingerprint].get_newest_ms(),
+        )
 
-    def _drop(self, fingerprint: str) -> None:
-        self._records.pop(fingerprint)
-        self._numbers.pop(fingerprint)
+    def _drop(self, fingerprints: Iterable[str]) -> None:
+        for fingerprint in fingerprints:
+            self._records.pop(fingerprint)
+            self._numbers.pop(fingerprint)
--- a/packages/ragworthollow/src/ragworthollow/quarantine/evidence_exchange.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/evidence_exchange.py
@@ -1,6 +1,5 @@
 """Exchange crash evidence with other gateways."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from ragworthollow.conf import global_settings
@@ -49,9 +48,6 @@
         Incarnation of this process.
     registry : CrashRegistry
         Registry of the evidence.
-    on_quarantine : callable
-        Called with the fingerprint of each request that received evidence
-        quarantines.
     """
 
     def __init__(
@@ -59,11 +55,9 @@
         *,
         incarnation: str,
         registry: CrashRegistry,
-        on_quarantine: Callable[[str], None],
     ) -> None:
         self._incarnation = incarnation
         self._registry = registry
-        self._on_quarantine = on_quarantine
         self._peers: dict[str, _PeerProgress] = {}
 
     def make_update(
@@ -126,21 +120,7 @@
         peer.knows_incarnation = update.heard_teller == self._incarnation
         peer.acked_number = update.heard_number if peer.knows_incarnation else 0
         for report in update.reports:
-            self.apply_report(report, now_ms)
-
-    def apply_report(self, report: CrashReport, now_ms: float) -> None:
-        """Apply a report of the evidence against one request."""
-        is_new = self._registry.add(
-            report.fingerprint,
-            {
-                incarnation: now_ms - age_ms
-                for incarnation, age_ms in report.crash_ages_ms.items()
-            },
-            report.cleared,
-            now_ms,
-        )
-        if is_new:
-            self._on_quarantine(report.fingerprint)
+            self._registry.apply_report(report, now_ms)
 
 
 def make_report(
@@ -148,7 +128,7 @@
     record: CrashRecord,
     now_ms: float,
 ) -> CrashReport:
-    """Build the report of the evidence against one request."""
+    """Build the report of the evidence against one request or part."""
     return CrashReport(
         fingerprint=fingerprint,
         crash_ages_ms={
@@ -156,4 +136,12 @@
             for incarnation, crashed_ms in record.crashes.items()
         },
         cleared=tuple(record.cleared),
+        run_ms=record.run_ms,
+        companions=(
+            None
+            if record.companions is None
+            else tuple(sorted(record.companions))
+        ),
+        attempts=record.attempts,
+        has_succeeded=record.has_succeeded,
     )
--- a/packages/ragworthollow/src/ragworthollow/quarantine/evidence_update.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/evidence_update.py
@@ -5,22 +5,37 @@
 
 class CrashReport(Message):
     """
-    Report the evidence against one request.
+    Report the evidence against one request or prompt part.
 
     Attributes
     ----------
     fingerprint : str
-        Fingerprint of the request.
+        Fingerprint of the request or of the part.
     crash_ages_ms : dict of str to float
         Time since each incarnation of an instance that was running the
         request ended, by incarnation.
     cleared : tuple of str
         Incarnations whose crashes no longer count against the request.
+    run_ms : dict of str to float
+        Shortest time for which a request with a part had been running there,
+        by incarnation.
+    companions : tuple of str or None
+        Prompt parts of the request, or those that each request with this part
+        had as well when it was in a crash; None if unknown.
+    attempts : int
+        Largest number of attempts with a part that had ended at any gateway
+        when it reported a crash.
+    has_succeeded : bool
+        Whether it is known to have succeeded at any time.
     """
 
     fingerprint: str
     crash_ages_ms: dict[str, float] = {}
     cleared: tuple[str, ...] = ()
+    run_ms: dict[str, float] = {}
+    companions: tuple[str, ...] | None = None
+    attempts: int = 0
+    has_succeeded: bool = False
 
 
 class EvidenceUpdate(Message):
--- a/packages/ragworthollow/src/ragworthollow/quarantine/operator_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/operator_messages.py
@@ -8,12 +8,12 @@
 
 class QuarantinedRequest(Message):
     """
-    Describe a quarantined request.
+    Describe a quarantined request or prompt part.
 
     Attributes
     ----------
     fingerprint : str
-        Fingerprint of the request, as in log lines.
+        Fingerprint of the request or of the part, as in log lines.
     crashes : tuple of str
         Incarnations of instances that crashed while running it.
     left_ms : float
--- /dev/null
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/running_request.py
@@ -0,0 +1,28 @@
+"""Define a request that was running when an instance crashed."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RunningRequest:
+    """
+    Name what may be to blame for the crash of an instance.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Fingerprint of the request.
+    part_fingerprints : tuple of str
+        Fingerprints of its prompt parts that other requests may share.
+    started_ms : float or None
+        Time at which it was sent to the instance, on the clock of the
+        evidence; None if unknown.
+    """
+
+    fingerprint: str
+    part_fingerprints: tuple[str, ...] = ()
+    started_ms: float | None = None
+
+    def get_fingerprints(self) -> tuple[str, ...]:
+        """Return the fingerprints of the request and of its parts."""
+        return (self.fingerprint, *self.part_fingerprints)
--- a/tests/features/crash_evidence.feature
+++ b/tests/features/crash_evidence.feature
@@ -74,3 +74,46 @@
       | three harmful requests  |
       | a hot harmless request  |
       | crashes by chance alone |
+
+  Scenario Outline: Harmful prompt parts reach a fleet: <pattern>
+    # Guards against a part that crashes engines in ever new requests, and against refusing the templates and documents beside it.
+    When the fleet is simulated with <pattern>
+    Then no more than 3 requests with a harmful part are sent 3 seconds after its fifth crash
+    And it refuses at most 1 in 100 harmless requests
+
+    Examples:
+      | pattern                               |
+      | one harmful part                      |
+      | a harmful part from the start         |
+      | a harmful part in many requests       |
+      | two harmful parts                     |
+      | a harmful part and crashes by chance  |
+
+  Scenario: An outage ends many instances with a template at once
+    # Guards against blaming a template that ran on every instance for the outage that ended them.
+    Given a template and 10 instances that run it
+    When all of them end within 200 milliseconds
+    Then the template is not quarantined
+
+  Scenario: One request is sent again and again
+    # Guards against refusing the documents of a single harmful request, which other callers use too.
+    When a request with a new document crashes 4 instances
+    Then the request is quarantined and its document is not
+
+  Scenario: A template had no success before a part crashed instances
+    # Guards against refusing what the harmful requests had in common as well.
+    When 3 different requests with a new template and a harmful part crash an instance each
+    Then requests with both are refused, and those with the template alone are not
+
+  Scenario: A request runs beside a harmful part twice
+    # Guards against refusing a harmless request for crashes that a part explains.
+    When 3 different requests with a harmful part crash an instance each, and a harmless one runs beside two of them
+    Then the harmful part is quarantined and the harmless request is not
+
+  Scenario: A template that has succeeded is in every crash of a short series
+    # Guards against one more crash of a harmful part being enough to refuse its template.
+    Given a template that has succeeded
+    When 3 different requests with it alone crash an instance each
+    Then the template is not quarantined
+    When 1 different requests with it alone crash an instance each
+    Then the template is quarantined for 30 seconds
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -92,11 +92,16 @@
       | streaming | resumable | second   |
       | streaming | stream    | first    |
 
-  Scenario: Harmless requests have no success between crashes of a harmful part
+  Scenario Outline: Harmless requests have no success before the <position> prompt part has crashed instances
     # Guards against refusing a template that each crashed request had too, when no engine was left to serve it in between.
     Given two more gateways and an instance for stage work
     And instances that crash restart under another name
-    When callers post 8 different requests to /stream whose second prompt part is harmful, and no others
+    When callers post 8 different requests to /stream whose <position> prompt part is harmful, and no others
     Then no more than 5 instances have crashed
     And the last attempts were refused as not run, with a long retry delay
     And requests with the other prompt parts are served at each gateway
+
+    Examples:
+      | position |
+      | first    |
+      | second   |
--- a/tests/features/steps/crash_evidence.py
+++ b/tests/features/steps/crash_evidence.py
@@ -15,6 +15,8 @@
 from ragworthollow.quarantine import (
     CrashRegistry,
     EvidenceExchange,
+    QuarantineLimits,
+    RunningRequest,
     make_fingerprint,
 )
 from ragworthollow.upstreams import Directory, UpstreamInstance
@@ -26,23 +28,40 @@
 _GATEWAYS = ('g1', 'g2', 'g3')
 _HOST = '127.0.0.1'
 _SEEDS = range(5)
+_PROMPTS = Scenario(harmful=0, templates=3, documents=40, harmful_from_s=15)
 _SCENARIOS = {
     'one harmful request': Scenario(),
     'three harmful requests': Scenario(harmful=3),
     'a hot harmless request': Scenario(hot_share=0.4),
     'crashes by chance alone': Scenario(harmful=0, crashes_per_s=0.5),
+    'one harmful part': dataclasses.replace(_PROMPTS, harmful_parts=1),
+    'a harmful part from the start': dataclasses.replace(
+        _PROMPTS, harmful_parts=1, harmful_from_s=0
+    ),
+    'a harmful part in many requests': dataclasses.replace(
+        _PROMPTS, harmful_parts=1, harmful_part_per_s=8
+    ),
+    'two harmful parts': dataclasses.replace(_PROMPTS, harmful_parts=2),
+    'a harmful part and crashes by chance': dataclasses.replace(
+        _PROMPTS, harmful_parts=1, crashes_per_s=0.2
+    ),
 }
 
 
 def _make_registry(**limits) -> CrashRegistry:
-    return CrashRegistry(crash_limit=2, quarantine_ms=_QUARANTINE_MS, **limits)
+    return CrashRegistry(
+        limits=QuarantineLimits(crashes=2, quarantine_ms=_QUARANTINE_MS),
+        **limits,
+    )
 
 
 def _record_crashes(context, count) -> None:
     for _ in range(count):
         context.crashes += 1
         context.registry.record_crash(
-            _FINGERPRINT, f'i{context.crashes}', context.now_ms
+            RunningRequest(fingerprint=_FINGERPRINT),
+            f'i{context.crashes}',
+            context.now_ms,
         )
 
 
@@ -73,7 +92,9 @@
 @when('{hours:d} hours have passed and another request was running in a crash')
 def advance_hours(context, hours):
     context.now_ms += hours * _HOUR_MS
-    context.registry.record_crash('another', 'i9', context.now_ms)
+    context.registry.record_crash(
+        RunningRequest(fingerprint='another'), 'i9', context.now_ms
+    )
 
 
 @then('only that request is remembered')
@@ -84,13 +105,15 @@
 
 @then('it is not quarantined')
 def check_not_quarantined(context):
-    assert not context.registry.get_remaining_ms(_FINGERPRINT, context.now_ms)
+    assert not context.registry.get_remaining_ms(
+        (_FINGERPRINT,), context.now_ms
+    )
 
 
 @then('it is quarantined for {seconds:d} seconds')
 def check_quarantined(context, seconds):
     remaining_ms = context.registry.get_remaining_ms(
-        _FINGERPRINT, context.now_ms
+        (_FINGERPRINT,), context.now_ms
     )
     assert remaining_ms == seconds * 1000, remaining_ms
 
@@ -101,10 +124,10 @@
     return EvidenceExchange(
         incarnation=incarnation,
         registry=registry,
-        on_quarantine=lambda _: None,
     )
 
 
+_PARTS = ('part-x', 'part-y')
 _PAIRS = st.permutations(_GATEWAYS).map(lambda names: names[:2])
 _ACTIONS = st.lists(
     st.one_of(
@@ -112,12 +135,13 @@
             st.just('crash'),
             st.sampled_from(_GATEWAYS),
             st.sampled_from('abc'),
-            st.sampled_from(('i1', 'i2', 'i3')),
+            st.sets(st.sampled_from(_PARTS)),
+            st.sampled_from(('i1', 'i2', 'i3', 'i4')),
         ),
         st.tuples(
             st.just('clear'),
             st.sampled_from(_GATEWAYS),
-            st.sampled_from('abc'),
+            st.sampled_from(('a', 'b', 'c', *_PARTS)),
         ),
         st.tuples(st.just('restart'), st.sampled_from(_GATEWAYS)),
         st.tuples(st.just('ask'), _PAIRS),
@@ -149,15 +173,19 @@
         self._now_ms += 10
         kind, *rest = action
         if kind == 'crash':
-            name, fingerprint, instance = rest
-            self.registries[name].record_crash(
-                fingerprint, instance, self._now_ms
+            name, fingerprint, parts, instance = rest
+            running = RunningRequest(
+                fingerprint=fingerprint,
+                part_fingerprints=tuple(sorted(parts)),
+                started_ms=self._now_ms - 5,
             )
+            self.registries[name].record_loss(running.part_fingerprints)
+            self.registries[name].record_crash(running, instance, self._now_ms)
         elif kind == 'restart':
             self._start(rest[0])
         elif kind == 'clear':
             name, fingerprint = rest
-            self.registries[name].clear(fingerprint, self._now_ms)
+            self.registries[name].record_success(fingerprint, self._now_ms)
         else:
             self.send_update(*rest[0], is_lost=kind == 'lose')
             if kind == 'repeat':
@@ -187,8 +215,8 @@
     def get_decisions(self) -> list[list[bool]]:
         return [
             [
-                bool(registry.get_remaining_ms(fingerprint, self._now_ms))
-                for fingerprint in 'abc'
+                bool(registry.get_remaining_ms((fingerprint,), self._now_ms))
+                for fingerprint in ('a', 'b', 'c', *_PARTS)
             ]
             for registry in self.registries.values()
         ]
@@ -218,7 +246,11 @@
     context.registry = _make_registry()
     for number in range(count):
         for instance in ('i1', 'i2'):
-            context.registry.record_crash(f'work-{number}', instance, 0)
+            context.registry.record_crash(
+                RunningRequest(fingerprint=f'work-{number}'),
+                f'{instance}-{number}',
+                0,
+            )
     context.host = _make_exchange('host', context.registry)
 
 
@@ -246,19 +278,23 @@
 def make_bounded_registry(context, count):
     context.registry = _make_registry(max_records=count)
     for instance in ('i1', 'i2'):
-        context.registry.record_crash(_FINGERPRINT, instance, 0)
+        context.registry.record_crash(
+            RunningRequest(fingerprint=_FINGERPRINT), instance, 0
+        )
 
 
 @when('{count:d} others have been running in a crash')
 def fill_registry(context, count):
     for number in range(count):
-        context.registry.record_crash(f'other-{number}', 'i3', number)
+        context.registry.record_crash(
+            RunningRequest(fingerprint=f'other-{number}'), 'i3', number
+        )
 
 
 @then('{count:d} are remembered, and the one is still quarantined')
 def check_bounded_registry(context, count):
     assert context.registry.count() == count
-    assert context.registry.get_remaining_ms(_FINGERPRINT, count)
+    assert context.registry.get_remaining_ms((_FINGERPRINT,), count)
 
 
 @when('a request loses its connection to an instance that {state}')
@@ -291,7 +327,9 @@
     if state == 'has ended after leaving':
         leaving = dataclasses.replace(instance, is_leaving=True)
         directory.replace([leaving], 1)
-    detector.record_connection_loss(instance, [_FINGERPRINT])
+    detector.record_connection_loss(
+        instance, [RunningRequest(fingerprint=_FINGERPRINT)]
+    )
     await detector.wait_for_crash_check(instance)
     server.close()
     return crashed_requests
@@ -333,9 +371,11 @@
 def simulate_fleet(context, pattern):
     context.crash_scenario = _SCENARIOS[pattern]
     context.counts = Counter()
+    context.late_part_runs = []
     for seed in _SEEDS:
         model = CrashModel(scenario=context.crash_scenario, seed=seed)
         context.counts.update(model.play())
+        context.late_part_runs += model.late_part_runs.values()
 
 
 @then('it loses at most {count:d} instances for each harmful request')
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -21,6 +21,11 @@
 _PARTS_HEADER = 'X-Ragworthollow-Prefix-Hash'
 _HARMFUL_PART = 'bad0:40'
 _TEMPLATE = 'c0de:100'
+_HARMLESS_PATHS = {
+    'safe': '/safe/harmless/answer',
+    'resumable': '/resumable/harmless/stream',
+    'stream': '/stream/harmless/stream',
+}
 
 
 @dataclass(kw_only=True)
@@ -187,7 +192,7 @@
 )
 def send_harmful_parts(context, count, route, position):
     stage = context.gateway_stage
-    context.harmless_path = f'/{route}/harmless/answer'
+    context.harmless_path = _HARMLESS_PATHS[route]
     context.responses = stage.run(
         _send_harmful_parts(
             stage,
@@ -205,7 +210,7 @@
 )
 def send_only_harmful_parts(context, count, route, position):
     stage = context.gateway_stage
-    context.harmless_path = f'/{route}/harmless/answer'
+    context.harmless_path = _HARMLESS_PATHS[route]
     context.responses = stage.run(
         _send_harmful_parts(
             stage,
