Record a quarantine that follows from the evidence of several gateways

A request whose crashes were seen by different gateways was quarantined at each of them when the evidence met, but no gateway wrote the record, since only a crash that a gateway had seen itself led to a write. After the loss of all gateways nothing was known of it. Found while looking for what else of the evidence is lost, not seen in the record.

The gateway that ranks first for the key now writes what it learns from others, unless the record is there. A quarantine can cost up to four calls to the store instead of two.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine.py
@@ -22,6 +22,7 @@
 from ragworthollow.upstreams import Directory, UpstreamInstance
 from ragworthollow.utils import get_boottime_ms
 from ragworthollow_daemon.gateway.crash_detector import CrashDetector, Spawn
+from ragworthollow_daemon.gateway.quarantine_change import QuarantineChange
 
 _STEP = 'quarantine'
 
@@ -76,8 +77,8 @@
             spawn=spawn,
             on_crash=self._record_crash,
         )
-        # Fingerprints that this process has quarantined or cleared.
-        self.changed_decisions: asyncio.Queue[str] = asyncio.Queue()
+        # Changes that the store may not know yet.
+        self.changes: asyncio.Queue[QuarantineChange] = asyncio.Queue()
         # Set when other gateways should be notified without delay.
         self.has_urgent_update = asyncio.Event()
         self.has_polled_peers = False
@@ -159,12 +160,12 @@
         """Apply the update of another gateway, if there is one."""
         if update is not None:
             self._exchange.apply_update(peer, update, get_boottime_ms())
-            self._record_quarantines()
+            self._record_quarantines(is_own=False)
 
     def apply_report(self, report: CrashReport) -> None:
         """Apply evidence that the store holds."""
         self._registry.apply_report(report, get_boottime_ms())
-        self._record_quarantines()
+        self._record_quarantines(is_own=False)
 
     def encode_record(self, fingerprint: str) -> str:
         """Encode the evidence against a request or part for the store."""
@@ -187,14 +188,15 @@
         self.has_urgent_update.set()
         for request in running:
             self._registry.record_crash(request, incarnation, now_ms)
-        for quarantined in self._record_quarantines():
-            self.changed_decisions.put_nowait(quarantined)
+        self._record_quarantines(is_own=True)
 
     def _record_clearance(
         self, fingerprint: str, event: str, is_quarantined: bool
     ) -> None:
         if is_quarantined:
-            self.changed_decisions.put_nowait(fingerprint)
+            self.changes.put_nowait(
+                QuarantineChange(fingerprint=fingerprint, is_own=True)
+            )
         self._metrics.count_event(event)
         log_event(event, step=_STEP, fingerprint=fingerprint)
 
@@ -204,8 +206,8 @@
             () if crash_record is None else tuple(sorted(crash_record.crashes))
         )
 
-    def _record_quarantines(self) -> list[str]:
-        """Log and return what the evidence has newly quarantined."""
+    def _record_quarantines(self, *, is_own: bool) -> None:
+        """Log what the evidence has newly quarantined, and queue it."""
         now_ms = get_boottime_ms()
         quarantined = self._registry.announce_quarantines(now_ms)
         remaining_ms = self._registry.list_quarantined(now_ms)
@@ -218,4 +220,6 @@
                 crashes=self._list_crashes(fingerprint),
                 left_ms=round(remaining_ms[fingerprint]),
             )
-        return quarantined
+            self.changes.put_nowait(
+                QuarantineChange(fingerprint=fingerprint, is_own=is_own)
+            )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine_records.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine_records.py
@@ -11,8 +11,8 @@
 from ragworthollow.platform.stored import Stored
 from ragworthollow.platform.transaction import Put
 from ragworthollow.quarantine import CrashReport
-from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.quarantine_change import QuarantineChange
 
 _PREFIX = 'quarantine/'
 _STEP = 'quarantine'
@@ -40,10 +40,12 @@
 
     async def run(self) -> None:
         """Write the decisions of this gateway to the store until cancelled."""
-        changed_decisions = self._context.quarantine.changed_decisions
+        changes = self._context.quarantine.changes
         while True:
-            fingerprint = await changed_decisions.get()
-            while not await self._write_record(fingerprint):
+            change = await changes.get()
+            while self._is_missing(change) and not await self._write_record(
+                change.fingerprint
+            ):
                 pause_s = global_settings.MEMBER_RETRY_MS / _MILLISECONDS
                 await asyncio.sleep(pause_s)
 
@@ -68,18 +70,20 @@
 
     def _requeue_lost(self) -> None:
         """Queue decisions again that a store lost when it was restored."""
-        entries = self._context.replica.view.entries
         for request in self._context.quarantine.list_quarantined():
-            key = f'{_PREFIX}{request.fingerprint}'
-            is_writer = self._context.throttle.senders.is_chosen(
-                key,
-                1,
-                get_monotonic_ms(),
+            change = QuarantineChange(
+                fingerprint=request.fingerprint, is_own=False
             )
-            if is_writer and key not in entries:
-                self._context.quarantine.changed_decisions.put_nowait(
-                    request.fingerprint,
-                )
+            if self._is_missing(change):
+                self._context.quarantine.changes.put_nowait(change)
+
+    def _is_missing(self, change: QuarantineChange) -> bool:
+        """Tell whether this gateway has to write a change to the store."""
+        key = f'{_PREFIX}{change.fingerprint}'
+        return change.is_own or (
+            key not in self._context.replica.view.entries
+            and self._context.throttle.senders.is_ranked_first(key)
+        )
 
     def _apply_changed_records(self, records: Mapping[str, Stored]) -> None:
         for key, stored in records.items():
--- a/packages/ragworthollow/src/ragworthollow/throttling/senders.py
+++ b/packages/ragworthollow/src/ragworthollow/throttling/senders.py
@@ -78,6 +78,14 @@
             self._chosen[key] = self._is_among_highest(incarnation, senders)
         return self._chosen[key]
 
+    def is_ranked_first(self, key: str) -> bool:
+        """
+        Return whether this gateway is the one to act for all on a key.
+
+        While gateways know different members, several of them may be.
+        """
+        return self._is_among_highest(key, 1)
+
     def _is_among_highest(self, incarnation: str, senders: int) -> bool:
         highest = heapq.nlargest(
             senders,
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -49,6 +49,12 @@
     And a caller posts to /safe/crash 3 times, at each gateway in turn
     Then no more than 3 instances have crashed
 
+  Scenario: Only the evidence of two gateways together quarantines a request
+    # Guards against a quarantine that is in no record, since no gateway decided it by its own evidence: it is lost when all are killed.
+    Given two more gateways and an instance for stage work
+    When two gateways have seen one crash each of the same request
+    Then the store holds 1 records of requests that are quarantined
+
   Scenario: An operator's release reaches the store
     # Guards against a request that is quarantined again after a restart
     # although an operator has released it.
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from ragworthollow.quarantine import CrashReport
 from ragworthollow_ctl.commands.quarantine import quarantine
 from ragworthollow_ctl.commands.release import release
 from tests.fixtures.commands import run_command
@@ -131,6 +132,16 @@
         assert response.status == 200, response
 
 
+@when('two gateways have seen one crash each of the same request')
+def split_evidence(context):
+    stage = context.gateway_stage
+    for gateway in GATEWAY_NAMES[:2]:
+        report = CrashReport(
+            fingerprint='split', crash_ages_ms={f'seen-by-{gateway}': 0}
+        )
+        stage.get_context(gateway).quarantine.apply_report(report)
+
+
 @given('a gateway that operators can ask')
 def add_operator_gateway(context):
     stage = context.gateway_stage
