Quarantine data of stage work that crashes instances

The digest of the key counts as something that requests share, as a prompt part does, for crashes of stage instances only.

--- a/measure/fleet_model/gateway.py
+++ b/measure/fleet_model/gateway.py
@@ -124,6 +124,7 @@
             waited_ms=self._typical_limits.record(route.name, time_limit_ms),
             fingerprint=parameters.request_id,
             part_fingerprints=(),
+            key_fingerprint='',
             received_ms=now_ms,
             deadline_ms=now_ms + time_limit_ms,
         )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
@@ -9,7 +9,11 @@
 from ragworthollow.exchange import RequestParameters, TypicalTimeLimits
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.platform.request_wire import read_request_parameters
-from ragworthollow.quarantine import make_fingerprint, make_part_fingerprints
+from ragworthollow.quarantine import (
+    make_fingerprint,
+    make_key_fingerprint,
+    make_part_fingerprints,
+)
 from ragworthollow.routes import KeyHolder, Route, RouteTable
 from ragworthollow.utils import get_boottime_ms
 from ragworthollow.utils.hashing import hash_secret
@@ -96,6 +100,11 @@
                 part_fingerprints=make_part_fingerprints(
                     part.part for part in request_parameters.get_shared_parts()
                 ),
+                key_fingerprint=(
+                    make_key_fingerprint(request_parameters.piece_key)
+                    if request_parameters.piece_key
+                    else ''
+                ),
                 received_ms=received_ms,
                 deadline_ms=received_ms + limit_ms,
             ),
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_result_handler.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_result_handler.py
@@ -6,13 +6,14 @@
 from ragworthollow.logs.events import log_event
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.pieces import (
+    Piece,
     PieceCall,
     PieceOutcome,
     PieceResult,
     PieceScheduler,
     WaitingPiece,
 )
-from ragworthollow.quarantine import RunningRequest
+from ragworthollow.quarantine import RunningRequest, make_key_fingerprint
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.result_space_recorder import (
@@ -103,11 +104,11 @@
             return
         self._context.quarantine.record_connection_loss(
             call.instance,
-            [
-                RunningRequest(fingerprint=waiting.piece.fingerprint)
+            {
+                _make_running_request(waiting.piece)
                 for waiting in call.pieces
                 if waiting.piece.fingerprint
-            ],
+            },
         )
         await self._context.quarantine.wait_for_crash_check(call.instance)
 
@@ -224,7 +225,7 @@
 
     def _may_retry(self, waiting: WaitingPiece) -> bool:
         if self._context.quarantine.get_remaining_ms(
-            (waiting.piece.fingerprint,)
+            _make_running_request(waiting.piece).get_fingerprints()
         ):
             return False
         return waiting.attempts + 1 < global_settings.PIECE_ATTEMPTS
@@ -291,3 +292,13 @@
     for result in results:
         counts[result.outcome] = counts.get(result.outcome, 0) + 1
     return counts
+
+
+def _make_running_request(piece: Piece) -> RunningRequest:
+    """Make the request of a piece, for the evidence of a crash."""
+    return RunningRequest(
+        fingerprint=piece.fingerprint,
+        part_fingerprints=(
+            (make_key_fingerprint(piece.key),) if piece.key else ()
+        ),
+    )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
@@ -43,6 +43,8 @@
     part_fingerprints : tuple of str
         Identifiers of the prompt parts that other requests may share, in
         order.
+    key_fingerprint : str
+        Identifier of the data that its stages read; empty if it has none.
     received_ms, deadline_ms : float
         Times on the monotonic clock, in milliseconds; after the deadline the
         caller no longer waits for a response.
@@ -58,12 +60,16 @@
     waited_ms: float
     fingerprint: str
     part_fingerprints: tuple[str, ...]
+    key_fingerprint: str
     received_ms: float
     deadline_ms: float
 
     def get_fingerprints(self) -> tuple[str, ...]:
-        """Return the fingerprints of the request and of its shared parts."""
-        return (self.fingerprint, *self.part_fingerprints)
+        """Return the fingerprints of the request and of what it shares."""
+        shared = self.part_fingerprints
+        if self.key_fingerprint:
+            shared = (*shared, self.key_fingerprint)
+        return (self.fingerprint, *shared)
 
     def get_objective_deadline_ms(self) -> float:
         """Return the objective deadline, counted from the first attempt."""
--- a/packages/ragworthollow/src/ragworthollow/quarantine/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/__init__.py
@@ -9,6 +9,7 @@
 from ragworthollow.quarantine.evidence_update import CrashReport, EvidenceUpdate
 from ragworthollow.quarantine.fingerprint import (
     make_fingerprint,
+    make_key_fingerprint,
     make_part_fingerprints,
 )
 from ragworthollow.quarantine.quarantine_limits import QuarantineLimits
@@ -23,6 +24,7 @@
     'QuarantineLimits',
     'RunningRequest',
     'make_fingerprint',
+    'make_key_fingerprint',
     'make_part_fingerprints',
     'make_report',
 )
--- a/packages/ragworthollow/src/ragworthollow/quarantine/fingerprint.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/fingerprint.py
@@ -7,6 +7,8 @@
 
 # Distinguishes the fingerprints of prompt parts from those of requests.
 PART_PREFIX = 'part-'
+# Distinguishes keys of data from the identifiers of prompt parts.
+_KEY_PREFIX = 'key/'
 _DIGEST_BYTES = 16
 _LENGTH_BYTES = 8
 
@@ -70,6 +72,11 @@
     return tuple(map(_make_part_fingerprint, names))
 
 
+def make_key_fingerprint(piece_key: str) -> str:
+    """Return a digest of the key of the data that stages read."""
+    return _make_part_fingerprint(f'{_KEY_PREFIX}{piece_key}')
+
+
 def _make_part_fingerprint(part: str) -> str:
     # Headers may hold bytes that are not valid text.
     name = part.encode(errors='surrogateescape')
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -27,6 +27,14 @@
     When a caller posts 8 times to /staged/answer with pieces that crash
     Then no more than 3 instances have crashed
 
+  Scenario: Stage work of different requests on the same data crashes instances
+    # Guards against evidence held per request only: the same data crashes instances in ever new requests.
+    Given two more gateways and an instance for stage work
+    And instances for stage work that crash restart under another name
+    When callers post 6 different requests with pieces of the same data that crash
+    Then no more than 5 instances have crashed
+    And a request with pieces of other data is served at each gateway
+
   Scenario: An operator releases a request
     # Guards against a harmless caller that is refused for minutes while the
     # operators can only watch.
--- a/tests/features/steps/overload.py
+++ b/tests/features/steps/overload.py
@@ -214,6 +214,7 @@
         waited_ms=0,
         fingerprint='1',
         part_fingerprints=(),
+        key_fingerprint='',
         received_ms=now_ms,
         deadline_ms=now_ms + 1000,
     )
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -84,11 +84,50 @@
 @when('a caller posts {count:d} times to {path:S} with pieces that crash')
 def send_pieces_in_turn(context, count, path):
     stage = context.gateway_stage
-    headers = {
+    headers = _make_piece_headers(CRASHING_KEY)
+    stage.run(_send_in_turn(stage, context.crashing_pool, path, count, headers))
+
+
+@when(
+    'callers post {count:d} different requests with pieces of the same data '
+    'that crash'
+)
+def send_different_with_pieces(context, count):
+    stage = context.gateway_stage
+    stage.run(_send_different_with_pieces(stage, context.crashing_pool, count))
+
+
+async def _send_different_with_pieces(stage, crashing_pool, count) -> None:
+    for number in range(count):
+        await stage.send(
+            f'/staged/{number}/answer',
+            gateway=GATEWAY_NAMES[number % len(GATEWAY_NAMES)],
+            headers=_make_piece_headers(CRASHING_KEY),
+        )
+        await _wait_for_evidence(stage)
+        await _replace_crashed(stage, crashing_pool)
+
+
+@then('a request with pieces of other data is served at each gateway')
+def check_other_data_served(context):
+    stage = context.gateway_stage
+    for gateway in GATEWAY_NAMES:
+        response = stage.run(
+            stage.send(
+                '/staged/other/answer',
+                gateway=gateway,
+                headers=_make_piece_headers('sound'),
+                limit_ms=20_000,
+            )
+        )
+        assert response.status == 200, response
+
+
+def _make_piece_headers(key: str) -> dict[str, str]:
+    return {
         'X-Ragworthollow-Pieces': '2,1',
-        'X-Ragworthollow-Piece-Key': CRASHING_KEY,
+        'X-Ragworthollow-Piece-Key': key,
     }
-    stage.run(_send_in_turn(stage, context.crashing_pool, path, count, headers))
 
 
 async def _send_in_turn(
