Record a quarantine again when it becomes longer

A further crash doubles a quarantine, but the record in the store kept the end of the first one and lapsed with it, so that a restart of all gateways released what was still refused. With quarantines of 60 s for prompt parts that would happen within a wave. A quarantine is announced and written again once its end has moved by more than a second. The new scenario failed before: nothing was announced at the fourth crash.

--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -453,6 +453,8 @@
 # crash.
 QUARANTINE_MS = 300_000
 QUARANTINE_DOUBLINGS_LIMIT = 3
+# Differences of a quarantine's end up to this are due to the way of messages.
+QUARANTINE_TOLERANCE_MS = 1_000
 # The same for a prompt part that has never succeeded, and for one that has.  A
 # part that is quarantined by mistake cannot succeed meanwhile.
 PART_QUARANTINE_MS = 60_000
--- a/packages/ragworthollow/src/ragworthollow/quarantine/crash_registry.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/crash_registry.py
@@ -44,7 +44,8 @@
         self._history = PartHistory()
         self._verdicts: dict[str, Verdict] = {}
         self._judged_number = 0
-        self._announced: set[str] = set()
+        # Ends of the quarantines that were announced last.
+        self._announced_ms: dict[str, float] = {}
         self._next_forget_ms = NEVER_MS
         self.last_number = 0
 
@@ -145,11 +146,20 @@
         self._add(report, crashes, now_ms)
 
     def announce_quarantines(self, now_ms: float) -> list[str]:
-        """Return what has been quarantined since the last call."""
-        quarantined = set(self.list_quarantined(now_ms))
-        new = quarantined - self._announced
-        self._announced = quarantined
-        return sorted(new)
+        """Return what was quarantined, or for longer, since the last call."""
+        previous_ms = self._announced_ms
+        self._announced_ms = {
+            fingerprint: verdict.release_ms
+            for fingerprint, verdict in self._judge().items()
+            if verdict.release_ms > now_ms
+        }
+        return sorted(
+            fingerprint
+            for fingerprint, release_ms in self._announced_ms.items()
+            if release_ms
+            > previous_ms.get(fingerprint, now_ms)
+            + global_settings.QUARANTINE_TOLERANCE_MS
+        )
 
     def get_remaining_ms(
         self, fingerprints: Collection[str], now_ms: float
--- a/tests/features/crash_evidence.feature
+++ b/tests/features/crash_evidence.feature
@@ -105,6 +105,15 @@
     When 3 different requests with a new template and a harmful part crash an instance each
     Then requests with both are refused, and those with the template alone are not
 
+  Scenario: A further crash makes a quarantine longer
+    # Guards against a record in the store that ends before the quarantine: only the first end of it was written.
+    When 3 different requests with a new template and a harmful part crash an instance each
+    Then a quarantine is announced
+    When an instance crashes with another request
+    Then no quarantine is announced
+    When a further request with a new template and a harmful part crashes an instance
+    Then a quarantine is announced
+
   Scenario: A request runs beside a harmful part twice
     # Guards against refusing a harmless request for crashes that a part explains.
     When 3 different requests with a harmful part crash an instance each, and a harmless one runs beside two of them
--- a/tests/features/steps/prompt_parts.py
+++ b/tests/features/steps/prompt_parts.py
@@ -145,3 +145,30 @@
     assert all(runs <= count for runs in context.late_part_runs), (
         context.late_part_runs
     )
+
+
+@when(
+    'a further request with a new template and a harmful part crashes an '
+    'instance'
+)
+def crash_further(context):
+    context.crashes.crash(('further', _TEMPLATE, _HARMFUL))
+
+
+@then('a quarantine is announced')
+def check_announced(context):
+    assert _announce(context.crashes)
+
+
+@then('no quarantine is announced')
+def check_not_announced(context):
+    assert not _announce(context.crashes)
+
+
+def _announce(crashes) -> list[str]:
+    return crashes.registry.announce_quarantines(crashes.now_ms)
+
+
+@when('an instance crashes with another request')
+def crash_unrelated(context):
+    context.crashes.crash(('another', _DOCUMENT))
