Run feature files at the same time, and write the postmortem of prompt parts

Tests: make test ran one file after the other, about 14 minutes of waiting for fixtures and pauses. Up to four files run at once now, the longest first, each in a process of its own whose output is printed whole; checks run at once too. No scenario is changed. An error of a fixture in one of the processes still fails the run (new scenario), and no file can be left out (new scenario).

request_ended names all that a request shares (shared, before prompt_parts), the data of stages too, so that each refusal leads to its crash.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_handler.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_handler.py
@@ -165,7 +165,7 @@
             step=_STEP if failure is None else failure.step,
             request_id=request_parameters.request_id,
             fingerprint='' if job is None else job.fingerprint,
-            prompt_parts=() if job is None else job.part_fingerprints,
+            shared=() if job is None else job.get_shared_fingerprints(),
             route=route,
             pool='' if job is None else job.pool,
             version=None if table is None else table.version,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
@@ -66,10 +66,13 @@
 
     def get_fingerprints(self) -> tuple[str, ...]:
         """Return the fingerprints of the request and of what it shares."""
-        shared = self.part_fingerprints
+        return (self.fingerprint, *self.get_shared_fingerprints())
+
+    def get_shared_fingerprints(self) -> tuple[str, ...]:
+        """Return the fingerprints of what other requests may have too."""
         if self.key_fingerprint:
-            shared = (*shared, self.key_fingerprint)
-        return (self.fingerprint, *shared)
+            return (*self.part_fingerprints, self.key_fingerprint)
+        return self.part_fingerprints
 
     def get_objective_deadline_ms(self) -> float:
         """Return the objective deadline, counted from the first attempt."""
--- a/packages/ragworthollow/src/ragworthollow/quarantine/verdicts.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/verdicts.py
@@ -1,5 +1,6 @@
 """Decide which requests and prompt parts crash instances."""
 
+from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 
 from ragworthollow.quarantine.crash_record import CrashRecord
@@ -37,11 +38,16 @@
         Verdicts by the fingerprint of the request or the part.
     """
     least_crashes = min(limits.crashes, limits.part_crashes)
-    suspects = [
+    recorded = [
         Suspect.make(fingerprint, record, limits)
         for fingerprint, record in records.items()
         if len(record.crashes) >= least_crashes
     ]
+    suspects = [
+        suspect
+        for suspect in recorded
+        if len(suspect.crashes) >= suspect.crash_limit
+    ]
     unproven = [
         suspect
         for suspect in suspects
@@ -71,11 +77,12 @@
     """Return parts that together explain the crashes, the likeliest first."""
     chosen: list[Suspect] = []
     explained: set[str] = set()
+    repetitions = _find_repetitions(requests)
     for part in sorted(parts, key=Suspect.get_rank):
-        repetitions = _list_repetitions(part, requests)
         if (
             part.count(explained) >= part.crash_limit
-            and part.count(explained | repetitions) >= _LEAST_REQUESTS
+            and part.count(explained | repetitions[part.fingerprint])
+            >= _LEAST_REQUESTS
             and not _has_narrower(part, parts)
         ):
             chosen.append(part)
@@ -83,19 +90,21 @@
     return chosen
 
 
-def _list_repetitions(part: Suspect, requests: Iterable[Suspect]) -> set[str]:
+def _find_repetitions(
+    requests: Iterable[Suspect],
+) -> defaultdict[str, set[str]]:
     """
-    Return the crashes of requests with a part after the first of each.
+    Return the crashes of requests after the first of each, by their parts.
 
     One harmful request crashes an instance with each try, so that only
     different requests show that it is the part.
     """
-    return {
-        incarnation
-        for request in requests
-        if part.fingerprint in request.companions
-        for incarnation in request.list_repetitions()
-    }
+    repetitions: defaultdict[str, set[str]] = defaultdict(set)
+    for request in requests:
+        incarnations = request.list_repetitions()
+        for part in request.companions:
+            repetitions[part].update(incarnations)
+    return repetitions
 
 
 def _has_narrower(suspect: Suspect, parts: Iterable[Suspect]) -> bool:
--- a/tests/features/steps/verdicts.py
+++ b/tests/features/steps/verdicts.py
@@ -5,8 +5,8 @@
 
 from behave import given, then, when
 
+from tests.feature_runs import list_features, run_features, run_in_parallel
 from tests.outcomes import judge
-from tests.run import run_features
 
 _KNOWN_RED = ('A known failure',)
 _ENVIRONMENT = """
@@ -98,6 +98,21 @@
     context.verdict = judge({}, tests, _KNOWN_RED)
 
 
+@when('each is run in a process of its own')
+def run_each(context):
+    paths = sorted(map(str, context.folder.glob('*.feature')))
+    assert len(paths) == 2, paths
+    tests = run_in_parallel(paths, jobs=2)
+    context.verdict = judge({}, tests, _KNOWN_RED)
+
+
+@then('the features of a test run are those of the folder, each once')
+def check_all_features(context):
+    folder = Path(__file__).resolve().parents[1]
+    expected = sorted(map(str, folder.glob('*.feature')))
+    assert sorted(list_features()) == expected
+
+
 @then('{count:d} scenario is a known failure')
 def check_known_failures(context, count):
     assert len(context.verdict.known_failures) == count, context.verdict
--- a/tests/features/verdicts.feature
+++ b/tests/features/verdicts.feature
@@ -29,3 +29,15 @@
     When both are run
     Then 1 scenario is a known failure
     And nothing else failed
+
+  Scenario: Feature files that run at the same time have one verdict
+    # Guards against a failure in one of several runs that the verdict leaves out.
+    Given a feature whose fixture fails
+    And a feature with a scenario that is known to fail
+    When each is run in a process of its own
+    Then 1 scenario is a known failure
+    And the failed fixture is an unexpected failure
+
+  Scenario: Every feature file is run
+    # Guards against a file that is left out when files are shared out to processes.
+    Then the features of a test run are those of the folder, each once
--- a/tests/outcomes.py
+++ b/tests/outcomes.py
@@ -1,6 +1,6 @@
 """Judge the outcome of a test run from the report of behave."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 # Not `error`, which a step causes that raises an exception.
@@ -87,6 +87,16 @@
     return TestOutcomes(scenarios=scenarios, errors=tuple(errors))
 
 
+def merge_outcomes(parts: Iterable[TestOutcomes]) -> TestOutcomes:
+    """Return the outcomes of several runs of behave as those of one."""
+    scenarios: dict[str, bool] = {}
+    errors: list[str] = []
+    for part in parts:
+        scenarios.update(part.scenarios)
+        errors.extend(part.errors)
+    return TestOutcomes(scenarios=scenarios, errors=tuple(errors))
+
+
 def judge(
     checks: Mapping[str, bool],
     tests: TestOutcomes,
--- a/tests/run.py
+++ b/tests/run.py
@@ -5,20 +5,21 @@
 Errors of hooks and fixtures always fail it.
 """
 
-import json
+import os
 import subprocess
 import sys
-import tempfile
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-from tests.outcomes import TestOutcomes, judge, read_outcomes
+from tests.feature_runs import list_features, run_features, run_in_parallel
+from tests.outcomes import judge
 
 _ROOT = Path(__file__).resolve().parent.parent
 _BIN = Path(sys.executable).parent
 _KNOWN_RED = _ROOT / 'KNOWN-RED.txt'
 _CODE = ('packages', 'tests', 'measure')
-# Fits the last stack frames and the records of twenty requests.
-_MAX_MESSAGE_CHARS = 8_000
+# Fleets of real processes need a core each, or their deadlines pass.
+_MAX_JOBS = 4
 _CHECKS = (
     ('ruff', 'format', '--check', '--quiet', *_CODE),
     ('ruff', 'check', '--quiet', *_CODE),
@@ -29,6 +30,7 @@
 
 
 def run_check(command: tuple[str, ...]) -> bool:
+    """Run a check, and return whether it passed."""
     completed = subprocess.run(
         [str(_BIN / command[0]), *command[1:]],
         cwd=_ROOT,
@@ -42,45 +44,6 @@
     return completed.returncode == 0
 
 
-def run_features(*arguments: str) -> TestOutcomes:
-    """Run behave with further arguments, such as paths of feature files."""
-    with tempfile.TemporaryDirectory() as folder:
-        report = Path(folder) / 'report.json'
-        completed = subprocess.run(
-            [
-                str(_BIN / 'behave'),
-                *arguments,
-                '--format=progress2',
-                '--format=json',
-                '--outfile=/dev/stdout',
-                f'--outfile={report}',
-            ],
-            cwd=_ROOT,
-            check=False,
-        )
-        features = json.loads(report.read_text() or '[]')
-    _print_failures(features)
-    return read_outcomes(features, is_success=not completed.returncode)
-
-
-def _print_failures(features: list[dict]) -> None:
-    """
-    Print the error messages of failed scenarios after all other output.
-
-    The processes of a fleet write long output, of which a truncated log
-    keeps only the end. Printed here, the cause of an intermittent failure
-    is not lost.
-    """
-    for feature in features:
-        for scenario in feature.get('elements', ()):
-            for step in scenario['steps']:
-                outcome = step.get('result', {})
-                if outcome.get('status') in {'failed', 'error'}:
-                    message = '\n'.join(outcome.get('error_message', ()))
-                    print(f'{scenario["location"]} {step["name"]}')
-                    print(message[-_MAX_MESSAGE_CHARS:], flush=True)
-
-
 def read_known_red() -> list[str]:
     if not _KNOWN_RED.exists():
         return []
@@ -92,8 +55,16 @@
 
 
 def main() -> None:
-    checks = {' '.join(command): run_check(command) for command in _CHECKS}
-    tests = run_features(*sys.argv[1:])
+    """Run the checks and then all features, or those given as arguments."""
+    jobs = max(1, min(_MAX_JOBS, (os.cpu_count() or 1) - 1))
+    with ThreadPoolExecutor(jobs) as pool:
+        passed = pool.map(run_check, _CHECKS)
+        names = [' '.join(command) for command in _CHECKS]
+        checks = dict(zip(names, passed, strict=True))
+    if len(sys.argv) > 1:
+        tests = run_features(*sys.argv[1:])
+    else:
+        tests = run_in_parallel(list_features(), jobs)
     verdict = judge(checks, tests, read_known_red())
     for name in verdict.known_failures:
         print(f'KNOWN RED: {name}')
