Do not blame a template for the crashes of a part beside it

A template that had succeeded and was in four crashes, always with one harmful part, was quarantined as well: that a suspect has what is blamed excuses it from nothing, which is meant for requests only. Callers saw no more refusals, since a verdict on several parts needs all of them, but operators were shown the template, and the next request without the part would have been judged against it.

--- a/packages/ragworthollow/src/ragworthollow/quarantine/verdicts.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/verdicts.py
@@ -135,14 +135,14 @@
 
 def _list_explained(suspect: Suspect, blamed: Iterable[Suspect]) -> set[str]:
     """
-    Return the crashes that are explained by what a suspect does not have.
+    Return the crashes of a suspect that something blamed explains.
 
-    A request with a harmful part is harmful itself.
+    A harmful part does not excuse a request that has it.
     """
     return {
         incarnation
         for other in blamed
-        if other.fingerprint not in suspect.companions
+        if suspect.is_part or other.fingerprint not in suspect.companions
         for incarnation in other.crashes
     }
 
--- a/tests/features/crash_evidence.feature
+++ b/tests/features/crash_evidence.feature
@@ -119,6 +119,12 @@
     When 3 different requests with a harmful part crash an instance each, and a harmless one runs beside two of them
     Then the harmful part is quarantined and the harmless request is not
 
+  Scenario: A template that has succeeded is in every crash of a harmful part
+    # Guards against blaming a template for the crashes of a part that all requests in them had as well.
+    Given a template that has succeeded
+    When 4 different requests with it and a harmful part crash an instance each
+    Then only the harmful part is quarantined
+
   Scenario: A template that has succeeded is in every crash of a short series
     # Guards against one more crash of a harmful part being enough to refuse its template.
     Given a template that has succeeded
--- a/tests/features/steps/prompt_parts.py
+++ b/tests/features/steps/prompt_parts.py
@@ -172,3 +172,19 @@
 @when('an instance crashes with another request')
 def crash_unrelated(context):
     context.crashes.crash(('another', _DOCUMENT))
+
+
+@when(
+    '{count:d} different requests with it and a harmful part crash an instance '
+    'each'
+)
+def crash_with_both(context, count):
+    for number in range(count):
+        context.crashes.crash((f'request-{number}', _TEMPLATE, _HARMFUL))
+
+
+@then('only the harmful part is quarantined')
+def check_only_harmful(context):
+    crashes = context.crashes
+    quarantined = crashes.registry.list_quarantined(crashes.now_ms)
+    assert set(quarantined) == {_HARMFUL}, quarantined
