Send a harmful prompt part while gateways are disturbed

A soak with real gateway processes: instances that a part ends come back under other names, and gateways are stopped, killed and frozen, the store is slow, mute or down meanwhile. It checks both rules of the users: at most three requests with the part run that were sent 3 s after the fifth crash, and harmless requests with its template are served at least half as often as before.

--- a/measure/gateway_fleet.py
+++ b/measure/gateway_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+import sys
 import tempfile
 import time
 from collections import Counter, defaultdict
@@ -258,6 +259,20 @@
         await self._fleet.configure(**changed)
 
 
+def run_on_fleet(
+    size: int, play: Callable[[GatewayFleet], Awaitable[dict]]
+) -> dict:
+    """Run a soak on a fleet of its own, and add the folder of its logs."""
+    fleet = GatewayFleet(size=size)
+    print(f'logs: {fleet.folder}', file=sys.stderr, flush=True)
+    try:
+        summary = fleet.run(play(fleet))
+    finally:
+        fleet.run(fleet.close())
+        fleet.loop.close()
+    return {**summary, 'logs': str(fleet.folder)}
+
+
 async def _repeat(series: _Series, rng: random.Random) -> None:
     while True:
         await series(rng)
--- a/measure/gateway_soak.py
+++ b/measure/gateway_soak.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from measure.gateway_caller import GatewayCaller
-from measure.gateway_fleet import GatewayBreakage, GatewayFleet
+from measure.gateway_fleet import GatewayBreakage, GatewayFleet, run_on_fleet
 from measure.sent_request import Sent
 from measure.spoiled_streams import SpoiledStreamCaller, is_spoiled, is_stream
 from ragworthollow.conf import global_settings
@@ -186,14 +186,9 @@
 
 def run(*, seed: int, seconds: float, gateways: int) -> dict:
     """Run a soak from start to end."""
-    fleet = GatewayFleet(size=gateways)
-    print(f'logs: {fleet.folder}', file=sys.stderr, flush=True)
-    try:
-        summary = fleet.run(run_gateway_soak(fleet, seed, seconds))
-    finally:
-        fleet.run(fleet.close())
-        fleet.loop.close()
-    return {**summary, 'logs': str(fleet.folder)}
+    return run_on_fleet(
+        gateways, lambda fleet: run_gateway_soak(fleet, seed, seconds)
+    )
 
 
 @app.default
--- a/tests/feature_runs.py
+++ b/tests/feature_runs.py
@@ -27,6 +27,7 @@
     'gateway',
     'named_limits',
     'at_most_once',
+    'harmful_part_soak',
     'warm_up',
     'overload',
 )
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -241,16 +241,8 @@
     '{position:w} prompt part is harmful'
 )
 def send_harmful_parts(context, count, route, position):
-    stage = context.gateway_stage
-    context.harmless_path = _HARMLESS_PATHS[route]
-    context.responses = stage.run(
-        _send_harmful_parts(
-            stage,
-            context.crashing_pool,
-            [f'/{route}/{number}/crash' for number in range(count)],
-            position,
-            harmless_path=context.harmless_path,
-        )
+    _run_harmful_parts(
+        context, count, route, position, harmless_path=_HARMLESS_PATHS[route]
     )
 
 
@@ -259,6 +251,10 @@
     '{position:w} prompt part is harmful, and no others'
 )
 def send_only_harmful_parts(context, count, route, position):
+    _run_harmful_parts(context, count, route, position)
+
+
+def _run_harmful_parts(context, count, route, position, harmless_path=''):
     stage = context.gateway_stage
     context.harmless_path = _HARMLESS_PATHS[route]
     context.responses = stage.run(
@@ -267,12 +263,13 @@
             context.crashing_pool,
             [f'/{route}/{number}/crash' for number in range(count)],
             position,
+            harmless_path,
         )
     )
 
 
 async def _send_harmful_parts(
-    stage, crashing_pool, paths, position, harmless_path=''
+    stage, crashing_pool, paths, position, harmless_path
 ) -> list:
     shared = {
         'first': (_HARMFUL_PART, _TEMPLATE),
