Do not send evidence again for another date of the same crash

Gateways date a crash by its age when they are told, so that a report that comes by a faster way gives an earlier time. Since the records of prompt parts were compared as a whole, such a report counted as new evidence and was sent on to all, while before only another crash did. The new scenario failed before (a second report made a new change); nothing of a decision changes.

--- a/packages/ragworthollow/src/ragworthollow/quarantine/crash_record.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/crash_record.py
@@ -35,7 +35,8 @@
         Whether it is known to have succeeded at any time.
     """
 
-    crashes: dict[str, float] = field(default_factory=dict)
+    # Not compared: each way of a report dates a crash differently.
+    crashes: dict[str, float] = field(default_factory=dict, compare=False)
     cleared: set[str] = field(default_factory=set)
     run_ms: dict[str, float] = field(default_factory=dict)
     companions: frozenset[str] | None = None
@@ -54,11 +55,9 @@
     ) -> bool:
         """Add evidence, and return whether any of it is new."""
         previous = replace(
-            self,
-            crashes=dict(self.crashes),
-            cleared=set(self.cleared),
-            run_ms=dict(self.run_ms),
+            self, cleared=set(self.cleared), run_ms=dict(self.run_ms)
         )
+        has_new_crash = not crashes.keys() <= self.crashes.keys()
         _merge_least(self.crashes, crashes)
         _merge_least(self.run_ms, run_ms or {})
         self.cleared.update(cleared)
@@ -70,7 +69,7 @@
             )
         self.attempts = max(self.attempts, attempts)
         self.has_succeeded |= has_succeeded or bool(self.cleared)
-        return previous != self
+        return has_new_crash or previous != self
 
     def forget_before(self, oldest_ms: float) -> None:
         """Discard crashes that occurred before a time."""
--- a/tests/features/crash_evidence.feature
+++ b/tests/features/crash_evidence.feature
@@ -22,6 +22,12 @@
     # because a message was lost, came twice or overtook another.
     Then any exchange of any evidence ends in the same quarantine decision of all gateways
 
+  Scenario: A report comes again by a faster way
+    # Guards against gateways that go on sending each other evidence, since each way dates a crash differently.
+    Given a report of a crash that came after 20 ms
+    When the same report comes after 5 ms
+    Then there is nothing new to send
+
   Scenario: A gateway that restarts receives all evidence
     # Guards against a gateway that knows of no quarantine after its start and
     # sends requests that all others hold back.
--- a/tests/features/steps/crash_evidence.py
+++ b/tests/features/steps/crash_evidence.py
@@ -14,6 +14,7 @@
 from ragworthollow.metrics import Metrics
 from ragworthollow.quarantine import (
     CrashRegistry,
+    CrashReport,
     EvidenceExchange,
     QuarantineLimits,
     RunningRequest,
@@ -241,6 +242,30 @@
     check()
 
 
+@given('a report of a crash that came after {delay_ms:d} ms')
+def receive_report(context, delay_ms):
+    context.registry = _make_registry()
+    _apply_delayed(context.registry, delay_ms)
+    context.number = context.registry.last_number
+
+
+@when('the same report comes after {delay_ms:d} ms')
+def receive_report_again(context, delay_ms):
+    _apply_delayed(context.registry, delay_ms)
+
+
+@then('there is nothing new to send')
+def check_nothing_new(context):
+    assert context.registry.last_number == context.number
+
+
+def _apply_delayed(registry, delay_ms) -> None:
+    report = CrashReport(
+        fingerprint=_FINGERPRINT, crash_ages_ms={'i1': 100 - delay_ms}
+    )
+    registry.apply_report(report, 1_000)
+
+
 @given('a gateway that knows of {count:d} requests that are quarantined')
 def quarantine_many(context, count):
     context.registry = _make_registry()
