Print the log of a failed scenario in test runs

Hooks are not captured any more (the new scenario failed with the option taken out), an error message is printed whole instead of one letter a line, and the step says what it saw.

--- a/tests/feature_runs.py
+++ b/tests/feature_runs.py
@@ -87,6 +87,8 @@
             [
                 str(_BIN / 'behave'),
                 *arguments,
+                # The log of a failed scenario is printed by a hook.
+                '--no-capture-hooks',
                 '--format=progress2',
                 '--format=json',
                 '--outfile=/dev/stdout',
@@ -116,6 +118,8 @@
             for step in scenario['steps']:
                 outcome = step.get('result', {})
                 if outcome.get('status') in {'failed', 'error'}:
-                    message = '\n'.join(outcome.get('error_message', ()))
+                    message = outcome.get('error_message', '')
+                    if not isinstance(message, str):
+                        message = '\n'.join(message)
                     print(f'{scenario["location"]} {step["name"]}')
                     print(message[-_MAX_MESSAGE_CHARS:], flush=True)
--- a/tests/features/steps/gateway.py
+++ b/tests/features/steps/gateway.py
@@ -389,9 +389,11 @@
 @then('readiness is negative at once and every request is answered completely')
 def check_stop(context):
     outcome = context.stopping
-    assert outcome.readiness == 503
-    assert outcome.responses
-    assert all(response.status == 200 for response in outcome.responses)
+    assert outcome.readiness == 503, outcome
+    assert outcome.responses, outcome
+    assert all(response.status == 200 for response in outcome.responses), (
+        outcome
+    )
 
 
 @when('the gateway is asked to stop in the middle of {path:S}')
--- a/tests/features/steps/verdicts.py
+++ b/tests/features/steps/verdicts.py
@@ -1,5 +1,7 @@
 """Steps that run behave on features made for the purpose."""
 
+import contextlib
+import io
 import tempfile
 from pathlib import Path
 
@@ -19,6 +21,10 @@
 
 def _fail():
     raise TimeoutError('the fleet did not end')
+
+
+def after_scenario(context, scenario):
+    print('the log of', scenario.name)
 """
 _STEPS = """
 from behave import when
@@ -98,6 +104,19 @@
     context.verdict = judge({}, tests, _KNOWN_RED)
 
 
+@when('it is run in a process of its own')
+def run_and_keep_output(context):
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output):
+        run_features(str(context.folder))
+    context.output = output.getvalue()
+
+
+@then("the output has what the scenario's hook printed")
+def check_log_printed(context):
+    assert 'the log of A known failure' in context.output, context.output
+
+
 @when('each is run in a process of its own')
 def run_each(context):
     paths = sorted(map(str, context.folder.glob('*.feature')))
--- a/tests/features/verdicts.feature
+++ b/tests/features/verdicts.feature
@@ -41,3 +41,9 @@
   Scenario: Every feature file is run
     # Guards against a file that is left out when files are shared out to processes.
     Then the features of a test run are those of the folder, each once
+
+  Scenario: A failed scenario is followed by its log
+    # Guards against a failure that cannot be traced since its log was captured and dropped.
+    Given a feature with a scenario that is known to fail
+    When it is run in a process of its own
+    Then the output has what the scenario's hook printed
