Judge harmful parts anywhere in a prompt, and keep what counts in memory

Found in the review of the quarantine of prompt parts; each scenario failed before. - Only the first 32 parts of a prompt were tracked, so that a harmful one behind them was never judged. 256 are now; only the parts of prompts with at most 32 are listed with each other, since that grows with the square. - A crash with thousands of parts that callers made up pushed out the evidence of two crashes against another one: the oldest records were dropped first. Those with the fewest crashes are, and quarantines last, as before. - Parts that succeeded once each made a template in use look as if it had never succeeded. Of those used least recently, the one with the fewest attempts is forgotten. - A request that waits for spare capacity while it is quarantined waited on, and then began stage work that nobody could use. It is refused at once, with the reason.

--- a/measure/fleet_model/gateway.py
+++ b/measure/fleet_model/gateway.py
@@ -87,6 +87,7 @@
         self._deferral = DeferralQueue(
             context=self.context,
             get_waits_ms=self.client.get_waits_ms,
+            is_quarantined=lambda _: False,
         )
 
     def make_member(self) -> GatewayMember:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/deferral_queue.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/deferral_queue.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ragworthollow.conf import global_settings
@@ -63,6 +64,8 @@
     get_waits_ms : callable
         Returns the expected waits in milliseconds by pool, given the pools
         and a priority.
+    is_quarantined : callable
+        Returns whether a request is quarantined, so that waiting is of no use.
     """
 
     def __init__(
@@ -70,9 +73,11 @@
         *,
         context: GatewayContext,
         get_waits_ms: GetWaits,
+        is_quarantined: Callable[[RequestJob], bool],
     ) -> None:
         self._context = context
         self._get_waits_ms = get_waits_ms
+        self._is_quarantined = is_quarantined
         self._queue: list[_DeferredRequest] = []
         self._last_start_ms = float('-inf')
         self._start_rate = DeferralStartRate()
@@ -117,10 +122,16 @@
         return may_begin
 
     def start_ready(self) -> None:
-        """Start a request if there is capacity; refuse expired requests."""
+        """
+        Start a request if there is capacity.
+
+        Requests that have expired or are quarantined by now are refused.
+        """
         now_ms = get_monotonic_ms()
         for deferred in self._queue:
-            if deferred.latest_start_ms <= now_ms:
+            if deferred.latest_start_ms <= now_ms or self._is_quarantined(
+                deferred.job
+            ):
                 _resolve(deferred, may_begin=False)
         # Hosts report their waits once per ping.  If two requests started
         # between two pings, the second would ignore the load of the first.
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
@@ -53,6 +53,7 @@
         self.deferral = DeferralQueue(
             context=context,
             get_waits_ms=pieces.get_waits_ms,
+            is_quarantined=lambda job: self._find_quarantine(job) is not None,
         )
 
     async def run(
@@ -103,19 +104,13 @@
             if not _may_be_deferred(result, stages):
                 return result
             refusal = result.err_value
-        return Err(refusal)
+        return Err(self._find_quarantine(job) or refusal)
 
     def _find_final_refusal(self, job: RequestJob) -> UpstreamFailure | None:
         """Return a refusal that deferral could not avoid, or None."""
-        remaining_ms = self._context.quarantine.get_remaining_ms(
-            job.get_fingerprints()
-        )
-        if remaining_ms:
-            return make_refusal(
-                Reason.quarantined,
-                job.pool,
-                retry_after_ms=remaining_ms,
-            )
+        quarantine = self._find_quarantine(job)
+        if quarantine is not None:
+            return quarantine
         directory = self._context.directory
         pause_ms = directory.get_pool_pause_ms(job.pool)
         if pause_ms:
@@ -139,6 +134,16 @@
                 return make_refusal(Reason.no_instance, pool)
         return None
 
+    def _find_quarantine(self, job: RequestJob) -> UpstreamFailure | None:
+        remaining_ms = self._context.quarantine.get_remaining_ms(
+            job.get_fingerprints()
+        )
+        if not remaining_ms:
+            return None
+        return make_refusal(
+            Reason.quarantined, job.pool, retry_after_ms=remaining_ms
+        )
+
     def _is_outside_allowed_regions(self, job: RequestJob, pool: str) -> bool:
         """Tell whether all instances of a pool are in disallowed regions."""
         allowed_regions = job.get_allowed_regions()
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -461,6 +461,9 @@
 SOUND_PART_QUARANTINE_MS = 30_000
 # Maximum number of prompt parts whose attempts and successes are remembered.
 MAX_TRACKED_HISTORIES = 4_096
+# Of so many that were used least recently, the one with the fewest attempts is
+# forgotten: parts that are made up are used once.
+HISTORY_CANDIDATES = 16
 # Maximum lease that the store grants; a record that expires before its
 # quarantine is missed only if all gateways terminate at once after that.
 MAX_LEASE_MS = 600_000
@@ -469,7 +472,10 @@
 MAX_CRASH_RECORDS = 4_096
 # Maximum number of prompt parts of a request that are tracked; callers send
 # less than ten.
-MAX_TRACKED_PARTS = 32
+MAX_TRACKED_PARTS = 256
+# Maximum number of parts of a request that are compared with each other, since
+# each is listed with all others.
+MAX_COMPANIONS = 32
 # How often expired crash evidence is removed.
 EVIDENCE_CLEANUP_INTERVAL_MS = 10_000
 # Maximum number of reports in one message between gateways; the rest follows
--- a/packages/ragworthollow/src/ragworthollow/quarantine/crash_registry.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/crash_registry.py
@@ -26,8 +26,8 @@
     limits : QuarantineLimits
         Numbers of crashes and durations.
     max_records : int
-        Maximum number of records.  Those with the oldest evidence are dropped
-        first, and those of quarantines last.
+        Maximum number of records.  Those with the fewest crashes are dropped
+        first, the oldest of them before others, and those of quarantines last.
     """
 
     def __init__(
@@ -75,7 +75,7 @@
         crashes = {incarnation: now_ms}
         request_report = CrashReport(
             fingerprint=running.fingerprint,
-            companions=running.part_fingerprints,
+            companions=running.get_companions(running.fingerprint),
         )
         self._add(request_report, crashes, now_ms)
         run_ms = (
@@ -87,11 +87,7 @@
             report = CrashReport(
                 fingerprint=part,
                 run_ms=run_ms,
-                companions=tuple(
-                    other
-                    for other in running.part_fingerprints
-                    if other != part
-                ),
+                companions=running.get_companions(part),
                 attempts=self._history.get_attempts(part),
             )
             self._add(report, crashes, now_ms)
@@ -275,11 +271,13 @@
             by_age = sorted(self._records, key=self._get_drop_order)
             self._drop(by_age[:excess])
 
-    def _get_drop_order(self, fingerprint: str) -> tuple[float, float]:
+    def _get_drop_order(self, fingerprint: str) -> tuple[float, int, float]:
         verdict = self._judge().get(fingerprint)
+        record = self._records[fingerprint]
         return (
             NEVER_MS if verdict is None else verdict.release_ms,
-            self._records[fingerprint].get_newest_ms(),
+            len(record.get_uncleared()),
+            record.get_newest_ms(),
         )
 
     def _drop(self, fingerprints: Iterable[str]) -> None:
--- a/packages/ragworthollow/src/ragworthollow/quarantine/part_history.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/part_history.py
@@ -1,5 +1,7 @@
 """Remember how often prompt parts were used."""
 
+import itertools
+
 from ragworthollow.conf import global_settings
 
 
@@ -22,9 +24,7 @@
         """Record that an attempt with a part has ended."""
         self._attempts[part] = self._attempts.pop(part, 0) + 1
         if len(self._attempts) > global_settings.MAX_TRACKED_HISTORIES:
-            oldest = next(iter(self._attempts))
-            self._attempts.pop(oldest)
-            self.succeeded.discard(oldest)
+            self._forget_one()
 
     def record_success(self, part: str) -> None:
         """Record that an attempt with a part has succeeded."""
@@ -34,3 +34,11 @@
     def get_attempts(self, part: str) -> int:
         """Return the number of attempts with a part."""
         return self._attempts.get(part, 0)
+
+    def _forget_one(self) -> None:
+        oldest = itertools.islice(
+            self._attempts, global_settings.HISTORY_CANDIDATES
+        )
+        forgotten = min(oldest, key=self.get_attempts)
+        self._attempts.pop(forgotten)
+        self.succeeded.discard(forgotten)
--- a/packages/ragworthollow/src/ragworthollow/quarantine/running_request.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/running_request.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from ragworthollow.conf import global_settings
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunningRequest:
@@ -26,3 +28,18 @@
     def get_fingerprints(self) -> tuple[str, ...]:
         """Return the fingerprints of the request and of its parts."""
         return (self.fingerprint, *self.part_fingerprints)
+
+    def get_companions(self, fingerprint: str) -> tuple[str, ...] | None:
+        """
+        Return the other parts of the request; None if there are too many.
+
+        Parameters
+        ----------
+        fingerprint : str
+            The request or the part whose companions they are.
+        """
+        if len(self.part_fingerprints) > global_settings.MAX_COMPANIONS:
+            return None
+        return tuple(
+            part for part in self.part_fingerprints if part != fingerprint
+        )
--- a/tests/features/crash_evidence.feature
+++ b/tests/features/crash_evidence.feature
@@ -138,3 +138,22 @@
     Then the template is not quarantined
     When 1 different requests with it alone crash an instance each
     Then the template is quarantined for 30 seconds
+
+  Scenario: A harmful part stands behind many others
+    # Guards against a part that is judged only near the start of a prompt.
+    When 3 different requests with 200 parts of their own before a harmful one crash an instance each
+    Then requests with the late part are refused
+
+  Scenario: Parts are invented while a harmful one is under suspicion
+    # Guards against evidence that callers push out of the memory with parts that they make up.
+    When 2 different requests with a harmful part crash an instance each
+    And 100 requests with 60 invented parts each run in a later crash
+    And 1 different requests with a harmful part crash an instance each
+    Then requests with the harmful part are refused
+
+  Scenario: Parts are invented while a template is in use
+    # Guards against callers that make a template look like a part that has never succeeded.
+    Given a template that has succeeded 10 times
+    When 5000 invented parts have succeeded once each
+    And 3 different requests with it alone crash an instance each
+    Then the template is not quarantined
--- a/tests/features/late_service.feature
+++ b/tests/features/late_service.feature
@@ -13,6 +13,12 @@
     When the pools never have capacity
     Then it is refused at 4050 ms
 
+  Scenario: A deferred request is quarantined
+    # Guards against a request that waits, and starts stage work, though it cannot be served any more.
+    Given a request deferred at 0 ms that must begin by 4000 ms
+    When it is quarantined from 1000 ms on and the pools have capacity from 2000 ms on
+    Then it is refused at 1000 ms
+
   Scenario: A request that could not start in time is not deferred at all
     # A caller that is deferred without a chance learns nothing for its whole
     # time limit.
--- a/tests/features/steps/late_service.py
+++ b/tests/features/steps/late_service.py
@@ -34,6 +34,7 @@
         self.loop = VirtualLoop()
         self.capacity_from_ms = float('inf')
         self.instances_from_ms = 0
+        self.quarantined_from_ms = float('inf')
         self.decisions = {}
         context = SimpleNamespace(
             metrics=Metrics(),
@@ -42,6 +43,7 @@
         self.queue = DeferralQueue(
             context=context,
             get_waits_ms=lambda pools, _: dict.fromkeys(pools, 0),
+            is_quarantined=lambda _: self.get_ms() >= self.quarantined_from_ms,
         )
 
     def get_ms(self) -> float:
@@ -104,6 +106,16 @@
     _run_one_request(context)
 
 
+@when(
+    'it is quarantined from {quarantined_ms:d} ms on and the pools have '
+    'capacity from {from_ms:d} ms on'
+)
+def set_quarantine_start(context, quarantined_ms, from_ms):
+    context.stage.quarantined_from_ms = quarantined_ms
+    context.stage.capacity_from_ms = from_ms
+    _run_one_request(context)
+
+
 @when('the pools never have capacity')
 def run_without_capacity(context):
     _run_one_request(context)
