Test that gateways know a harmful part after a start, and its release by operators

All gateways killed and started together, one that joins, and the release of a part: the three scenarios pass on the present code as they are.

--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -119,3 +119,32 @@
       | position |
       | first    |
       | second   |
+
+  Scenario: All gateways are killed after a part has crashed instances
+    # Guards against gateways that start together and have to learn of a harmful part anew.
+    Given two more gateways and an instance for stage work
+    And instances that crash restart under another name
+    When callers post 4 different requests to /stream whose second prompt part is harmful
+    And the store holds 1 records of requests that are quarantined
+    And all gateways are killed and started again
+    And callers post 4 different requests to /stream whose second prompt part is harmful
+    Then no more than 3 instances have crashed
+    And the last attempts were refused as not run, with a long retry delay
+
+  Scenario: A gateway joins after a part has crashed instances
+    # Guards against a gateway that serves before it knows what all others refuse.
+    Given two more gateways and an instance for stage work
+    And instances that crash restart under another name
+    When callers post 4 different requests to /stream whose second prompt part is harmful
+    And a gateway joins and becomes ready
+    Then it refuses a request with the harmful part
+
+  Scenario: An operator releases a prompt part
+    # Guards against a harmless part that stays refused at some gateway after its release.
+    Given two more gateways and an instance for stage work
+    And instances that crash restart under another name
+    And a gateway that operators can ask
+    When callers post 4 different requests to /stream whose second prompt part is harmful
+    Then operators are shown the request and 3 crashes
+    When they release it
+    Then it is quarantined at no gateway
--- a/tests/features/steps/quarantine.py
+++ b/tests/features/steps/quarantine.py
@@ -7,6 +7,7 @@
 from ragworthollow.quarantine import CrashReport
 from ragworthollow_ctl.commands.quarantine import quarantine
 from ragworthollow_ctl.commands.release import release
+from ragworthollow_daemon.gateway.readiness import Readiness
 from tests.fixtures.commands import run_command
 from tests.fixtures.gateways import HOST
 from tests.fixtures.stage_requests import GATEWAY_NAMES
@@ -320,3 +321,24 @@
             _send_harmless(stage, context.harmless_path, gateway)
         )
         assert response.status == 200, response
+
+
+@when('a gateway joins and becomes ready')
+def add_late_gateway(context):
+    stage = context.gateway_stage
+    stage.run(stage.add_gateway('late'))
+    stage.run(stage.wait_for(lambda: _is_ready(stage.get_context('late'))))
+
+
+def _is_ready(gateway) -> bool:
+    return Readiness(context=gateway).is_ready()
+
+
+@then('it refuses a request with the harmful part')
+def check_late_gateway(context):
+    stage = context.gateway_stage
+    headers = {_PARTS_HEADER: f'{_TEMPLATE},{_HARMFUL_PART},late:10'}
+    response = stage.run(
+        stage.send('/stream/late/crash', gateway='late', headers=headers)
+    )
+    assert response.status == 503, response
