Read load reports that hold more figures than are known

What was seen: on the two new deployments engines send a fourth figure with their load, how long work takes on their machine at this moment, and every load report was dropped: gateways chose engines by their own requests alone.

Cause: read_load took a report of exactly three figures. Each figure is now decoded by itself, later ones are ignored, and one that can't be read leaves the others; a report without requests keeps the requests reported before, with their age. The fourth figure is kept with its age.

The same class elsewhere, by reading all decoders of platform/: token counts and prompt parts with more fields than known were dropped (mended); a reason of a piece that is not known made the results of the whole call unreadable (mended).

--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -59,6 +59,9 @@
 # Routing.
 SUBSET_SIZE = 10
 LOAD_STALE_MS = 1_000
+# How long the reported duration of work on an instance is used; other programs
+# there slow it down for some hundred milliseconds at a time.
+WORK_TIME_STALE_MS = 250
 AFFINITY_DEPTH = 0.6
 SUSPECT_MS = 2_000
 PANIC_SHARE = 0.5
--- a/packages/ragworthollow/src/ragworthollow/platform/request_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/request_wire.py
@@ -24,6 +24,7 @@
 _PRIORITY = 'X-Ragworthollow-Request-Priority'
 _INPUTS = 'X-Ragworthollow-Inputs'
 _SCHEME = 'bearer '
+_PAIR = 2
 
 # Hop-by-hop headers, and headers that only this system may set: a caller that
 # forged one of these could run requests in the name of another organisation, or
@@ -147,8 +148,10 @@
 
 
 def _read_pair(text: str) -> tuple[int, int]:
-    first, _, second = text.partition(',')
-    if first.strip().isdecimal() and second.strip().isdecimal():
+    """Return the first two counts of a list; later ones are ignored."""
+    counts = [field.strip() for field in text.split(',')[:_PAIR]]
+    if len(counts) == _PAIR and all(count.isdecimal() for count in counts):
+        first, second = counts
         return int(first), int(second)
     return 0, 0
 
@@ -163,7 +166,8 @@
 def _read_parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for field in text.split(','):
-        name, _, tokens = field.strip().partition(':')
+        name, _, figures = field.strip().partition(':')
+        tokens = figures.partition(':')[0]
         if tokens.isdecimal():
             parts.append(PromptPart(part=name, tokens=int(tokens)))
     return tuple(parts)
--- a/packages/ragworthollow/src/ragworthollow/platform/response_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/response_wire.py
@@ -20,7 +20,9 @@
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 _MILLISECONDS = 1000
-_LOAD_FIELDS = 3
+_LOAD_FIELDS = 4
+_MAX_COUNT_DIGITS = 9
+_PERCENT = 100
 
 _NOT_FORWARDED = frozenset(
     (
@@ -70,15 +72,35 @@
 
 
 def read_load(headers: Mapping[str, str]) -> InstanceLoad | None:
-    """Decode a load report, `running,waiting,slots`; None without one."""
-    fields = headers.get(_LOAD, '').split(',')
-    is_complete = len(fields) == _LOAD_FIELDS
-    if not is_complete or not all(
-        field.strip().isdecimal() for field in fields
-    ):
+    """
+    Decode a load report, `running,waiting,slots,work time in percent`.
+
+    Later software adds figures at the end, earlier software sends fewer: each
+    figure is decoded by itself.
+
+    Returns
+    -------
+    InstanceLoad or None
+        The figures that are readable; None if there are none.
+    """
+    texts = headers.get(_LOAD, '').split(',')[:_LOAD_FIELDS]
+    missing = [None for _ in range(_LOAD_FIELDS - len(texts))]
+    running, waiting, slots, percent = [*map(_parse_count, texts), *missing]
+    load = InstanceLoad(
+        running=running,
+        waiting=waiting,
+        slots=slots or None,
+        work_time_ratio=percent / _PERCENT if percent else None,
+    )
+    return None if load == InstanceLoad() else load
+
+
+def _parse_count(text: str) -> int | None:
+    digits = text.strip()
+    is_count = digits.isascii() and digits.isdecimal()
+    if not is_count or len(digits) > _MAX_COUNT_DIGITS:
         return None
-    running, waiting, slots = (int(field) for field in fields)
-    return InstanceLoad(running=running, waiting=waiting, slots=slots)
+    return int(digits)
 
 
 def _read_pause_ms(status: int, headers: Mapping[str, str]) -> float | None:
--- a/packages/ragworthollow/src/ragworthollow/platform/stage_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/stage_wire.py
@@ -44,10 +44,15 @@
 
 
 class _ItemResponse(Message):
-    """Hold the handle of a result, or the reason for its absence."""
+    """
+    Hold the handle of a result, or the reason for its absence.
+
+    The reason may be one that this version does not know; it must not make
+    the results of the other pieces unreadable.
+    """
 
     handle: str = ''
-    reason: _Reason | None = None
+    reason: str | None = None
 
 
 class _RunResponse(Message):
--- a/packages/ragworthollow/src/ragworthollow/upstreams/load_tracker.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/load_tracker.py
@@ -15,10 +15,10 @@
     ----------
     in_flight : int
         Unanswered requests that this process has sent to the instance.
-    load : InstanceLoad or None
-        Latest load report of the instance.
+    reported_requests : int
+        Requests at the instance according to its latest load report.
     reported_ms : float
-        Time at which the report arrived, on the monotonic clock.
+        Time at which that report arrived, on the monotonic clock.
     in_flight_at_report : int
         Value of `in_flight` when the report arrived.
     suspect_until_ms : float
@@ -26,22 +26,33 @@
         monotonic clock.
     failures : int
         Number of consecutive failures.
+    work_time_ratio : float
+        Latest reported ratio of the time that work takes to its usual time.
+    work_time_reported_ms : float
+        Time at which that ratio arrived, on the monotonic clock.
     """
 
     in_flight: int = 0
-    load: InstanceLoad | None = None
+    reported_requests: int = 0
     reported_ms: float = field(default=float('-inf'))
     in_flight_at_report: int = 0
     suspect_until_ms: float = field(default=float('-inf'))
     failures: int = 0
+    work_time_ratio: float = 1
+    work_time_reported_ms: float = field(default=float('-inf'))
 
     def get_other_requests(self, now_ms: float) -> int:
         """Return the requests of other processes, by the latest report."""
-        age_ms = now_ms - self.reported_ms
-        if self.load is None or age_ms > global_settings.LOAD_STALE_MS:
+        if now_ms - self.reported_ms > global_settings.LOAD_STALE_MS:
             return 0
-        reported = self.load.running + self.load.waiting
-        return max(0, reported - self.in_flight_at_report)
+        return max(0, self.reported_requests - self.in_flight_at_report)
+
+    def get_work_time_ratio(self, now_ms: float) -> float:
+        """Return how much longer work takes than usual; 1 if unknown."""
+        age_ms = now_ms - self.work_time_reported_ms
+        if age_ms > global_settings.WORK_TIME_STALE_MS:
+            return 1
+        return self.work_time_ratio
 
 
 class LoadTracker:
@@ -79,11 +90,20 @@
         load: InstanceLoad,
         now_ms: float,
     ) -> None:
-        """Record a load report that came with a response."""
+        """
+        Record a load report that came with a response.
+
+        A figure that is missing keeps its earlier value and age.
+        """
         record = self.get(instance)
-        record.load = load
-        record.reported_ms = now_ms
-        record.in_flight_at_report = record.in_flight
+        requests = load.count_requests()
+        if requests is not None:
+            record.reported_requests = requests
+            record.reported_ms = now_ms
+            record.in_flight_at_report = record.in_flight
+        if load.work_time_ratio is not None:
+            record.work_time_ratio = load.work_time_ratio
+            record.work_time_reported_ms = now_ms
 
     def record_success(self, instance: str) -> None:
         """Reset the failure count and the suspicion of an instance."""
