Choose engines of uneven speed by their work time and unread prompts

Cause: engines are chosen by a count of requests within a limit that is about as high as the count itself, and gateways hear of each other's requests by headers that are seconds old.

Where engines report work times that differ by 1.6 or more, each prompt has three candidates by weighted rendezvous hashing, and goes to the one that is expected to have read it first, by unread prompt tokens of all gateways and the work time; the engine that has its shared part, or near which its stages were made, is left only for one twice as fast. Gateways exchange unread tokens with the pings that run, through one host, within a bound of bytes. Elsewhere nothing changes: even pools and those at 1.0 to 1.3 are balanced as before.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -6,6 +6,7 @@
 import signal
 from collections.abc import Callable, Collection, Coroutine
 
+from ragworthollow.balancing import EngineReports, EngineView
 from ragworthollow.conf import GatewaySettings, global_settings
 from ragworthollow.logs.events import log_error
 from ragworthollow.metrics import InvariantMonitor, Metrics
@@ -75,6 +76,8 @@
         self._has_route_table = asyncio.Event()
         self.directory = Directory()
         self.load_tracker = LoadTracker()
+        self.engine_view = EngineView(load_tracker=self.load_tracker)
+        self.engine_reports = EngineReports()
         self._throttle = Throttle(
             gateway=settings.instance,
             propagation_ms=settings.get_shortest_bound_ms(),
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
@@ -8,6 +8,7 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.outcomes import Outcome, Reason
+from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.attempt import (
     AttemptPlan,
@@ -45,11 +46,10 @@
     def __init__(self, *, context: GatewayContext) -> None:
         self._context = context
 
-    def predict_failure_domain(self, job: RequestJob) -> str:
-        """Return the failure domain for a request now; empty if no instance."""
+    def predict_instance(self, job: RequestJob) -> UpstreamInstance | None:
+        """Return the instance that a request would be sent to now."""
         series = AttemptSeries(context=self._context, job=job, inputs=())
-        instance = series.choose_instance()
-        return '' if instance is None else instance.failure_domain
+        return series.choose_instance()
 
     async def forward(
         self,
@@ -57,6 +57,7 @@
         inputs: tuple[str, ...],
         on_inputs_read: Callable[[], None],
         progress: ResponseProgress,
+        expected: UpstreamInstance | None = None,
     ) -> ForwardResult:
         """
         Forward a request and return the response to its caller.
@@ -72,6 +73,8 @@
             more than once.
         progress : ResponseProgress
             Updated with the current attempt and the start of the response.
+        expected : UpstreamInstance, optional
+            Instance near which the inputs were made.
 
         Returns
         -------
@@ -80,7 +83,12 @@
             none.
         """
         self._context.get_budget(job.pool).deposit()
-        series = AttemptSeries(context=self._context, job=job, inputs=inputs)
+        series = AttemptSeries(
+            context=self._context,
+            job=job,
+            inputs=inputs,
+            expected_engine='' if expected is None else expected.instance,
+        )
         if job.route.is_stream():
             return await self._relay(series, on_inputs_read, progress)
         return await self._fetch(series, progress)
@@ -146,9 +154,7 @@
         relay: StreamRelay,
         on_inputs_read: Callable[[], None],
     ) -> web.StreamResponse | None:
-        on_first_event = self._make_first_event_callback(
-            series.job, on_inputs_read
-        )
+        on_first_event = self._make_first_event_callback(series, on_inputs_read)
         opened = await self._open_and_release_inputs(
             series, plan, on_inputs_read
         )
@@ -172,15 +178,21 @@
             return None
         finally:
             upstream.close()
-        series.record_response(plan, upstream.status, relay.describe_end())
+        series.record_response(
+            plan,
+            upstream.status,
+            relay.describe_end(),
+            began_ms=relay.timing.first_event_ms,
+        )
         return await relay.finish()
 
     def _make_first_event_callback(
         self,
-        job: RequestJob,
+        series: AttemptSeries,
         on_inputs_read: Callable[[], None],
     ) -> Callable[[], None]:
         """Make a callback that records the latency of the first event."""
+        job = series.job
         sent_ms = get_monotonic_ms()
         is_recorded = False
 
@@ -188,6 +200,7 @@
             nonlocal is_recorded
             if not is_recorded:
                 is_recorded = True
+                series.record_prompt_read()
                 self._context.get_first_event_latency(job.pool).record(
                     job.request_parameters.prompt_tokens,
                     get_monotonic_ms() - sent_ms,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/host_pinger.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/host_pinger.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from ragworthollow.balancing import EngineReport
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.membership.gateway_member import GatewayMember
@@ -19,8 +20,13 @@
     HostState,
 )
 from ragworthollow.transport.timeouts import make_timeout
-from ragworthollow.utils import get_boottime_ms
+from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.engine_exchange import (
+    ENGINE_REPORTS,
+    apply_own_reports,
+    make_engine_reports,
+)
 from ragworthollow_daemon.gateway.limit_updates import (
     apply_limit_updates,
     make_limit_updates,
@@ -73,7 +79,10 @@
                 async with asyncio.timeout(global_settings.HOST_PING_MS / 1000):
                     await self._context.quarantine.has_urgent_update.wait()
             self._context.quarantine.has_urgent_update.clear()
-            await asyncio.gather(*map(self._ping, self._choose_ping_targets()))
+            targets = self._choose_ping_targets()
+            if self._members.find_host(ENGINE_REPORTS) is None:
+                apply_own_reports(self._context)
+            await asyncio.gather(*map(self._ping, targets))
             if self._context.route_table is not None:
                 # Set even if no host responds: there is then no peer to get
                 # evidence from.
@@ -85,9 +94,21 @@
         if table is None:
             return []
         pools = [pool.name for pool in table.pools.values() if pool.pieces]
+        if pools and self._context.load_tracker.reports_work_time:
+            pools.append(ENGINE_REPORTS)
         self._members.set_pools(pools)
         return self._members.choose_ping_targets()
 
+    def _make_engine_reports(
+        self,
+        host: GatewayMember,
+    ) -> dict[str, EngineReport] | None:
+        """Return reports on engines for the host that collects them."""
+        collector = self._members.find_host(ENGINE_REPORTS)
+        if collector is None or collector.instance != host.instance:
+            return None
+        return make_engine_reports(self._context)
+
     async def _ping(self, host: GatewayMember) -> None:
         ping = GatewayPing(
             instance=self._context.settings.instance,
@@ -98,6 +119,7 @@
             evidence=self._context.quarantine.make_update(host.instance),
             leaving_ages_ms=get_leaving_ages_ms(self._context),
             named_limits=make_limit_updates(self._context),
+            engines=self._make_engine_reports(host),
         )
         sent_ms = get_boottime_ms()
         try:
@@ -131,6 +153,10 @@
         self._context.quarantine.apply_update(state.instance, state.evidence)
         apply_leaving(self._context, state.leaving_ages_ms)
         apply_limit_updates(self._context, state.named_limits, sent_ms)
+        if state.engines is not None:
+            self._context.engine_view.record_others(
+                state.engines, get_monotonic_ms()
+            )
 
     def apply_state(self, host: GatewayMember, state: HostState) -> None:
         """
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -26,6 +26,9 @@
 from ragworthollow.transport.responses import Problem, respond
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.engine_exchange import (
+    exchange_engine_reports,
+)
 from ragworthollow_daemon.gateway.limit_updates import (
     apply_limit_updates,
     make_limit_updates,
@@ -132,6 +135,9 @@
                 evidence=quarantine.make_update(ping.instance),
                 leaving_ages_ms=get_leaving_ages_ms(self._context),
                 named_limits=make_limit_updates(self._context),
+                engines=exchange_engine_reports(
+                    self._context, ping.instance, ping.engines
+                ),
             ),
         )
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
@@ -8,6 +8,7 @@
 
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.routes.allowed_regions import is_region_allowed
+from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow_daemon.gateway.admission import (
     make_refusal,
     make_shutdown_failure,
@@ -91,14 +92,17 @@
         while refusal is None or await self._defer(job, estimate):
             if refusal is not None:
                 estimate = estimate.as_deferred()
+            expected = self._forwarder.predict_instance(job)
             stages = StageGraphRunner(
                 client=self._pieces,
                 job=job,
                 estimate=estimate,
-                failure_domain=self._forwarder.predict_failure_domain(job),
+                failure_domain=(
+                    '' if expected is None else expected.failure_domain
+                ),
             )
             try:
-                result = await self._run_once(job, stages, progress)
+                result = await self._run_once(job, stages, progress, expected)
             finally:
                 stages.release()
             if not _may_be_deferred(result, stages):
@@ -177,6 +181,7 @@
         job: RequestJob,
         stages: StageGraphRunner,
         progress: ResponseProgress,
+        expected: UpstreamInstance | None,
     ) -> ResponseResult:
         stage_results = await self._context.stop.run(
             self._run_stages(stages, job)
@@ -186,7 +191,7 @@
         if isinstance(stage_results, Err):
             return stage_results
         return await self._forward(
-            job, stage_results.ok_value, stages.release, progress
+            job, stage_results.ok_value, stages.release, progress, expected
         )
 
     async def _forward(
@@ -195,9 +200,12 @@
         inputs: tuple[str, ...],
         on_inputs_read: Callable[[], None],
         progress: ResponseProgress,
+        expected: UpstreamInstance | None,
     ) -> ResponseResult:
         result = await self._context.stop.run(
-            self._forwarder.forward(job, inputs, on_inputs_read, progress),
+            self._forwarder.forward(
+                job, inputs, on_inputs_read, progress, expected
+            ),
             may_cancel=lambda: not progress.is_started,
         )
         if result is None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/response_metadata.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/response_metadata.py
@@ -48,6 +48,12 @@
         context.load_tracker.record_load(
             instance.instance, metadata.load, now_ms
         )
+        if metadata.load.work_time_ratio is not None:
+            context.engine_view.work_times.record(
+                instance.get_incarnation(),
+                metadata.load.work_time_ratio,
+                now_ms,
+            )
     if metadata.is_leaving:
         _record_leaving(context, instance, now_ms)
     if metadata.warm_up_remaining_ms:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
@@ -7,10 +7,12 @@
 
 from ragworthollow.platform.response_wire import make_caller_headers
 from ragworthollow.transport.body_framing import BodyFraming
+from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.body_end import BodyEnd
 from ragworthollow_daemon.gateway.event_buffer import EventBuffer
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.response_progress import ResponseProgress
+from ragworthollow_daemon.gateway.stream_timing import StreamTiming
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
 
@@ -67,6 +69,7 @@
         self._response: web.StreamResponse | None = None
         self._event_buffer = EventBuffer()
         self._body_end: BodyEnd | None = None
+        self.timing = StreamTiming()
 
     def is_started(self) -> bool:
         """Return whether the head of the response has been sent."""
@@ -88,6 +91,7 @@
             'connection_end': self._body_end.get_connection_end(),
             'events': self._event_buffer.event_count,
             'unfinished_bytes': len(self._event_buffer.get_incomplete()),
+            'longest_pause_ms': round(self.timing.longest_pause_ms),
         }
 
     async def start(self, upstream: ClientResponse) -> None:
@@ -136,6 +140,7 @@
         async for chunk, _ in upstream.content.iter_chunks():
             complete = self._event_buffer.feed(chunk)
             if complete:
+                self.timing.record(get_monotonic_ms())
                 on_first_event()
                 await self._write(complete)
         self._check_end()
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -154,6 +154,32 @@
 AFFINITY_LOAD_FACTOR = 1.25
 AFFINITY_LOAD_SLACK = 0.05
 
+# Engines of uneven speed.
+
+# Period over which the usual work time of instances is taken: several of the
+# times for which other programs slow an instance down.
+WORK_TIME_PERIOD_MS = 3_000
+# Ratio of the speeds of two engines from which a pool counts as uneven; below
+# it the bounded load of consistent hashing evens them out.
+UNEVEN_SPEED_RATIO = 1.6
+# Number of engines that are compared for each prompt.
+ENGINE_CANDIDATES = 3
+# How much longer than the best engine one may take that has the shared parts of
+# a prompt, or near which the results of its stages are stored.
+HOME_ENGINE_TOLERANCE = 2.0
+EXPECTED_ENGINE_TOLERANCE = 2.0
+# What a request that generates delays others by, in prompt tokens.
+ENGINE_REQUEST_TOKENS = 64
+# How long reports of other gateways on engines are used: prompts are read
+# within a second, and two pings may be lost.
+ENGINE_REPORT_TTL_MS = 1_000
+# Bytes a second that a host sends in such reports to all gateways together, and
+# the size of one report.
+ENGINE_REPORTS_BYTES_PER_S = 200_000
+ENGINE_REPORT_BYTES = 80
+# Maximum number of engines of which the host itself uses the reports.
+MAX_COLLECTED_ENGINES = 4_096
+
 # Pieces of stages.
 
 # A piece that is expected to be this late may still end in time: estimated
--- a/packages/ragworthollow/src/ragworthollow/exchange/request_parameters.py
+++ b/packages/ragworthollow/src/ragworthollow/exchange/request_parameters.py
@@ -68,5 +68,14 @@
         """
         if not self.prompt_parts:
             return ''
-        position = max(0, len(self.prompt_parts) - 2)
-        return self.prompt_parts[position].part
+        return self.prompt_parts[self._get_affinity_position()].part
+
+    def get_affinity_tokens(self) -> int:
+        """Return the length of that part; 0 if no part may be shared."""
+        if len(self.prompt_parts) < 2:
+            return 0
+        tokens = self.prompt_parts[self._get_affinity_position()].tokens
+        return min(tokens, self.prompt_tokens)
+
+    def _get_affinity_position(self) -> int:
+        return max(0, len(self.prompt_parts) - 2)
--- a/packages/ragworthollow/src/ragworthollow/transport/host_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/host_messages.py
@@ -1,5 +1,6 @@
 """Define the status and membership messages between gateways."""
 
+from ragworthollow.balancing.engine_report import EngineReport
 from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.quarantine.evidence_update import EvidenceUpdate
 from ragworthollow.replica.store_update import StoreUpdate
@@ -33,6 +34,9 @@
         incarnation.
     named_limits : dict of str to LimitUpdate
         Limits that instances have advertised, by incarnation.
+    engines : dict of str to EngineReport, optional
+        Its requests at engines, by incarnation; None unless it asks for those
+        of the other gateways.
     """
 
     instance: str
@@ -43,6 +47,7 @@
     evidence: EvidenceUpdate | None = None
     leaving_ages_ms: dict[str, float] = {}
     named_limits: dict[str, LimitUpdate] = {}
+    engines: dict[str, EngineReport] | None = None
 
 
 class HostState(Message):
@@ -72,6 +77,8 @@
         incarnation.
     named_limits : dict of str to LimitUpdate
         Limits that instances have advertised, by incarnation.
+    engines : dict of str to EngineReport, optional
+        Requests of all other gateways at engines, by incarnation.
     """
 
     instance: str
@@ -82,6 +89,7 @@
     evidence: EvidenceUpdate | None = None
     leaving_ages_ms: dict[str, float] = {}
     named_limits: dict[str, LimitUpdate] = {}
+    engines: dict[str, EngineReport] | None = None
 
 
 class MemberChange(Message):
--- a/packages/ragworthollow/src/ragworthollow/upstreams/load_tracker.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/load_tracker.py
@@ -15,6 +15,8 @@
     ----------
     in_flight : int
         Unanswered requests that this process has sent to the instance.
+    unread_tokens : int
+        Prompt tokens of those requests that have no event yet.
     reported_requests : int
         Requests at the instance according to its latest load report.
     reported_ms : float
@@ -27,12 +29,13 @@
     failures : int
         Number of consecutive failures.
     work_time_ratio : float
-        Latest reported ratio of the time that work takes to its usual time.
+        Latest reported time that work takes there, relative to the usual one.
     work_time_reported_ms : float
         Time at which that ratio arrived, on the monotonic clock.
     """
 
     in_flight: int = 0
+    unread_tokens: int = 0
     reported_requests: int = 0
     reported_ms: float = field(default=float('-inf'))
     in_flight_at_report: int = 0
@@ -47,18 +50,26 @@
             return 0
         return max(0, self.reported_requests - self.in_flight_at_report)
 
-    def get_work_time_ratio(self, now_ms: float) -> float:
-        """Return how much longer work takes than usual; 1 if unknown."""
+    def get_work_time_ratio(self, now_ms: float) -> float | None:
+        """Return the reported work time; None if it is too old."""
         age_ms = now_ms - self.work_time_reported_ms
         if age_ms > global_settings.WORK_TIME_STALE_MS:
-            return 1
+            return None
         return self.work_time_ratio
 
 
 class LoadTracker:
-    """Hold the load and health record of each instance."""
+    """
+    Hold the load and health record of each instance.
+
+    Attributes
+    ----------
+    reports_work_time : bool
+        Whether any instance has reported how long work takes on it.
+    """
 
     def __init__(self) -> None:
+        self.reports_work_time = False
         self._records: dict[str, InstanceRecord] = {}
 
     def get(self, instance: str) -> InstanceRecord:
@@ -102,6 +113,7 @@
             record.reported_ms = now_ms
             record.in_flight_at_report = record.in_flight
         if load.work_time_ratio is not None:
+            self.reports_work_time = True
             record.work_time_ratio = load.work_time_ratio
             record.work_time_reported_ms = now_ms
 
