--- a/tests/features/steps/result_space.py
+++ b/tests/features/steps/result_space.py
@@ -10,20 +10,9 @@
 
 from measure.fleet_model.virtual_time import VirtualLoop
 from ragworthollow.conf import GatewaySettings
-from ragworthollow.exchange import RequestParameters
 from ragworthollow.metrics import Metrics
 from ragworthollow.pieces import PieceCall, PieceOutcome, PieceResult, StageRun
 from ragworthollow.pieces.order import should_wait_for_domain
-from ragworthollow.routes import (
-    PieceProfile,
-    RequestLimits,
-    Route,
-    RouteKind,
-    RouteTable,
-    StageDefinition,
-    UpstreamPool,
-    WeightedPool,
-)
 from ragworthollow.utils import get_monotonic_ms, override_clocks
 from ragworthollow_daemon.gateway.deferral_queue import DeferralQueue
 from ragworthollow_daemon.gateway.features import find_features
@@ -32,15 +21,14 @@
     can_release_inputs,
 )
 from ragworthollow_daemon.gateway.latency_estimate import LatencyEstimate
-from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.result_space_recorder import (
     ResultSpaceRecorder,
 )
 from ragworthollow_daemon.gateway.stage_graph_runner import StageGraphRunner
+from tests.fixtures.chat_request import CALL_MS, make_chat_job
 from tests.fixtures.piece_pool import make_instances, make_waiting_piece
 
 _NEVER_MS = 10_000
-_CALL_MS = 240
 
 
 @when('{count:d} pieces come and no result is released')
@@ -56,7 +44,7 @@
         for call in calls:
             pool.scheduler.finish(call)
             _store_results(pool, call)
-        context.now_ms += _CALL_MS
+        context.now_ms += CALL_MS
 
 
 def _store_results(pool, call) -> None:
@@ -213,7 +201,7 @@
 def check_sent(context):
     (instance, _) = context.pool.instances
     assert instance.failure_domain == 'one'
-    waits_ms = {'one': 0, 'two': _CALL_MS}
+    waits_ms = {'one': 0, 'two': CALL_MS}
     assert not should_wait_for_domain(context.waiting, instance, waits_ms, 0)
 
 
@@ -246,69 +234,13 @@
         self.begun_ms[pool] = self._loop.get_ms()
         if pool == self._hangs:
             await asyncio.sleep(_NEVER_MS / 1000)
-        await asyncio.sleep(_CALL_MS / 1000)
+        await asyncio.sleep(CALL_MS / 1000)
         return tuple(
             PieceResult(outcome=PieceOutcome.done, handle=f'{pool}/0')
             for _ in pieces
         )
 
 
-def _make_job(objective_ms: float, now_ms: float) -> RequestJob:
-    stages = (
-        StageDefinition(pool='pictures', result_bytes=1_500_000),
-        StageDefinition(pool='first', result_bytes=8000),
-        StageDefinition(pool='second', after=(1,), result_bytes=60_000),
-        StageDefinition(pool='third', after=(2,), result_bytes=6000),
-    )
-    route = Route(
-        name='chat',
-        host='h',
-        path_prefix='/',
-        kind=RouteKind.stream,
-        weighted_pools=(WeightedPool(pool='engines'),),
-        stages=stages,
-        timeout_ms=_NEVER_MS,
-        objective_ms=objective_ms,
-    )
-    profile = PieceProfile(
-        concurrency=1,
-        batch_limit=8,
-        call_ms=_CALL_MS,
-        piece_ms=0,
-        result_space_bytes=18_000_000,
-        result_ttl_ms=4000,
-    )
-    return RequestJob(
-        request=None,
-        body=b'',
-        request_parameters=RequestParameters(
-            request_id='r', piece_counts=(1, 1, 1, 1)
-        ),
-        route=route,
-        holder=None,
-        pool='engines',
-        route_table=RouteTable(
-            version=1,
-            routes=[route],
-            pools={
-                stage.pool: UpstreamPool(
-                    name=stage.pool, max_connections=10, pieces=profile
-                )
-                for stage in stages
-            },
-            holders_by_key={},
-            requires_key=False,
-            limits=RequestLimits(),
-        ),
-        waited_ms=0,
-        fingerprint='f',
-        part_fingerprints=(),
-        key_fingerprint='',
-        received_ms=now_ms,
-        deadline_ms=now_ms + _NEVER_MS,
-    )
-
-
 @given('a chat with pictures, and texts that take three stages')
 def make_chat(context):
     context.objective_ms = 2000
@@ -321,7 +253,7 @@
         client = _RecordingClient(
             loop=loop, is_space_scarce=is_scarce, hangs=hangs
         )
-        job = _make_job(context.objective_ms, get_monotonic_ms())
+        job = make_chat_job(context.objective_ms, get_monotonic_ms())
         runner = StageGraphRunner(
             client=client,
             job=job,
@@ -356,14 +288,14 @@
 @then('the pictures are begun when the second stage of the texts is done')
 def check_begun_late(context):
     assert context.begun_ms['pictures'] == context.begun_ms['third']
-    assert context.begun_ms['pictures'] >= 2 * _CALL_MS
+    assert context.begun_ms['pictures'] >= 2 * CALL_MS
     assert isinstance(context.result, Ok)
 
 
 @then('the pictures are begun {before_ms:d} ms before their latest start')
 def check_begun_in_time(context, before_ms):
     # One call of its own, and 100 ms to the first event.
-    latest_ms = context.objective_ms - _CALL_MS - 100
+    latest_ms = context.objective_ms - CALL_MS - 100
     begun_ms = context.begun_ms['pictures']
     assert abs(begun_ms - (latest_ms - before_ms)) <= 1, begun_ms
 
@@ -383,7 +315,7 @@
     loop = VirtualLoop()
 
     async def wait() -> None:
-        job = _make_job(context.objective_ms, get_monotonic_ms())
+        job = make_chat_job(context.objective_ms, get_monotonic_ms())
         queue = DeferralQueue(
             context=SimpleNamespace(
                 directory=SimpleNamespace(get_pool=lambda _: ('engine',)),
