Tell where answers became late, and compare losses by gateway, caller and prompt

ragworthctl losses counted late answers by route only, streams by their end. It now tells whether the objective had passed before the instance was reached, and --by gateway, organisation or prompt compares their losses; the line of a request's end has its caller, rank and length of prompt.

--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/log_line.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/log_line.py
@@ -25,6 +25,14 @@
     late_ms : float
         Start of the response relative to its latency objective, in
         milliseconds; negative if it was in time.
+    staged_ms : float
+        Time from the arrival of a request to the end of its stages.
+    began_after_ms : float
+        Time from its arrival to the start of its response.
+    instance, organisation : str
+        Gateway that wrote the line, and caller of the request.
+    prompt_tokens : int
+        Length of its prompt.
     pieces : int or list of int
         Number of pieces of a call, or of each stage of a request.
     limit : str
@@ -44,6 +52,11 @@
     pool: str = ''
     status: int = 0
     late_ms: float = 0
+    staged_ms: float = 0
+    began_after_ms: float = 0
+    instance: str = ''
+    organisation: str = ''
+    prompt_tokens: int = 0
     pieces: int | list[int] = 0
     limit: str = ''
     queued: int = 0
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/rendering.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/rendering.py
@@ -11,7 +11,6 @@
 _MAX_ROWS = 20
 _BAR_WIDTH = 40
 _PERCENT = 100
-_LATE = 'late'
 
 
 def render_account(account: LossAccount) -> Iterator[str]:
@@ -37,6 +36,9 @@
     if lost or late:
         yield ''
         yield from _render_routes(account)
+    if account.groups:
+        yield ''
+        yield from _render_groups(account)
     if account.calls_by_pool:
         yield ''
         yield from _render_pools(account)
@@ -52,13 +54,21 @@
 
 def _render_routes(account: LossAccount) -> Iterator[str]:
     rows = Counter(account.routes)
-    rows.update({(route, _LATE): late for route, late in account.late.items()})
+    rows.update(account.late)
     yield f'{"route":24}{"not served, or late":24}{"requests":>9}'
     for (route, cause), count in rows.most_common(_MAX_ROWS):
         if count:
             yield f'{route or "-":24}{cause:24}{count:9}'
 
 
+def _render_groups(account: LossAccount) -> Iterator[str]:
+    yield f'{account.grouping:32}{"requests":>9}{"not served":>12}{"late":>8}'
+    for group, counts in sorted(account.groups.items()):
+        lost = _render_share(counts.lost, counts.requests)
+        late = _render_share(counts.late, counts.requests)
+        yield f'{group or "-":32}{counts.requests:9}{lost:>12}{late:>8}'
+
+
 def _render_pools(account: LossAccount) -> Iterator[str]:
     yield (
         f'{"pool":24}{"calls":>7}{"pieces a call":>15}{"most":>6}'
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_handler.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_handler.py
@@ -187,4 +187,7 @@
             time_limit_ms=request_parameters.time_limit_ms,
             waited_ms=None if job is None else round(job.waited_ms),
             pieces=request_parameters.piece_counts,
+            prompt_tokens=request_parameters.prompt_tokens,
+            organisation='' if job is None else job.get_organisation(),
+            rank=None if job is None else job.get_rank(),
         )
--- a/tests/features/losses.feature
+++ b/tests/features/losses.feature
@@ -39,6 +39,37 @@
     Then 0 of 2 requests were not served
     And 1 was late
 
+  Scenario Outline: A late response tells where it became late
+    # Engines a third of which were slow made answers late that looked like
+    # those that had waited for their stages.
+    Given log lines of an answer <late> ms late whose stages took <staged> of <began> ms
+    When an operator asks for the losses
+    Then the report says that it was <where>
+
+    Examples:
+      | late | staged | began | where                    |
+      | 200  | 1900   | 2000  | late before its instance |
+      | 200  | 1700   | 2000  | late at its instance     |
+
+  Scenario Outline: Losses are compared by <grouping>
+    Given log lines of served, late and lost requests of two groups
+    When an operator asks for the losses by <grouping>
+    Then the groups are
+      | group    | requests | not served | late  |
+      | <first>  | 2        | 0.0%       | 50.0% |
+      | <second> | 1        | 100.0%     | 0.0%  |
+
+    Examples:
+      | grouping     | first              | second             |
+      | gateway      | g1                 | g2                 |
+      | organisation | one                | two                |
+      | prompt       | up to 1,000 tokens | over 16,000 tokens |
+
+  Scenario: Losses can't be compared by something unknown
+    Given log lines of served, late and lost requests of two groups
+    When an operator asks for the losses by colour
+    Then the command fails and names what is possible
+
   Scenario: Foreign lines and prefixes of lines are tolerated
     Given a log line prefixed by a time and a name, and lines that are not JSON
     When an operator asks for the losses
--- a/tests/features/steps/losses.py
+++ b/tests/features/steps/losses.py
@@ -68,10 +68,88 @@
     context.log_lines = ['Traceback']
 
 
+@given(
+    'log lines of an answer {late:d} ms late whose stages took {staged:d} of '
+    '{began:d} ms'
+)
+def write_late_answer(context, late, staged, began):
+    context.log_lines = [
+        _render_line(
+            event='answered',
+            request_id='a',
+            late_ms=late,
+            staged_ms=staged,
+            began_after_ms=began,
+        ),
+        _render_line(event='request_ended', request_id='a', status=200),
+    ]
+
+
+@then('the report says that it was {where}')
+def check_late_cause(context, where):
+    rows = context.completed.stdout.splitlines()
+    assert any(where in row and row.endswith(' 1') for row in rows), rows
+
+
+@given('log lines of served, late and lost requests of two groups')
+def write_groups(context):
+    first = {'instance': 'g1', 'organisation': 'one', 'prompt_tokens': 900}
+    second = {'instance': 'g2', 'organisation': 'two', 'prompt_tokens': 20_000}
+    context.log_lines = [
+        _render_line(event='answered', request_id='b', late_ms=20, **first),
+        _render_line(
+            event='request_ended', request_id='a', status=200, **first
+        ),
+        _render_line(
+            event='request_ended', request_id='b', status=200, **first
+        ),
+        _render_line(
+            event='request_ended',
+            request_id='c',
+            status=503,
+            reason='overloaded',
+            step='front',
+            **second,
+        ),
+    ]
+
+
+@when('an operator asks for the losses by {grouping:w}')
+def run_grouped_losses(context, grouping):
+    _run_losses(context, '--by', grouping)
+
+
+@then('the groups are')
+def check_groups(context):
+    rows = context.completed.stdout.splitlines()
+    for expected in context.table:
+        (row,) = (
+            row[32:].split()
+            for row in rows
+            if row[:32].strip() == expected['group']
+        )
+        assert row == [
+            expected['requests'],
+            expected['not served'],
+            expected['late'],
+        ], row
+
+
+@then('the command fails and names what is possible')
+def check_unknown_grouping(context):
+    assert context.completed.returncode
+    output = context.completed.stdout + context.completed.stderr
+    assert 'organisation' in output, output
+
+
 @when('an operator asks for the losses')
 def run_losses(context):
+    _run_losses(context)
+
+
+def _run_losses(context, *options) -> None:
     context.completed = subprocess.run(
-        [_COMMAND, 'losses'],
+        [_COMMAND, 'losses', *options],
         input='\n'.join(context.log_lines),
         capture_output=True,
         text=True,
