--- a/measure/gateway_fleet.py
+++ b/measure/gateway_fleet.py
@@ -19,6 +19,9 @@
 
 _POLL_S = 0.02
 _UPSTREAMS = 3
+_LOAD_HEADER = 'X-Ragworthollow-Server-Load'
+# Work times of the instances, in percent: an uneven pool of engines.
+_WORK_TIMES = (70, 70, 170)
 _READY = 200
 _END_LIMIT_S = 10
 _STORE_FAULTS = ('slow_ms', 'slow_ms', 'down', 'mute')
@@ -67,7 +70,11 @@
         await self.open()
         for number in range(1, _UPSTREAMS + 1):
             await self.add_upstream(f'u{number}', 'plain')
-        await self.configure()
+            self.upstreams[f'u{number}'].response_headers = {
+                _LOAD_HEADER: f'1,0,4,{_WORK_TIMES[number - 1]}'
+            }
+        plain, *others = self.configuration['services']
+        await self.configure(services=[{**plain, 'engine': {}}, *others])
         for name, port in self.front_ports.items():
             self._write_settings(name, port)
         await asyncio.gather(*map(self.start, self.front_ports))
@@ -159,6 +166,7 @@
             'ready_address': ready_address,
             'peer_address': f'{HOST}:{self.ports.take()}',
             'store_url': f'http://{HOST}:{self.store_port}',
+            'scarce_result_space': True,
         }
         self._get_path(name).write_text(yaml.safe_dump(settings))
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_service.py
@@ -20,6 +20,7 @@
 from ragworthollow_daemon.gateway.call_result_handler import CallResultHandler
 from ragworthollow_daemon.gateway.call_runner import CallRunner, SendCall
 from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.features import saves_result_space
 from ragworthollow_daemon.gateway.input_releases import (
     InputReleases,
     ReleaseInputs,
@@ -100,7 +101,8 @@
         started_ms = get_monotonic_ms()
         expected_ms = self._schedulers.estimate_stage_ms(pool, pieces)
         results = await self._run_stage(pool, pieces)
-        if all(piece_result.handle for piece_result in results):
+        is_complete = all(piece_result.handle for piece_result in results)
+        if is_complete and saves_result_space(self._context.settings):
             now_ms = get_monotonic_ms()
             self._schedulers.get(pool).wait_error.record(
                 now_ms - started_ms - expected_ms, now_ms
