Exchange reports on engines only where engines report work times

Work times of plain instances switched the exchange on too. The log says when the first one is reported; choices are counted when prompts are sent, not when their engine is foreseen.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/engine_exchange.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/engine_exchange.py
@@ -15,7 +15,7 @@
 def make_engine_reports(context: GatewayContext) -> dict[str, EngineReport]:
     """Return this gateway's reports on all engines that it uses."""
     table = context.route_table
-    if table is None or not context.load_tracker.reports_work_time:
+    if table is None or not context.engine_view.work_times.has_reports:
         return {}
     now_ms = get_monotonic_ms()
     engines = [
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/host_pinger.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/host_pinger.py
@@ -94,7 +94,7 @@
         if table is None:
             return []
         pools = [pool.name for pool in table.pools.values() if pool.pieces]
-        if pools and self._context.load_tracker.reports_work_time:
+        if pools and self._context.engine_view.work_times.has_reports:
             pools.append(ENGINE_REPORTS)
         self._members.set_pools(pools)
         return self._members.choose_ping_targets()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instance_selection.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instance_selection.py
@@ -78,6 +78,9 @@
 
     def record_prompt_sent(self, record: InstanceRecord) -> None:
         """Add the prompt to the load of the chosen instance."""
+        if self._choice is not None:
+            reason = self._choice.reason
+            self._context.metrics.count_event(f'engine_choice_{reason}')
         tokens = self._count_tokens_to_read()
         record.unread_tokens += tokens
         self._unread = UnreadPrompt(record=record, tokens=tokens)
@@ -129,7 +132,7 @@
         self._view_age_ms = view.get_age_ms(now_ms)
         prompt = self._job.request_parameters
         shared_tokens = prompt.get_affinity_tokens()
-        choice = choose_engine(
+        return choose_engine(
             [
                 state
                 for state in states
@@ -142,9 +145,6 @@
                 shared_tokens=shared_tokens,
             ),
         )
-        if choice is not None:
-            self._context.metrics.count_event(f'engine_choice_{choice.reason}')
-        return choice
 
     def _is_trusted(self, instance: UpstreamInstance, now_ms: float) -> bool:
         record = self._context.load_tracker.get(instance.instance)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/response_metadata.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/response_metadata.py
@@ -48,12 +48,9 @@
         context.load_tracker.record_load(
             instance.instance, metadata.load, now_ms
         )
-        if metadata.load.work_time_ratio is not None:
-            context.engine_view.work_times.record(
-                instance.get_incarnation(),
-                metadata.load.work_time_ratio,
-                now_ms,
-            )
+        _record_work_time(
+            context, instance, metadata.load.work_time_ratio, now_ms
+        )
     if metadata.is_leaving:
         _record_leaving(context, instance, now_ms)
     if metadata.warm_up_remaining_ms:
@@ -108,6 +105,29 @@
             )
 
 
+def _record_work_time(
+    context: GatewayContext,
+    instance: UpstreamInstance,
+    ratio: float | None,
+    now_ms: float,
+) -> None:
+    """Record the work time that an engine reports, which others are told."""
+    table = context.route_table
+    pool = None if table is None else table.pools.get(instance.pool)
+    if ratio is None or pool is None or not pool.is_engine:
+        return
+    work_times = context.engine_view.work_times
+    if not work_times.has_reports:
+        log_event(
+            'work_time_reported',
+            step=_STEP,
+            peer=instance.instance,
+            pool=instance.pool,
+            work_time_ratio=ratio,
+        )
+    work_times.record(instance.get_incarnation(), ratio, now_ms)
+
+
 def _record_leaving(
     context: GatewayContext,
     instance: UpstreamInstance,
--- a/packages/ragworthollow/src/ragworthollow/balancing/work_times.py
+++ b/packages/ragworthollow/src/ragworthollow/balancing/work_times.py
@@ -11,15 +11,22 @@
     milliseconds at a time, and nothing shortens it, so the shortest recent one
     is the usual one.  It is taken over two periods, so that an instance that
     turns slow for longer is noticed.
+
+    Attributes
+    ----------
+    has_reports : bool
+        Whether any work time was ever recorded.
     """
 
     def __init__(self) -> None:
+        self.has_reports = False
         self._current: dict[str, float] = {}
         self._previous: dict[str, float] = {}
         self._period_ends_ms = float('-inf')
 
     def record(self, incarnation: str, ratio: float, now_ms: float) -> None:
         """Record a reported work time, relative to that of other instances."""
+        self.has_reports = True
         self._start_period(now_ms)
         known = self._current.get(incarnation, ratio)
         self._current[incarnation] = min(ratio, known)
--- a/packages/ragworthollow/src/ragworthollow/upstreams/load_tracker.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/load_tracker.py
@@ -59,17 +59,9 @@
 
 
 class LoadTracker:
-    """
-    Hold the load and health record of each instance.
-
-    Attributes
-    ----------
-    reports_work_time : bool
-        Whether any instance has reported how long work takes on it.
-    """
+    """Hold the load and health record of each instance."""
 
     def __init__(self) -> None:
-        self.reports_work_time = False
         self._records: dict[str, InstanceRecord] = {}
 
     def get(self, instance: str) -> InstanceRecord:
@@ -113,7 +105,6 @@
             record.reported_ms = now_ms
             record.in_flight_at_report = record.in_flight
         if load.work_time_ratio is not None:
-            self.reports_work_time = True
             record.work_time_ratio = load.work_time_ratio
             record.work_time_reported_ms = now_ms
 
--- a/tests/features/engine_choice.feature
+++ b/tests/features/engine_choice.feature
@@ -106,3 +106,13 @@
     Given a prompt of 5000 tokens is being read by an engine
     When the engine starts again under its name and the attempt ends
     Then the engine has 0 unread tokens
+
+  Scenario Outline: Gateways exchange reports only where engines report work times
+    Given an instance of a pool of <kind> that answers with load "<load>"
+    Then its gateway reports on <engines> engines
+
+    Examples:
+      | kind            | load      | engines |
+      | engines         | 1,0,4     | 0       |
+      | engines         | 1,0,4,100 | 1       |
+      | plain instances | 1,0,4,100 | 0       |
--- a/tests/features/steps/engine_choice.py
+++ b/tests/features/steps/engine_choice.py
@@ -21,8 +21,15 @@
 from ragworthollow.balancing.engine_reports import limit_engines
 from ragworthollow.conf import global_settings
 from ragworthollow.exchange import RequestParameters
+from ragworthollow.platform.response_wire import read_response_metadata
+from ragworthollow.routes import UpstreamPool
+from ragworthollow.throttling import Throttle
 from ragworthollow.upstreams import LoadTracker, UpstreamInstance
 from ragworthollow_daemon.gateway.attempt_series import AttemptSeries
+from ragworthollow_daemon.gateway.engine_exchange import make_engine_reports
+from ragworthollow_daemon.gateway.response_metadata import (
+    apply_response_metadata,
+)
 
 _TOKENS_PER_MS = 50
 _FAST = 0.7
@@ -384,3 +391,32 @@
 @then('the engine has {tokens:d} unread tokens')
 def check_unread(context, tokens):
     assert context.tracker.get('engine-0').unread_tokens == tokens
+
+
+@given('an instance of a pool of {kind} that answers with load "{load}"')
+def answer_with_load(context, kind, load):
+    instance = _make_instance(0)
+    pool = UpstreamPool(
+        name='engines', max_connections=10, is_engine=kind == 'engines'
+    )
+    tracker = LoadTracker()
+    context.gateway = SimpleNamespace(
+        load_tracker=tracker,
+        engine_view=EngineView(load_tracker=tracker),
+        route_table=SimpleNamespace(pools={'engines': pool}),
+        directory=SimpleNamespace(get_pool=lambda _: (instance,)),
+        throttle=Throttle(gateway='g', propagation_ms=0),
+    )
+    headers = {'X-Ragworthollow-Server-Load': load}
+    apply_response_metadata(
+        context.gateway,
+        instance,
+        read_response_metadata(200, headers),
+        sent_ms=0,
+    )
+
+
+@then('its gateway reports on {count:d} engines')
+def check_reports(context, count):
+    context.gateway.load_tracker.get('engine-0').in_flight = 1
+    assert len(make_engine_reports(context.gateway)) == count
