--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/engine_exchange.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/engine_exchange.py
@@ -3,7 +3,10 @@
 from collections.abc import Mapping
 
 from ragworthollow.balancing import EngineReport
-from ragworthollow.balancing.engine_reports import limit_engines
+from ragworthollow.balancing.engine_reports import (
+    limit_engines,
+    take_most_loaded,
+)
 from ragworthollow.conf import global_settings
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
@@ -13,7 +16,7 @@
 
 
 def make_engine_reports(context: GatewayContext) -> dict[str, EngineReport]:
-    """Return this gateway's reports on all engines that it uses."""
+    """Return this gateway's reports on the engines that it uses most."""
     table = context.route_table
     if table is None or not context.engine_view.work_times.has_reports:
         return {}
@@ -25,7 +28,10 @@
         for instance in context.directory.get_pool(pool.name)
     ]
     context.engine_view.retain(engine.get_incarnation() for engine in engines)
-    return context.engine_view.make_reports(engines, now_ms)
+    return take_most_loaded(
+        context.engine_view.make_reports(engines, now_ms),
+        limit_engines(context.members),
+    )
 
 
 def exchange_engine_reports(
--- a/packages/ragworthollow/src/ragworthollow/balancing/engine_reports.py
+++ b/packages/ragworthollow/src/ragworthollow/balancing/engine_reports.py
@@ -54,12 +54,7 @@
                 merged[engine] = (
                     report if known is None else merge_reports(known, report)
                 )
-        most_loaded = sorted(
-            merged.items(),
-            key=lambda entry: entry[1].unread_tokens,
-            reverse=True,
-        )
-        return dict(most_loaded[:max_engines])
+        return take_most_loaded(merged, max_engines)
 
     def _remove_expired(self, now_ms: float) -> None:
         oldest_ms = now_ms - global_settings.ENGINE_REPORT_TTL_MS
@@ -69,14 +64,27 @@
                 self._by_gateway.pop(gateway)
 
 
+def take_most_loaded(
+    reports: ReportsByEngine,
+    max_engines: int,
+) -> dict[str, EngineReport]:
+    """Return the reports on the engines with the most unread tokens."""
+    most_loaded = sorted(
+        reports.items(),
+        key=lambda entry: entry[1].unread_tokens,
+        reverse=True,
+    )
+    return dict(most_loaded[:max_engines])
+
+
 def limit_engines(gateways: int) -> int:
     """
-    Return on how many engines a host tells each gateway.
+    Return on how many engines a gateway reports in one message.
 
     Parameters
     ----------
     gateways : int
-        Gateways that ask the host, each with every ping.
+        Gateways that exchange reports with one host, each with every ping.
     """
     pings_per_s = max(1, gateways) * 1000 / global_settings.HOST_PING_MS
     bytes_per_ping = global_settings.ENGINE_REPORTS_BYTES_PER_S / pings_per_s
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -175,8 +175,8 @@
 ENGINE_REPORT_TTL_MS = 1_000
 # Bytes a second that a host sends in such reports to all gateways together, and
 # the size of one report.
-ENGINE_REPORTS_BYTES_PER_S = 200_000
-ENGINE_REPORT_BYTES = 80
+ENGINE_REPORTS_BYTES_PER_S = 250_000
+ENGINE_REPORT_BYTES = 90
 # Maximum number of engines of which the host itself uses the reports.
 MAX_COLLECTED_ENGINES = 4_096
 
