Keep inputs while a piece waits for its second call

A piece whose call failed counted as started: once the others of its stage had been sent for 60 ms its inputs were released, and it found them gone when it was sent again, so that its request was refused after stage work. It counts as unstarted until it is sent again. Found by reading; the new scenario fails on the code before (the inputs may be released at 500 ms while the piece waits).

--- a/packages/ragworthollow/src/ragworthollow/balancing/choice.py
+++ b/packages/ragworthollow/src/ragworthollow/balancing/choice.py
@@ -141,6 +141,7 @@
     costs: Sequence[float],
     criteria: EngineCriteria,
 ) -> EngineChoice:
+    """Choose the best candidate, or a preferred one that is good enough."""
     lowest = min(costs)
     for state, cost in zip(candidates, costs, strict=True):
         is_expected = state.instance.instance == criteria.expected
--- a/packages/ragworthollow/src/ragworthollow/pieces/scheduler.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/scheduler.py
@@ -71,6 +71,7 @@
             Instances that may receive work.
         """
         waiting.attempts += 1
+        waiting.stage_run.unstarted_pieces += 1
         waiting.avoid.add(failed)
         allowed_regions = waiting.piece.allowed_regions
         allowed = [
@@ -356,10 +357,7 @@
         if not taken:
             return None
         for selected in taken:
-            if selected.attempts:
-                selected.stage_run.is_started = True
-            else:
-                selected.stage_run.record_start(now_ms)
+            selected.stage_run.record_start(now_ms)
         limit = find_batch_limit(
             profile, instance, taken, candidates, self._queue
         )
--- a/packages/ragworthollow/src/ragworthollow/pieces/stage_run.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/stage_run.py
@@ -13,7 +13,7 @@
     is_started : bool
         Whether any piece has been sent to an instance.
     unstarted_pieces : int
-        Pieces that have not been sent to an instance yet.
+        Pieces that wait for a call, also after one that has failed.
     last_started_ms : float
         When the latest piece was sent, on the monotonic clock.
     are_inputs_released : bool
@@ -26,7 +26,7 @@
     are_inputs_released: bool = False
 
     def record_start(self, now_ms: float) -> None:
-        """Record that a piece is sent to an instance for the first time."""
+        """Record that a piece is sent to an instance."""
         self.is_started = True
         self.unstarted_pieces -= 1
         self.last_started_ms = now_ms
--- a/tests/features/result_space.feature
+++ b/tests/features/result_space.feature
@@ -40,10 +40,15 @@
     Then its inputs may be released from never on
 
   Scenario: Any order of sends and failures keeps inputs that are still unread
-    # A piece that failed and waits for another call has read its inputs once;
-    # one that was never sent has not.
+    # A piece whose call failed waits for another one, which reads the inputs
+    # again.  Released meanwhile, its request would be lost.
     Then inputs are never released before the last piece was sent 60 ms ago
 
+  Scenario: Inputs stay while a piece waits for its second call
+    Given a pool of 2 instances in domains one and two with calls of 1 piece
+    When both pieces of a stage are sent and the call of the first one fails
+    Then its inputs may not be released before the piece is sent again
+
   Scenario: A call that ends at once releases no inputs
     # The connection to an instance breaks before it has read anything; the
     # piece is sent again and needs its inputs.
--- a/tests/features/steps/result_space.py
+++ b/tests/features/steps/result_space.py
@@ -120,20 +120,27 @@
 
 @then('inputs are never released before the last piece was sent 60 ms ago')
 def check_any_order(context):
-    sends = st.lists(
-        st.tuples(st.integers(0, 500), st.booleans()), min_size=3, max_size=9
+    steps = st.lists(
+        st.tuples(st.integers(0, 500), st.sampled_from(('send', 'fail', ''))),
+        min_size=3,
+        max_size=12,
     )
 
-    @for_all(sends)
-    def check(steps):
+    @for_all(steps)
+    def check(drawn):
         stage = _make_stage(3, 'p')
-        unsent = list(stage)
+        stage_run = stage[0].stage_run
+        unsent = len(stage)
         now_ms, last_ms = 0, 0
-        for pause_ms, is_send in steps:
+        for pause_ms, step in drawn:
             now_ms += pause_ms
-            if is_send and unsent:
-                unsent.pop().stage_run.record_start(now_ms)
+            if step == 'send' and unsent:
+                unsent -= 1
                 last_ms = now_ms
+                stage_run.record_start(now_ms)
+            elif step == 'fail' and unsent < len(stage):
+                unsent += 1
+                stage_run.unstarted_pieces += 1
             if can_release_inputs(stage[0], now_ms):
                 assert not unsent
                 # Timers may fire up to a millisecond early.
@@ -142,6 +149,31 @@
     check()
 
 
+@when('both pieces of a stage are sent and the call of the first one fails')
+def fail_first_call(context):
+    pool = context.pool
+    context.stage = _make_stage(2, 'p')
+    for waiting in context.stage:
+        pool.scheduler.submit(waiting)
+    first, _ = pool.plan()
+    pool.scheduler.finish(first)
+    for waiting in first.pieces:
+        pool.scheduler.resubmit(
+            waiting, first.instance.instance, pool.instances
+        )
+
+
+@then('its inputs may not be released before the piece is sent again')
+def check_kept_for_second_call(context):
+    pool = context.pool
+    assert not can_release_inputs(context.stage[0], 500)
+    (second,) = pool.scheduler.running.own
+    pool.scheduler.finish(second)
+    assert pool.plan(500)
+    assert not can_release_inputs(context.stage[0], 550)
+    assert can_release_inputs(context.stage[0], 560)
+
+
 def _run_call(context, duration_ms: float) -> None:
     context.loop = VirtualLoop()
     context.releases = []
