--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
@@ -60,7 +60,7 @@
     inputs : tuple of str
         Handles of its stage results.
     expected_engine : str
-        Engine that was chosen before its stages; empty if there is none.
+        Engine near which its stages were made; empty if there is none.
 
     Attributes
     ----------
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instance_selection.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instance_selection.py
@@ -33,7 +33,7 @@
     job : RequestJob
         The request.
     expected_engine : str
-        Engine that was chosen before its stages; empty if there is none.
+        Engine near which its stages were made; empty if there is none.
 
     Attributes
     ----------
--- a/packages/ragworthollow/src/ragworthollow/balancing/choice.py
+++ b/packages/ragworthollow/src/ragworthollow/balancing/choice.py
@@ -46,7 +46,7 @@
     shared_tokens : int
         Tokens of the shared part, which the engine first in rank should have.
     expected : str
-        Engine that was chosen before the stages of the request; empty if none.
+        Engine near which the stages of the request were made; empty if none.
     """
 
     affinity_key: str
