Catch five guards whose tests passed without them

Five did not: the number of candidates, free slots, the preference for the engine that has the prompt, work times of plain instances, and the backlog of a shortage. Their scenarios now show the load in which the guard decides. The step for result space keeps the batch of its pool, which was four wherever it was used.

--- a/tests/features/engine_choice.feature
+++ b/tests/features/engine_choice.feature
@@ -17,6 +17,7 @@
     # Reports are some hundred milliseconds old. An engine that looked best to
     # all gateways got all prompts until the next report.
     Given 24 engines of which each third takes 2.4 times as long
+    And engine 0 is the only one with nothing to read
     When <gateways> gateways choose for 10 prompts each before they hear again
     Then no engine gets more than a fifth of the prompts
 
@@ -34,7 +35,7 @@
   Scenario: Prompts that share a part keep their engine
     # Each engine that reads a shared part again delays the streams beside it.
     Given 24 engines of which each third takes 2.4 times as long
-    When 20 prompts share a part of 4000 tokens and engines are little used
+    When 20 prompts share a part of 4000 tokens and their engine has 4500 more to read
     Then all of them go to one engine
 
   Scenario: A prompt keeps the engine near which its stages were made
@@ -49,7 +50,7 @@
 
   Scenario: An engine without free slots is used only when no other has any
     Given 3 engines of which each third takes 2.4 times as long
-    When engine 0 has all its slots taken
+    When engine 0 has all its slots taken and the others 20000 tokens to read
     Then none of 50 prompts of 500 tokens goes there
 
   Scenario: An engine about which nothing is known does not count as the fastest
@@ -109,7 +110,7 @@
     Then the engine has 0 unread tokens
 
   Scenario Outline: Gateways exchange reports only where engines report work times
-    Given an instance of a pool of <kind> that answers with load "<load>"
+    Given an engine with a request, and one of the <kind> answers with load "<load>"
     Then its gateway reports on <engines> engines
 
     Examples:
--- a/tests/features/result_space.feature
+++ b/tests/features/result_space.feature
@@ -21,6 +21,12 @@
     When 3 pieces come and no result is released
     Then the pool does not count as short of space
 
+  Scenario: A call that lacks space for its last piece is no shortage
+    Given a pool of 1 instance with calls of 8 pieces
+    And space for 7 results at each instance
+    When 8 pieces come and no result is released
+    Then the pool does not count as short of space
+
   Scenario Outline: Inputs are released when all pieces of a stage have read them
     # Released earlier, a piece that is sent later finds them gone, and its
     # request is lost after work was spent on it.
--- a/tests/features/steps/engine_choice.py
+++ b/tests/features/steps/engine_choice.py
@@ -159,6 +159,14 @@
     assert most <= context.chosen.total() / 5, context.chosen
 
 
+@given('engine 0 is the only one with nothing to read')
+def load_all_but_first(context):
+    context.states = [
+        replace(state, unread_tokens=0 if number == 0 else 20_000)
+        for number, state in enumerate(context.states)
+    ]
+
+
 @when('engine 0 has {tokens:d} tokens to read')
 def load_first(context, tokens):
     context.states[0] = replace(context.states[0], unread_tokens=tokens)
@@ -171,9 +179,15 @@
     )
 
 
-@when('engine 0 has all its slots taken')
-def fill_first(context):
-    context.states[0] = replace(context.states[0], requests=64)
+@when(
+    'engine 0 has all its slots taken and the others {tokens:d} tokens to read'
+)
+def fill_first(context, tokens):
+    first, *others = context.states
+    context.states = [
+        replace(first, requests=first.instance.slots),
+        *(replace(state, unread_tokens=tokens) for state in others),
+    ]
 
 
 @then('none of {count:d} prompts of {tokens:d} tokens goes there')
@@ -185,19 +199,23 @@
 
 @when(
     '{count:d} prompts share a part of {tokens:d} tokens '
-    'and engines are little used'
+    'and their engine has {more:d} more to read'
 )
-def share_part(context, count, tokens):
-    context.chosen = Counter()
-    for number in range(count):
-        states = [
-            replace(state, unread_tokens=(number * 97 + position * 31) % 900)
-            for position, state in enumerate(context.states)
-        ]
-        chosen = _choose(
+def share_part(context, count, tokens, more):
+    home = _choose(
+        context.states, 'part', unshared_tokens=1000, shared_tokens=tokens
+    )
+    states = [
+        replace(state, unread_tokens=more) if state is home else state
+        for state in context.states
+    ]
+    context.chosen = Counter(
+        _choose(
             states, 'part', unshared_tokens=1000, shared_tokens=tokens
-        )
-        context.chosen[chosen.instance.instance] += 1
+        ).instance.instance
+        for _ in range(count)
+    )
+    assert home.instance.instance in context.chosen, context.chosen
 
 
 @then('all of them go to one engine')
@@ -405,26 +423,34 @@
     assert context.tracker.get('engine-0').unread_tokens == tokens
 
 
-@given('an instance of a pool of {kind} that answers with load "{load}"')
+@given(
+    'an engine with a request, and one of the {kind} answers with load "{load}"'
+)
 def answer_with_load(context, kind, load):
-    instance = _make_instance(0)
-    pool = UpstreamPool(
-        name='engines', max_connections=10, is_engine=kind == 'engines'
-    )
+    engine = _make_instance(0)
+    plain = replace(_make_instance(1), pool='plain')
     tracker = LoadTracker()
     context.gateway = SimpleNamespace(
         load_tracker=tracker,
         members=4,
         engine_view=EngineView(load_tracker=tracker),
-        route_table=SimpleNamespace(pools={'engines': pool}),
-        directory=SimpleNamespace(get_pool=lambda _: (instance,)),
+        route_table=SimpleNamespace(
+            pools={
+                'engines': UpstreamPool(
+                    name='engines', max_connections=10, is_engine=True
+                ),
+                'plain': UpstreamPool(name='plain', max_connections=10),
+            }
+        ),
+        directory=SimpleNamespace(
+            get_pool=lambda pool: (engine if pool == 'engines' else plain,)
+        ),
         throttle=Throttle(gateway='g', propagation_ms=0),
     )
-    headers = {'X-Ragworthollow-Server-Load': load}
     apply_response_metadata(
         context.gateway,
-        instance,
-        read_response_metadata(200, headers),
+        engine if kind == 'engines' else plain,
+        read_response_metadata(200, {'X-Ragworthollow-Server-Load': load}),
         sent_ms=0,
     )
 
--- a/tests/features/steps/pieces.py
+++ b/tests/features/steps/pieces.py
@@ -32,7 +32,9 @@
 
 @given('space for {results:d} results at each instance')
 def limit_result_space(context, results):
-    context.pool.profile = make_profile(4, results)
+    context.pool.profile = make_profile(
+        context.pool.profile.batch_limit, results
+    )
 
 
 @when('{count:d} requests submit 1 piece each')
