Gather the state of nine engines for a choice, and of none without work times

Cause: each choice, twice for a request, built the state of every engine, and did so on deployments too whose engines report no work times, where it can never decide. Engines are now ranked first, by hash and known work time, and states are built for the first nine; without any reported work time nothing is done.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/engine_exchange.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/engine_exchange.py
@@ -18,18 +18,17 @@
 def make_engine_reports(context: GatewayContext) -> dict[str, EngineReport]:
     """Return this gateway's reports on the engines that it uses most."""
     table = context.route_table
-    if table is None or not context.engine_view.work_times.has_reports:
+    view = context.engine_view
+    if table is None or not view.has_work_times():
         return {}
-    now_ms = get_monotonic_ms()
     engines = [
         instance
         for pool in table.pools.values()
         if pool.is_engine
         for instance in context.directory.get_pool(pool.name)
     ]
-    context.engine_view.retain(engine.get_incarnation() for engine in engines)
     return take_most_loaded(
-        context.engine_view.make_reports(engines, now_ms),
+        view.refresh(engines, get_monotonic_ms()),
         limit_engines(context.members),
     )
 
@@ -66,6 +65,9 @@
 
 def apply_own_reports(context: GatewayContext) -> None:
     """Use the reports that this gateway collects itself."""
+    if not context.engine_view.has_work_times():
+        return
+    make_engine_reports(context)
     now_ms = get_monotonic_ms()
     others = context.engine_view.collected.merge_others(
         context.settings.instance,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instance_selection.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instance_selection.py
@@ -9,6 +9,7 @@
     EngineCriteria,
     are_uneven,
     choose_engine,
+    nominate_engines,
 )
 from ragworthollow.upstreams import (
     UpstreamCriteria,
@@ -61,7 +62,7 @@
         available: Sequence[UpstreamInstance],
     ) -> UpstreamInstance | None:
         """Choose one of the available instances; None if none is left."""
-        self._choice = self._choose_uneven_engine(available)
+        self._choice = self.choose_uneven_engine(available)
         if self._choice is not None:
             return self._choice.state.instance
         return choose_upstream(
@@ -116,7 +117,7 @@
             return prompt.prompt_tokens
         return prompt.prompt_tokens - prompt.get_affinity_tokens()
 
-    def _choose_uneven_engine(
+    def choose_uneven_engine(
         self,
         available: Sequence[UpstreamInstance],
     ) -> EngineChoice | None:
@@ -124,26 +125,33 @@
         pool = self._job.route_table.pools.get(self._job.pool)
         if pool is None or not pool.is_engine:
             return None
-        now_ms = get_monotonic_ms()
         view = self._context.engine_view
-        states = view.make_states(available, now_ms)
-        if not are_uneven(states):
+        if not view.has_work_times():
+            return None
+        ratios = view.get_ratios(available)
+        ordered = sorted(ratios.values())
+        if not are_uneven(ordered):
             return None
+        now_ms = get_monotonic_ms()
         self._view_age_ms = view.get_age_ms(now_ms)
+        criteria = self._make_criteria(ordered[len(ordered) // 2])
+        trusted = [
+            instance
+            for instance in available
+            if self._is_trusted(instance, now_ms)
+        ]
+        nominees = nominate_engines(trusted, ratios, criteria)
+        return choose_engine(view.make_states(nominees, now_ms), criteria)
+
+    def _make_criteria(self, usual_ratio: float) -> EngineCriteria:
         prompt = self._job.request_parameters
         shared_tokens = prompt.get_affinity_tokens()
-        return choose_engine(
-            [
-                state
-                for state in states
-                if self._is_trusted(state.instance, now_ms)
-            ],
-            EngineCriteria(
-                affinity_key=prompt.get_affinity_key() or prompt.request_id,
-                expected=self._expected_engine,
-                unshared_tokens=prompt.prompt_tokens - shared_tokens,
-                shared_tokens=shared_tokens,
-            ),
+        return EngineCriteria(
+            affinity_key=prompt.get_affinity_key() or prompt.request_id,
+            expected=self._expected_engine,
+            usual_ratio=usual_ratio,
+            unshared_tokens=prompt.prompt_tokens - shared_tokens,
+            shared_tokens=shared_tokens,
         )
 
     def _is_trusted(self, instance: UpstreamInstance, now_ms: float) -> bool:
--- a/packages/ragworthollow/src/ragworthollow/balancing/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/balancing/__init__.py
@@ -6,6 +6,7 @@
     EngineCriteria,
     are_uneven,
     choose_engine,
+    nominate_engines,
 )
 from ragworthollow.balancing.engine_report import EngineReport
 from ragworthollow.balancing.engine_reports import EngineReports
@@ -24,4 +25,5 @@
     'WorkTimes',
     'are_uneven',
     'choose_engine',
+    'nominate_engines',
 )
--- a/packages/ragworthollow/src/ragworthollow/balancing/choice.py
+++ b/packages/ragworthollow/src/ragworthollow/balancing/choice.py
@@ -1,12 +1,14 @@
 """Choose the engine that is expected to answer first."""
 
 import enum
+import heapq
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from ragworthollow.balancing.engine_state import EngineState
 from ragworthollow.conf import global_settings
+from ragworthollow.upstreams.upstream_instance import UpstreamInstance
 from ragworthollow.utils.hashing import get_rank
 
 _RANKS = 2**64
@@ -47,10 +49,13 @@
         Tokens of the shared part, which the engine first in rank should have.
     expected : str
         Engine near which the stages of the request were made; empty if none.
+    usual_ratio : float
+        Usual work time of the engines of the pool, in the middle of all.
     """
 
     affinity_key: str
     expected: str = ''
+    usual_ratio: float = 1
     unshared_tokens: int = 0
     shared_tokens: int = 0
 
@@ -72,14 +77,42 @@
     state: EngineState
 
 
-def are_uneven(states: Sequence[EngineState]) -> bool:
-    """Return whether some engines of a pool are clearly slower than others."""
-    ratios = _list_ratios(states)
+def are_uneven(ratios: Sequence[float]) -> bool:
+    """Return whether work times, the shortest first, differ clearly."""
     if not ratios:
         return False
     return ratios[-1] >= ratios[0] * global_settings.UNEVEN_SPEED_RATIO
 
 
+def nominate_engines(
+    instances: Iterable[UpstreamInstance],
+    ratios: Mapping[str, float],
+    criteria: EngineCriteria,
+) -> list[UpstreamInstance]:
+    """
+    Return the engines that rank first for a prompt, the first in rank first.
+
+    Only their states are needed for a choice, which takes no longer in a pool
+    of a thousand engines than in one of ten.
+
+    Parameters
+    ----------
+    instances : iterable of UpstreamInstance
+        Engines that may be chosen.
+    ratios : mapping of str to float
+        Known usual work times, by name of the engine.
+    criteria : EngineCriteria
+        What the choice depends on in the request.
+    """
+    return heapq.nlargest(
+        global_settings.ENGINE_NOMINEES,
+        instances,
+        key=lambda instance: _get_weighted_rank(
+            instance.instance, ratios.get(instance.instance), criteria
+        ),
+    )
+
+
 def choose_engine(
     states: Sequence[EngineState],
     criteria: EngineCriteria,
@@ -97,7 +130,7 @@
     Parameters
     ----------
     states : sequence of EngineState
-        Engines that may be chosen.
+        Engines that may be chosen, the first in rank first.
     criteria : EngineCriteria
         What the choice depends on in the request.
 
@@ -108,34 +141,18 @@
     """
     if not states:
         return None
-    ratios = _list_ratios(states)
-    usual_ratio = ratios[len(ratios) // 2] if ratios else 1
-    candidates = _rank_candidates(states, criteria, usual_ratio)
+    with_slots = [
+        state for state in states if state.requests < state.instance.slots
+    ]
+    candidates = (with_slots or states)[: global_settings.ENGINE_CANDIDATES]
     home = candidates[0]
     costs = [
-        _estimate_reading(state, criteria, usual_ratio, is_home=state is home)
+        _estimate_reading(state, criteria, is_home=state is home)
         for state in candidates
     ]
     return _choose_by_cost(candidates, costs, criteria)
 
 
-def _rank_candidates(
-    states: Sequence[EngineState],
-    criteria: EngineCriteria,
-    usual_ratio: float,
-) -> list[EngineState]:
-    """Return the engines to compare, the first in rank first."""
-    with_slots = [
-        state for state in states if state.requests < state.instance.slots
-    ]
-    ranked = sorted(
-        with_slots or states,
-        key=lambda state: _get_weighted_rank(state, criteria, usual_ratio),
-        reverse=True,
-    )
-    return ranked[: global_settings.ENGINE_CANDIDATES]
-
-
 def _choose_by_cost(
     candidates: Sequence[EngineState],
     costs: Sequence[float],
@@ -154,19 +171,10 @@
     return EngineChoice(reason=ChoiceReason.sooner, state=best)
 
 
-def _list_ratios(states: Sequence[EngineState]) -> list[float]:
-    """Return the known usual work times, the shortest first."""
-    return sorted(
-        state.work_time_ratio
-        for state in states
-        if state.work_time_ratio is not None
-    )
-
-
 def _get_weighted_rank(
-    state: EngineState,
+    instance: str,
+    ratio: float | None,
     criteria: EngineCriteria,
-    usual_ratio: float,
 ) -> float:
     """
     Return the rank in weighted rendezvous hashing.
@@ -174,16 +182,15 @@
     Weights are powers of two, so that prompts keep their engines while the
     measured speeds vary a little.
     """
-    speed = usual_ratio / (state.work_time_ratio or usual_ratio)
+    speed = criteria.usual_ratio / (ratio or criteria.usual_ratio)
     weight = 2 ** round(math.log2(speed))
-    rank = get_rank(criteria.affinity_key, state.instance.instance)
+    rank = get_rank(criteria.affinity_key, instance)
     return weight / -math.log((rank + 1) / (_RANKS + 1))
 
 
 def _estimate_reading(
     state: EngineState,
     criteria: EngineCriteria,
-    usual_ratio: float,
     *,
     is_home: bool,
 ) -> float:
@@ -196,6 +203,8 @@
     if not is_home:
         tokens += criteria.shared_tokens
     work_time_ratio = (
-        state.current_work_time_ratio or state.work_time_ratio or usual_ratio
+        state.current_work_time_ratio
+        or state.work_time_ratio
+        or criteria.usual_ratio
     )
     return tokens * work_time_ratio
--- a/packages/ragworthollow/src/ragworthollow/balancing/engine_view.py
+++ b/packages/ragworthollow/src/ragworthollow/balancing/engine_view.py
@@ -55,21 +55,54 @@
         self._others = reports
         self._others_received_ms = now_ms
 
-    def make_reports(
+    def refresh(
         self,
         instances: Iterable[UpstreamInstance],
         now_ms: float,
     ) -> dict[str, EngineReport]:
-        """Return this gateway's reports, on the engines that it uses."""
-        reports = {
-            instance.get_incarnation(): self._report(instance, now_ms)
-            for instance in instances
-        }
-        return {
-            incarnation: report
-            for incarnation, report in reports.items()
-            if report != _NOTHING
+        """
+        Update the usual work times, and return this gateway's reports.
+
+        Parameters
+        ----------
+        instances : iterable of UpstreamInstance
+            All listed engines; what is known of others is dropped.
+        now_ms : float
+            Current time on the monotonic clock.
+
+        Returns
+        -------
+        dict of str to EngineReport
+            Reports on the engines that this gateway uses, by incarnation.
+        """
+        listed = {
+            instance.get_incarnation(): instance for instance in instances
         }
+        for incarnation in self._known_ratios.keys() - listed.keys():
+            self._known_ratios.pop(incarnation)
+        reports = {}
+        for incarnation, instance in listed.items():
+            report = self._report(instance, now_ms)
+            if report is not _NOTHING:
+                reports[incarnation] = report
+            if report is not _NOTHING or incarnation in self._others:
+                self._merge(incarnation, report, now_ms)
+        return reports
+
+    def has_work_times(self) -> bool:
+        """Return whether any engine has reported its work time to anybody."""
+        return self.work_times.has_reports or bool(self._others)
+
+    def get_ratios(
+        self, instances: Iterable[UpstreamInstance]
+    ) -> dict[str, float]:
+        """Return the known usual work times, by name of the engine."""
+        ratios = {}
+        for instance in instances:
+            ratio = self._known_ratios.get(instance.get_incarnation())
+            if ratio is not None:
+                ratios[instance.instance] = ratio
+        return ratios
 
     def make_states(
         self,
@@ -83,23 +116,19 @@
         """Return the age of the other gateways' reports."""
         return now_ms - self._others_received_ms
 
-    def retain(self, incarnations: Iterable[str]) -> None:
-        """Drop what is known of all engines but the given ones."""
-        for incarnation in self._known_ratios.keys() - set(incarnations):
-            self._known_ratios.pop(incarnation)
-
     def _report(
         self,
         instance: UpstreamInstance,
         now_ms: float,
     ) -> EngineReport:
         record = self._load_tracker.get(instance.instance)
+        ratio = self.work_times.get(instance.get_incarnation(), now_ms)
+        if ratio is None and not record.in_flight:
+            return _NOTHING
         return EngineReport(
             requests=record.in_flight,
             unread_tokens=record.unread_tokens,
-            work_time_ratio=self.work_times.get(
-                instance.get_incarnation(), now_ms
-            ),
+            work_time_ratio=ratio,
         )
 
     def _make_state(
@@ -108,12 +137,10 @@
         now_ms: float,
     ) -> EngineState:
         incarnation = instance.get_incarnation()
-        own = self._report(instance, now_ms)
         record = self._load_tracker.get(instance.instance)
-        others = self._get_others(incarnation, now_ms)
-        merged = merge_reports(own, others)
-        if merged.work_time_ratio is not None:
-            self._known_ratios[incarnation] = merged.work_time_ratio
+        merged = self._merge(
+            incarnation, self._report(instance, now_ms), now_ms
+        )
         reported = record.in_flight + record.get_other_requests(now_ms)
         return EngineState(
             instance=instance,
@@ -123,6 +150,18 @@
             current_work_time_ratio=record.get_work_time_ratio(now_ms),
         )
 
+    def _merge(
+        self,
+        incarnation: str,
+        own: EngineReport,
+        now_ms: float,
+    ) -> EngineReport:
+        """Add the others' report, and keep the usual work time."""
+        merged = merge_reports(own, self._get_others(incarnation, now_ms))
+        if merged.work_time_ratio is not None:
+            self._known_ratios[incarnation] = merged.work_time_ratio
+        return merged
+
     def _get_others(self, incarnation: str, now_ms: float) -> EngineReport:
         if self.get_age_ms(now_ms) > global_settings.ENGINE_REPORT_TTL_MS:
             return _NOTHING
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -164,6 +164,8 @@
 UNEVEN_SPEED_RATIO = 1.6
 # Number of engines that are compared for each prompt.
 ENGINE_CANDIDATES = 3
+# Number of engines among which these are found: some have no free slots.
+ENGINE_NOMINEES = 9
 # How much longer than the best engine one may take that has the shared parts of
 # a prompt, or near which the results of its stages are stored.
 HOME_ENGINE_TOLERANCE = 2.0
--- a/tests/features/engine_choice.feature
+++ b/tests/features/engine_choice.feature
@@ -118,3 +118,10 @@
       | engines         | 1,0,4     | 0       |
       | engines         | 1,0,4,100 | 1       |
       | plain instances | 1,0,4,100 | 0       |
+
+  Scenario: The work of a choice does not grow with the states of all engines
+    # At 300 gateways before 3,000 instances each choice gathered the state of
+    # every engine, also where no engine reports a work time, and gateways took
+    # twice the processor time.
+    Then a choice among 2000 engines looks at 9 states at most
+    And a choice without reported work times looks at none
--- a/tests/features/steps/engine_choice.py
+++ b/tests/features/steps/engine_choice.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from ragworthollow.balancing import (
+    EngineChoice,
     EngineCriteria,
     EngineReport,
     EngineReports,
@@ -16,6 +17,7 @@
     WorkTimes,
     are_uneven,
     choose_engine,
+    nominate_engines,
 )
 from ragworthollow.balancing.choice import ChoiceReason
 from ragworthollow.balancing.engine_reports import limit_engines
@@ -27,6 +29,7 @@
 from ragworthollow.upstreams import LoadTracker, UpstreamInstance
 from ragworthollow_daemon.gateway.attempt_series import AttemptSeries
 from ragworthollow_daemon.gateway.engine_exchange import make_engine_reports
+from ragworthollow_daemon.gateway.instance_selection import InstanceSelection
 from ragworthollow_daemon.gateway.response_metadata import (
     apply_response_metadata,
 )
@@ -49,8 +52,31 @@
 
 
 def _choose(states, key: str, **fields) -> EngineState:
-    criteria = EngineCriteria(affinity_key=key, **fields)
-    return choose_engine(states, criteria).state
+    return _make_choice(states, affinity_key=key, **fields).state
+
+
+def _make_choice(states, **fields) -> EngineChoice:
+    """Nominate engines and choose one, as a gateway does."""
+    ratios = _get_ratios(states)
+    ordered = sorted(ratios.values())
+    criteria = EngineCriteria(
+        usual_ratio=ordered[len(ordered) // 2] if ordered else 1, **fields
+    )
+    by_name = {state.instance.instance: state for state in states}
+    nominees = nominate_engines(
+        [state.instance for state in states], ratios, criteria
+    )
+    return choose_engine(
+        [by_name[nominee.instance] for nominee in nominees], criteria
+    )
+
+
+def _get_ratios(states) -> dict[str, float]:
+    return {
+        state.instance.instance: state.work_time_ratio
+        for state in states
+        if state.work_time_ratio is not None
+    }
 
 
 @given('{count:d} engines of which each third takes 2.4 times as long')
@@ -235,13 +261,11 @@
 
 @then('the prompt goes there all the same')
 def check_expected(context):
-    choice = choose_engine(
+    choice = _make_choice(
         context.states,
-        EngineCriteria(
-            affinity_key='prompt',
-            unshared_tokens=3000,
-            expected=context.expected,
-        ),
+        affinity_key='prompt',
+        unshared_tokens=3000,
+        expected=context.expected,
     )
     assert choice.state.instance.instance == context.expected
     assert choice.reason is ChoiceReason.expected
@@ -249,7 +273,7 @@
 
 @then('they do not count as uneven')
 def check_unknown_even(context):
-    assert not are_uneven(context.states)
+    assert not are_uneven(sorted(_get_ratios(context.states).values()))
 
 
 @then('one whose speed is unknown is weighted like the usual one')
@@ -275,7 +299,8 @@
 
 @then('they count as {verdict:w}')
 def check_verdict(context, verdict):
-    assert are_uneven(context.states) is (verdict == 'uneven')
+    ratios = sorted(_get_ratios(context.states).values())
+    assert are_uneven(ratios) is (verdict == 'uneven')
 
 
 @when('an instance reports work times of 0.7, 1.75, 0.7 and 1.75 in one second')
@@ -459,3 +484,36 @@
 def check_reports(context, count):
     context.gateway.load_tracker.get('engine-0').in_flight = 1
     assert len(make_engine_reports(context.gateway)) == count
+
+
+@then('a choice among {count:d} engines looks at {states:d} states at most')
+def check_states_needed(context, count, states):
+    instances = [_make_instance(number) for number in range(count)]
+    criteria = EngineCriteria(affinity_key='prompt')
+    nominees = nominate_engines(instances, {}, criteria)
+    assert len(nominees) <= states, len(nominees)
+
+
+@then('a choice without reported work times looks at none')
+def check_none_needed(context):
+    view = EngineView(load_tracker=LoadTracker())
+    assert not view.has_work_times()
+    selection = InstanceSelection(
+        context=SimpleNamespace(engine_view=view), job=_make_engine_job()
+    )
+    assert selection.choose_uneven_engine(_UnreadableInstances()) is None
+
+
+class _UnreadableInstances:
+    """Fail if a choice goes through the engines."""
+
+    def __iter__(self):
+        raise AssertionError('the engines were gone through')
+
+
+def _make_engine_job() -> SimpleNamespace:
+    pool = UpstreamPool(name='engines', max_connections=10, is_engine=True)
+    return SimpleNamespace(
+        pool='engines',
+        route_table=SimpleNamespace(pools={'engines': pool}),
+    )
