--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
@@ -3,7 +3,13 @@
 import asyncio
 from dataclasses import dataclass
 
-import aiohttp
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientResponse,
+    ConnectionTimeoutError,
+    web,
+)
 from multidict import CIMultiDictProxy
 from result import Err, Ok, Result
 from yarl import URL
@@ -12,7 +18,10 @@
 from ragworthollow.exchange import AttemptMetadata, ResponseMetadata
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.platform.request_wire import make_upstream_headers
-from ragworthollow.platform.response_wire import read_response_metadata
+from ragworthollow.platform.response_wire import (
+    make_caller_headers,
+    read_response_metadata,
+)
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
@@ -76,7 +85,7 @@
     last_event_id: str = ''
 
 
-OpenResult = Result[aiohttp.ClientResponse, UpstreamFailure]
+OpenResult = Result[ClientResponse, UpstreamFailure]
 FetchResult = Result[UpstreamResponse, UpstreamFailure]
 
 
@@ -130,14 +139,14 @@
                 ),
             )
     except (
-        aiohttp.ClientConnectorError,
-        aiohttp.ConnectionTimeoutError,
+        ClientConnectorError,
+        ConnectionTimeoutError,
     ) as error:
         # No connection was established, so nothing was sent.
         return _make_error(plan, Reason.connect_failed, error, Outcome.not_run)
     except TimeoutError as error:
         return _make_error(plan, Reason.attempt_timeout, error, Outcome.unknown)
-    except (aiohttp.ClientError, OSError, ValueError) as error:
+    except (ClientError, OSError, ValueError) as error:
         return _make_error(plan, Reason.connection_lost, error, Outcome.unknown)
     return _check_response_head(context, job, plan, response, sent_ms)
 
@@ -166,7 +175,7 @@
             body = await response.read()
     except TimeoutError as error:
         return _make_error(plan, Reason.attempt_timeout, error, Outcome.unknown)
-    except (aiohttp.ClientError, OSError) as error:
+    except (ClientError, OSError) as error:
         return _make_error(plan, Reason.truncated, error, Outcome.unknown)
     finally:
         response.close()
@@ -183,7 +192,7 @@
     context: GatewayContext,
     job: RequestJob,
     plan: AttemptPlan,
-    response: aiohttp.ClientResponse,
+    response: ClientResponse,
     sent_ms: float,
 ) -> OpenResult:
     metadata = read_response_metadata(response.status, response.headers)
@@ -265,3 +274,12 @@
             detail=repr(error),
         ),
     )
+
+
+def render_response(response: UpstreamResponse) -> web.Response:
+    """Convert an upstream response into the response to the caller."""
+    return web.Response(
+        status=response.status,
+        headers=make_caller_headers(response.headers),
+        body=response.body,
+    )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
@@ -11,12 +11,19 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.outcomes import Outcome, Reason
-from ragworthollow.platform.response_wire import make_caller_headers
 from ragworthollow.quarantine import RunningRequest
 from ragworthollow.routes.allowed_regions import is_region_allowed
 from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
-from ragworthollow_daemon.gateway.attempt import AttemptPlan, UpstreamResponse
+from ragworthollow_daemon.gateway.attempt import (
+    AttemptPlan,
+    UpstreamResponse,
+    render_response,
+)
+from ragworthollow_daemon.gateway.attempt_failures import (
+    CONNECTION_LOSS_REASONS,
+    SUSPECT_REASONS,
+)
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.instance_selection import InstanceSelection
 from ragworthollow_daemon.gateway.pool_throttle import PoolThrottle
@@ -25,22 +32,6 @@
 
 _STEP = 'forward'
 _SERVER_ERROR = 500
-# Failures that indicate a problem of the instance rather than of the request.
-# A short time limit or an error response does not predict whether the next
-# request to the instance would fail.
-_SUSPECT_REASONS = frozenset(
-    (
-        Reason.connect_failed,
-        Reason.connection_lost,
-        Reason.truncated,
-        Reason.mismatched_answer,
-        Reason.misdirected,
-        Reason.upstream_full,
-    )
-)
-
-# Failures that a crash of the instance would cause.
-_CONNECTION_LOSS_REASONS = frozenset((Reason.connection_lost, Reason.truncated))
 _SUCCESS_STATUSES = range(200, 300)
 _NO_FIELDS: Mapping[str, object] = MappingProxyType({})
 
@@ -231,9 +222,9 @@
             failure.outcome,
             failure.reason,
         )
-        if failure.reason in _SUSPECT_REASONS:
+        if failure.reason in SUSPECT_REASONS:
             self._context.mark_suspect(plan.instance)
-        if failure.reason in _CONNECTION_LOSS_REASONS:
+        if failure.reason in CONNECTION_LOSS_REASONS:
             self._context.quarantine.record_connection_loss(
                 plan.instance,
                 (
@@ -399,12 +390,3 @@
             ),
             **fields,
         )
-
-
-def render_response(response: UpstreamResponse) -> web.Response:
-    """Convert an upstream response into the response to the caller."""
-    return web.Response(
-        status=response.status,
-        headers=make_caller_headers(response.headers),
-        body=response.body,
-    )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
@@ -16,11 +16,11 @@
     UpstreamResponse,
     fetch_response,
     open_response,
+    render_response,
 )
 from ragworthollow_daemon.gateway.attempt_series import (
     AttemptSeries,
     ForwardResult,
-    render_response,
 )
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.request_job import RequestJob
--- a/tests/features/steps/overload.py
+++ b/tests/features/steps/overload.py
@@ -13,21 +13,15 @@
 )
 from measure.fleet_model.load_sheet import StagePoolSheet
 from measure.fleet_model.outcome import RequestRecord, sum_attained
-from ragworthollow.exchange import RequestParameters, TypicalTimeLimits
+from ragworthollow.exchange import TypicalTimeLimits
 from ragworthollow.pieces import AnnouncedWork, PeerAnnouncements
 from ragworthollow.routes import (
-    RequestLimits,
-    Route,
-    RouteKind,
-    RouteTable,
     StageDefinition,
-    UpstreamPool,
-    WeightedPool,
 )
 from ragworthollow.upstreams import FirstEventLatency
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.latency_estimate import LatencyEstimate
-from ragworthollow_daemon.gateway.request_job import RequestJob
+from tests.fixtures.staged_job import make_staged_job
 
 _SEEDS = (1, 2, 3)
 _JOBS = 4
@@ -172,51 +166,15 @@
         room_bytes=1,
         kept_ms=1,
     )
-    pools = {
-        name: UpstreamPool(
-            name=name,
-            max_connections=1,
-            pieces=sheet.make_profile(),
-        )
-        for name in ('first', 'second')
-    }
-    route = Route(
-        name=_ROUTE,
-        host='h',
-        path_prefix='/',
-        kind=RouteKind.stream,
-        weighted_pools=(WeightedPool(pool='engines', weight=1),),
-        stages=(
+    context.job = make_staged_job(
+        (
             StageDefinition(pool='first'),
             StageDefinition(pool='second', after=(0,)),
         ),
-        timeout_ms=1000,
+        sheet.make_profile(),
         objective_ms=1000,
-    )
-    now_ms = get_monotonic_ms()
-    context.job = RequestJob(
-        request=None,
-        body=b'',
-        request_parameters=RequestParameters(
-            request_id='1', piece_counts=(1, 1)
-        ),
-        route=route,
-        holder=None,
-        pool='engines',
-        route_table=RouteTable(
-            version=1,
-            routes=[route],
-            pools=pools,
-            holders_by_key={},
-            requires_key=False,
-            limits=RequestLimits(),
-        ),
-        waited_ms=0,
-        fingerprint='1',
-        part_fingerprints=(),
-        key_fingerprint='',
-        received_ms=now_ms,
-        deadline_ms=now_ms + 1000,
+        timeout_ms=1000,
+        now_ms=get_monotonic_ms(),
     )
 
 
