--- a/review/2/case.py
+++ b/review/2/case.py
@@ -26,7 +26,9 @@
 GRACE_MS = 500
 MIN_UNANSWERED = 8
 CONSUMERS = 12
-ROUNDS = 4
+PAUSE_S = 0.1
+# How long consumers go on after the spoiled answer.
+AFTER_S = 4
 
 
 class ModelEngine(harness.Engine):
@@ -57,7 +59,7 @@
         ]
         writer.write('\r\n'.join(head).encode() + b'\r\n\r\n')
         if self.is_faulty and self.answers >= SPOIL_FROM_ANSWER:
-            self.is_faulty = False
+            ModelEngine.is_faulty = False
             self.record.write(
                 f'{self.name}  {request_id} is spoiled: '
                 f'{CHUNKS * len(CHUNK)} bytes that are no events'
@@ -79,6 +81,7 @@
 
     async def work(self, request, writer, channel):
         request_id = request.get('X-Ragworthollow-Request-Id')
+        self.runs.append(request_id)
         self.record.write(f'{self.name}  {request_id} runs')
         await asyncio.sleep(WORK_S)
         return harness.render(
@@ -114,17 +117,18 @@
     return served
 
 
-async def post(caller):
-    """Post entries; return how long each took, and whether it was answered."""
+async def post(caller, stop):
+    """Post entries until told to stop; return how long each took."""
     outcomes = []
-    for number in range(ROUNDS):
+    while not stop.is_set():
         started = time.monotonic()
         request_id, answer = await caller.send(
-            'POST', 'jepu9.example', f'/bobo563/{number}',
+            'POST', 'jepu9.example', '/bobo563/2f',
             body=b'bale 17 handed over', limit_ms=LIMIT_MS,
         )
         took_ms = (time.monotonic() - started) * 1000
         outcomes.append((request_id, took_ms, answer is not None))
+        await asyncio.sleep(PAUSE_S)
     caller.close()
     return outcomes
 
@@ -185,8 +189,7 @@
             )
             for number, zone in enumerate(harness.ZONES, start=1)
         ]
-        for engine in model_engines:
-            engine.is_faulty = harness.TROUBLE
+        ModelEngine.is_faulty = harness.TROUBLE
         ledger_engines = [
             LedgerEngine(
                 record=record, name=f'i-l{number}', pool=LEDGER_POOL, zone=zone, slots=6
@@ -197,6 +200,19 @@
         deployment.store.write('op/config', make_configuration())
         await deployment.start_gateways(['hall-a', 'hall-b'])
         gateway = deployment.gateways[0]
+        stop = asyncio.Event()
+        posting = asyncio.gather(
+            *(
+                post(
+                    harness.Caller(
+                        record=record, port=gateway.front_port, name=f'q{place}-'
+                    ),
+                    stop,
+                )
+                for place in range(CONSUMERS)
+            )
+        )
+        await asyncio.sleep(1)
         streaming = asyncio.gather(
             *(
                 stream(
@@ -208,34 +224,27 @@
                 for place in range(STREAMERS)
             )
         )
-        waiting = asyncio.ensure_future(ModelEngine.has_spoiled.wait())
-        await asyncio.wait(
-            (streaming, waiting), return_when=asyncio.FIRST_COMPLETED
-        )
-        if harness.TROUBLE and not waiting.done():
+        spoiling = asyncio.ensure_future(ModelEngine.has_spoiled.wait())
+        await asyncio.wait((streaming, spoiling), return_when=asyncio.FIRST_COMPLETED)
+        if harness.TROUBLE and not spoiling.done():
             return harness.EXIT_COULD_NOT_RUN
-        for engine in model_engines:
-            engine.is_faulty = False
-        outcomes = await asyncio.gather(
-            *(
-                post(
-                    harness.Caller(
-                        record=record, port=gateway.front_port, name=f'q{place}-'
-                    )
-                )
-                for place in range(CONSUMERS)
-            )
-        )
-        waiting.cancel()
+        spoiling.cancel()
+        await asyncio.sleep(AFTER_S)
+        stop.set()
+        outcomes = await posting
         is_ready = await harness.is_ready(gateway)
         record.write(
             f'the platform asks {gateway.name} whether it is ready: '
             + ('200' if is_ready else 'no 200 within a second')
         )
-        return judge(record, [entry for entries in outcomes for entry in entries])
+        return judge(
+            record,
+            [entry for entries in outcomes for entry in entries],
+            {run for engine in ledger_engines for run in engine.runs},
+        )
 
 
-def judge(record, outcomes) -> int:
+def judge(record, outcomes, runs) -> int:
     late = [entry for entry in outcomes if entry[1] > TIMEOUT_MS]
     unanswered = [
         entry for entry in late if not entry[2] or entry[1] > TIMEOUT_MS + GRACE_MS
@@ -243,7 +252,8 @@
     for request_id, took_ms, _ in unanswered:
         record.write(
             f'CONFIG: {request_id} has no answer {GRACE_MS} ms after its '
-            f'timeout of {TIMEOUT_MS} ms (ended after {took_ms:.0f} ms)'
+            f'timeout of {TIMEOUT_MS} ms (ended after {took_ms:.0f} ms); '
+            + ('an engine ran it' if request_id in runs else 'no engine ran it')
         )
     record.write(
         f'{len(outcomes)} requests of other consumers, {len(late)} last longer '
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -308,6 +308,15 @@
         """Answer a call that needs no slot; None for any other call."""
         return None
 
+    def shed(self, request: Message) -> bytes:
+        """Reject a request, since all slots are taken."""
+        request_id = request.get('X-Ragworthollow-Request-Id')
+        self.record.write(f'{self.name}  {request_id} is shed: 503, not executed')
+        echo = {'X-Ragworthollow-Request-Id': request_id} if request_id else {}
+        return render(
+            '503 Service Unavailable', {**echo, 'X-Ragworthollow-Not-Executed': '1'}
+        )
+
     async def _beat(self, store: Store) -> None:
         while True:
             store.write(f'servers/{self.name}', self.describe())
@@ -345,9 +354,7 @@
         if answer is not None:
             return answer
         if self.running >= self.slots:
-            return render(
-                '503 Service Unavailable', {'X-Ragworthollow-Not-Executed': '1'}
-            )
+            return self.shed(request)
         self.running += 1
         try:
             return await self.work(request, writer, channel)
