Let review/1 use the figures of its site, and say when it could not run

Cause: stage engines told three slots instead of one with a queue of two, and the script exited with 0 where no extra answer had been sent.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import atexit
 import base64
 import contextlib
 import json
@@ -262,13 +263,16 @@
     `runs` holds the ids of the requests on which it began to work.
     """
 
-    def __init__(self, *, record: Record, name: str, pool: str, zone: str, slots: int) -> None:
+    def __init__(self, *, record: Record, name: str, pool: str, zone: str, slots: int, queue: int = 0) -> None:
         self.record = record
         self.name = name
         self.pool = pool
         self.zone = zone
         self.slots = slots
+        self.queue = queue
         self.running = 0
+        self.waiting = 0
+        self._free = asyncio.Semaphore(slots)
         self.runs: list[str] = []
         self.address = ''
         self._seq = 0
@@ -302,7 +306,7 @@
         raise NotImplementedError
 
     async def report(self) -> dict[str, object]:
-        return {'waiting': 0, 'busy': self.running, 'free_mb': 8.0}
+        return {'waiting': self.waiting, 'busy': self.running, 'free_mb': 8.0}
 
     def control(self, _target: str, _request: Message) -> bytes | None:
         """Answer a call that needs no slot; None for any other call."""
@@ -314,7 +318,8 @@
         self.record.write(f'{self.name}  {request_id} is shed: 503, not executed')
         echo = {'X-Ragworthollow-Request-Id': request_id} if request_id else {}
         return render(
-            '503 Service Unavailable', {**echo, 'X-Ragworthollow-Not-Executed': '1'}
+            '503 Service Unavailable',
+            {**echo, **self.get_load(), 'X-Ragworthollow-Not-Executed': '1'},
         )
 
     async def _beat(self, store: Store) -> None:
@@ -353,13 +358,20 @@
         answer = self.control(target, request)
         if answer is not None:
             return answer
-        if self.running >= self.slots:
+        if self.running >= self.slots and self.waiting >= self.queue:
             return self.shed(request)
-        self.running += 1
-        try:
-            return await self.work(request, writer, channel)
-        finally:
-            self.running -= 1
+        self.waiting += 1
+        async with self._free:
+            self.waiting -= 1
+            self.running += 1
+            try:
+                return await self.work(request, writer, channel)
+            finally:
+                self.running -= 1
+
+    def get_load(self) -> dict[str, str]:
+        load = f'{self.running},{self.waiting},{self.slots}'
+        return {'X-Ragworthollow-Server-Load': load}
 
 
 def render_json(message: object, headers: dict[str, str] | None = None) -> bytes:
@@ -370,9 +382,9 @@
 class Caller:
     """A consumer with one kept channel to a gateway."""
 
-    def __init__(self, *, record: Record, port: int, name: str) -> None:
+    def __init__(self, *, record: Record, name: str, get_port) -> None:
         self._record = record
-        self._port = port
+        self._get_port = get_port
         self.name = name
         self._count = 0
         self._reader = self._writer = None
@@ -399,7 +411,7 @@
             async with asyncio.timeout(limit_ms / 1000 + 0.2):
                 if self._writer is None:
                     self._reader, self._writer = await asyncio.open_connection(
-                        HOST, self._port
+                        HOST, self._get_port()
                     )
                 self._writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n' + body)
                 answer = await read_message(self._reader)
@@ -471,6 +483,7 @@
                 command, cwd=ROOT, env=environment, stdout=log, stderr=log,
                 stdin=subprocess.DEVNULL,
             )
+        atexit.register(self.end)
 
     async def wait_until_ready(self, limit_s: float = 15) -> None:
         ends = time.monotonic() + limit_s
@@ -492,13 +505,6 @@
                 self.process.kill()
             self.process.wait()
 
-    def find_events(self, event: str) -> list[str]:
-        return [
-            line
-            for line in self.log.read_text(errors='replace').splitlines()
-            if f'"event":"{event}"' in line
-        ]
-
 
 async def is_ready(gateway: Gateway) -> bool:
     """Ask as the platform does; an answer after a second counts as none."""
@@ -512,6 +518,46 @@
     return False
 
 
+class Balancer:
+    """
+    The platform's choice of a gateway for a new channel.
+
+    It asks each gateway once a second whether it is ready, and takes one out
+    after two misses until it answers 200 again. A zone without a gateway in
+    rotation uses those of the other zones.
+    """
+
+    def __init__(self, *, record: Record, gateways: list[Gateway]) -> None:
+        self._record = record
+        self._gateways = gateways
+        self._misses = dict.fromkeys((gateway.name for gateway in gateways), 0)
+        self._asking = [
+            asyncio.ensure_future(self._ask(gateway)) for gateway in gateways
+        ]
+
+    def close(self) -> None:
+        for task in self._asking:
+            task.cancel()
+
+    def get_port(self) -> int:
+        for gateway in self._gateways:
+            if self._misses[gateway.name] < 2:
+                return gateway.front_port
+        return self._gateways[0].front_port
+
+    async def _ask(self, gateway: Gateway) -> None:
+        while True:
+            started = time.monotonic()
+            ready = await is_ready(gateway)
+            self._misses[gateway.name] = 0 if ready else self._misses[gateway.name] + 1
+            if not ready:
+                self._record.write(
+                    f'platform   {gateway.name} misses a ready check '
+                    f'({self._misses[gateway.name]} in a row)'
+                )
+            await asyncio.sleep(max(0, 1 - (time.monotonic() - started)))
+
+
 _PORTS: set[int] = set()
 
 
@@ -587,6 +633,7 @@
 
 def run(case) -> None:
     """Run the coroutine function of a case and exit with its result."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_COULD_NOT_RUN))
     try:
         code = asyncio.run(asyncio.wait_for(case(), 110))
     except Exception as error:  # noqa: BLE001
