Keep review/2 inside the dose of spoiled answers, with ready checks

Cause: the claim quoted the dose of another variant and spoiled one answer in 40; consumers came back to a gateway that the platform would have taken out. Change: one answer in 60 or more, 192 KB in place of 384, a balancer that asks once a second and takes a gateway out after two misses.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,14 +9,14 @@
 import harness  # noqa: E402
 
 MODEL_POOL, LEDGER_POOL, STAGE_POOL = 'ragworth-pool', 'ledger-api', 'mill-portal'
-# One engine of three spoils one answer, the last of this many or more of its
-# own: under the 3 in 100 of the site file.
-SPOIL_FROM_ANSWER = 40
-# What the spoiled answer holds: 384 KB, about 3 ms of a link of 1,000 Mbit/s.
+# One engine of three spoils one answer, its 60th or a later one: 1.7 in 100, under
+# the 33.7 in 100 of the engines with 1.79 in 100 of the site file (day scale-1).
+SPOIL_FROM_ANSWER = 60
+# What the spoiled answer holds: 192 KB, about 1.5 ms of a link of 1,000 Mbit/s.
 CHUNK = b'\x5a' * 64
-CHUNKS = 6000
+CHUNKS = 3000
 STREAMERS = 5
-STREAMS = 40
+STREAMS = 60
 EVENTS = 5
 EVENT_S = 0.005
 WORK_S = 0.06
@@ -54,6 +54,7 @@
             f'X-Ragworthollow-Request-Id: {request_id}',
             f'X-Ragworthollow-Response-Signature: sig-{request_id}',
             'X-Ragworthollow-Weight-Versions: 1',
+            *(f'{name}: {text}' for name, text in self.get_load().items()),
             'Content-Type: text/event-stream',
             'Transfer-Encoding: chunked',
         ]
@@ -89,7 +90,7 @@
             {
                 'X-Ragworthollow-Request-Id': request_id,
                 'X-Ragworthollow-Response-Signature': f'sig-{request_id}',
-                'X-Ragworthollow-Server-Load': f'{self.running - 1},0,{self.slots}',
+                **self.get_load(),
             },
             b'entry',
         )
@@ -192,7 +193,8 @@
         ModelEngine.is_faulty = harness.TROUBLE
         ledger_engines = [
             LedgerEngine(
-                record=record, name=f'i-l{number}', pool=LEDGER_POOL, zone=zone, slots=6
+                record=record, name=f'i-l{number}', pool=LEDGER_POOL, zone=zone, slots=6,
+                queue=24,
             )
             for number, zone in enumerate(harness.ZONES, start=1)
         ]
@@ -200,12 +202,13 @@
         deployment.store.write('op/config', make_configuration())
         await deployment.start_gateways(['hall-a', 'hall-b'])
         gateway = deployment.gateways[0]
+        balancer = harness.Balancer(record=record, gateways=deployment.gateways)
         stop = asyncio.Event()
         posting = asyncio.gather(
             *(
                 post(
                     harness.Caller(
-                        record=record, port=gateway.front_port, name=f'q{place}-'
+                        record=record, name=f'q{place}-', get_port=balancer.get_port
                     ),
                     stop,
                 )
@@ -217,7 +220,7 @@
             *(
                 stream(
                     harness.Caller(
-                        record=record, port=gateway.front_port, name=f's{place}-'
+                        record=record, name=f's{place}-', get_port=balancer.get_port
                     ),
                     place,
                 )
@@ -232,11 +235,7 @@
         await asyncio.sleep(AFTER_S)
         stop.set()
         outcomes = await posting
-        is_ready = await harness.is_ready(gateway)
-        record.write(
-            f'the platform asks {gateway.name} whether it is ready: '
-            + ('200' if is_ready else 'no 200 within a second')
-        )
+        balancer.close()
         return judge(
             record,
             [entry for entries in outcomes for entry in entries],
