Log the exchange that each attempt's response came from

Whose identifier a response bore, and how many requests its connection had carried, could not be told from the logs, so that a refusal by proof of an instance could not be told from one by a response of another request. The lines attempt_failed and answered now hold exchange (requests that the connection has carried), response_id and head_after_ms. The exchange is recorded when the head has been read, since a response without a body gives its connection back at that moment.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
@@ -1,7 +1,7 @@
 """Make a single attempt at one upstream instance."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from aiohttp import (
     ClientConnectorError,
@@ -22,6 +22,7 @@
     make_caller_headers,
     read_response_metadata,
 )
+from ragworthollow.transport.exchange import Exchange
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
@@ -52,11 +53,14 @@
         Headers as received.
     body : bytes
         Complete body.
+    exchange : Exchange
+        Where it came from.
     """
 
     status: int
     headers: CIMultiDictProxy[str]
     body: bytes
+    exchange: Exchange
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -184,6 +188,7 @@
             status=response.status,
             headers=response.headers,
             body=body,
+            exchange=response.exchange,
         ),
     )
 
@@ -209,7 +214,7 @@
     if failure is None:
         return Ok(response)
     response.close()
-    return Err(failure)
+    return Err(replace(failure, exchange=response.exchange))
 
 
 def _classify_response(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_series.py
@@ -159,7 +159,7 @@
         self,
         plan: AttemptPlan,
         status: int,
-        body_fields: Mapping[str, object] = _NO_FIELDS,
+        response_fields: Mapping[str, object] = _NO_FIELDS,
         began_ms: float | None = None,
     ) -> None:
         """
@@ -171,8 +171,8 @@
             The attempt that succeeded.
         status : int
             HTTP status of the response.
-        body_fields : mapping of str to object
-            Log fields on the body.
+        response_fields : mapping of str to object
+            Log fields on the response.
         began_ms : float, optional
             When the first event of a stream arrived, on the monotonic clock;
             now if absent.
@@ -189,7 +189,7 @@
             status=status,
             late_ms=round(late_ms),
             began_after_ms=round(began_ms - self.job.received_ms),
-            **body_fields,
+            **response_fields,
         )
 
     def record_error_response(
@@ -207,6 +207,7 @@
                 step=_STEP,
                 peer=plan.instance.instance,
                 detail=f'status {response.status}',
+                exchange=response.exchange,
             ),
         )
 
@@ -214,7 +215,7 @@
         self,
         plan: AttemptPlan,
         failure: UpstreamFailure,
-        body_fields: Mapping[str, object] = _NO_FIELDS,
+        response_fields: Mapping[str, object] = _NO_FIELDS,
     ) -> None:
         """Record a failed attempt."""
         self._context.metrics.count_attempt(
@@ -250,7 +251,8 @@
             reason=failure.reason,
             outcome=failure.outcome,
             detail=failure.detail,
-            **body_fields,
+            **failure.describe_exchange(),
+            **response_fields,
         )
 
     async def wait_for_crash_check(self, plan: AttemptPlan) -> None:
@@ -349,6 +351,7 @@
             step=failure.step,
             peer=failure.peer,
             detail=failure.detail,
+            exchange=failure.exchange,
         )
 
     def _make_failure(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -10,7 +10,7 @@
 from ragworthollow.conf import GatewaySettings, global_settings
 from ragworthollow.logs.events import log_error
 from ragworthollow.metrics import InvariantMonitor, Metrics
-from ragworthollow.platform.store_client import StoreClient
+from ragworthollow.platform import REQUEST_ID_HEADER, StoreClient
 from ragworthollow.replica import Replica
 from ragworthollow.retries import RetryBudget
 from ragworthollow.routes import RequestLimits, RouteTable
@@ -67,7 +67,7 @@
         self.stop = ShutdownState()
         self.rng = random.Random(self.incarnation)  # noqa: S311
         self.session = make_unauthenticated_session()
-        self.upstream_session = make_upstream_session()
+        self.upstream_session = make_upstream_session(REQUEST_ID_HEADER)
         self.store = StoreClient(
             session=self.session,
             base_url=settings.store_url,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
@@ -112,8 +112,11 @@
             if isinstance(fetched, Err):
                 series.record_failure(plan, fetched.err_value)
             elif series.is_final(fetched.ok_value.status):
-                series.record_response(plan, fetched.ok_value.status)
-                return Ok(render_response(fetched.ok_value))
+                response = fetched.ok_value
+                series.record_response(
+                    plan, response.status, response.exchange.describe()
+                )
+                return Ok(render_response(response))
             else:
                 series.record_error_response(plan, fetched.ok_value)
             await series.wait_for_crash_check(plan)
@@ -172,7 +175,7 @@
         except (TimeoutError, ClientError) as error:
             series.record_failure(
                 plan,
-                _make_truncation_failure(plan, error),
+                _make_truncation_failure(plan, upstream, error),
                 relay.describe_end(),
             )
             return None
@@ -181,7 +184,7 @@
         series.record_response(
             plan,
             upstream.status,
-            relay.describe_end(),
+            {**upstream.exchange.describe(), **relay.describe_end()},
             began_ms=relay.timing.first_event_ms,
         )
         return await relay.finish()
@@ -250,16 +253,21 @@
             status=upstream.status,
             headers=upstream.headers,
             body=await upstream.read(),
+            exchange=upstream.exchange,
         )
         if relay.is_started() or not series.is_final(response.status):
             series.record_error_response(plan, response)
             return None
-        series.record_response(plan, response.status)
+        series.record_response(
+            plan, response.status, response.exchange.describe()
+        )
         return render_response(response)
 
 
 def _make_truncation_failure(
-    plan: AttemptPlan, error: Exception
+    plan: AttemptPlan,
+    upstream: ClientResponse,
+    error: Exception,
 ) -> UpstreamFailure:
     return UpstreamFailure(
         outcome=Outcome.unknown,
@@ -267,4 +275,5 @@
         step=_STEP,
         peer=plan.instance.instance,
         detail=repr(error),
+        exchange=upstream.exchange,
     )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/upstream_failure.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/upstream_failure.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from ragworthollow.outcomes import Outcome, Reason
+from ragworthollow.transport.exchange import Exchange
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -22,6 +23,8 @@
         One human-readable sentence.
     retry_after_ms : float or None
         Time after which a retry is useful; None when that is not known.
+    exchange : Exchange or None
+        Where the response that failed came from; None without a response.
     """
 
     outcome: Outcome
@@ -30,3 +33,8 @@
     peer: str
     detail: str = ''
     retry_after_ms: float | None = None
+    exchange: Exchange | None = None
+
+    def describe_exchange(self) -> dict[str, object]:
+        """Return log fields on the response that failed."""
+        return {} if self.exchange is None else self.exchange.describe()
--- a/packages/ragworthollow/src/ragworthollow/platform/request_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/request_wire.py
@@ -11,8 +11,8 @@
 )
 
 READY_PATH = '/api/ready'
+REQUEST_ID_HEADER = 'X-Ragworthollow-Request-Id'
 
-_ID = 'X-Ragworthollow-Request-Id'
 _DEADLINE = 'X-Ragworthollow-Deadline-Ms'
 _PREFIX = 'X-Ragworthollow-Prefix-Hash'
 _TOKENS = 'X-Ragworthollow-Token-Usage'
@@ -66,7 +66,7 @@
 
 def read_request_id(headers: Mapping[str, str]) -> str:
     """Return the identifier that the caller chose; empty if there is none."""
-    return headers.get(_ID, '')
+    return headers.get(REQUEST_ID_HEADER, '')
 
 
 def read_request_parameters(headers: Mapping[str, str]) -> RequestParameters:
--- a/packages/ragworthollow/src/ragworthollow/platform/response_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/response_wire.py
@@ -6,9 +6,9 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from ragworthollow.exchange import ResponseMetadata
+from ragworthollow.platform.request_wire import REQUEST_ID_HEADER
 from ragworthollow.upstreams import InstanceLoad
 
-_ID = 'X-Ragworthollow-Request-Id'
 _RESPONSE_SIGNATURE = 'X-Ragworthollow-Response-Signature'
 _NOT_EXECUTED = 'X-Ragworthollow-Not-Executed'
 _LOAD = 'X-Ragworthollow-Server-Load'
@@ -58,7 +58,7 @@
     """
     limit_per_s, unreadable_limit = _read_limit(headers)
     return ResponseMetadata(
-        request_id=headers.get(_ID, ''),
+        request_id=headers.get(REQUEST_ID_HEADER, ''),
         is_signed=_RESPONSE_SIGNATURE in headers,
         is_not_run=_NOT_EXECUTED in headers or status == _MISDIRECTED,
         is_misdirected=status == _MISDIRECTED,
--- a/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
@@ -8,6 +8,7 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.transport.connector import Connector
+from ragworthollow.transport.exchange_response import ExchangeResponse
 from ragworthollow.transport.timeouts import limit_running_time
 
 _MILLISECONDS = 1000
@@ -32,7 +33,10 @@
         while True:
             connection = await super().connect(req, traces, timeout)
             protocol = connection.protocol
-            if protocol is None or not protocol.should_close:
+            if protocol is None:
+                return connection
+            if not protocol.should_close:
+                protocol.begin_exchange()
                 return connection
             connection.close()
 
@@ -51,10 +55,15 @@
             )
 
 
-def make_upstream_session() -> aiohttp.ClientSession:
+def make_upstream_session(identity_header: str = '') -> aiohttp.ClientSession:
     """
     Create a session for requests to upstreams.
 
+    Parameters
+    ----------
+    identity_header : str
+        Header in which requests and their responses name the request.
+
     Returns
     -------
     ClientSession
@@ -62,12 +71,14 @@
     """
     session = aiohttp.ClientSession(
         connector=CheckedConnector(
+            identity_header=identity_header,
             limit=0,
             use_dns_cache=False,
             keepalive_timeout=(
                 global_settings.UPSTREAM_IDLE_MS / _MILLISECONDS
             ),
         ),
+        response_class=ExchangeResponse,
         read_bufsize=global_settings.STREAM_READ_LIMIT_BYTES,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/packages/ragworthollow/src/ragworthollow/transport/connector.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/connector.py
@@ -14,10 +14,17 @@
 
     Parameters
     ----------
+    identity_header : str
+        Header in which requests and their responses name the request; empty if
+        the peers name none.
     **options
         Options of `aiohttp.TCPConnector`.
     """
 
-    def __init__(self, **options: Any) -> None:
+    def __init__(self, *, identity_header: str = '', **options: Any) -> None:
         super().__init__(**options)
-        self._factory = functools.partial(ResponseProtocol, loop=self._loop)
+        self._factory = functools.partial(
+            ResponseProtocol,
+            loop=self._loop,
+            identity_header=identity_header,
+        )
