Take a response for a request only if it names this attempt

What callers saw: a request that may run once at most was answered 503 as "not run" while an instance worked on it.

Cause: an instance sent the response to an earlier request once more, where the response to the next one on the connection was expected. The gateway compared identifiers for answers, but took "not executed" and 421 from any response as a proof, whatever request it named. The class: a response counts by its place on a connection or by its status, not by what it names.

Change: - every response has to name the request; one that names another or none proves nothing (outcome unknown), and its connection is given up, which close() could not do for a response without a body; - a copy of an earlier response on the same connection is read to its end and discarded (four at most, 1 MB, framed ones only), and the next response is read, so that the request is served; - a request is never sent twice on one connection, so that a response which names it belongs to this attempt; a connection carries 256 requests at most, which bounds the identifiers it remembers; - bytes on an idle connection end it, in all sessions (store and peers too); - a new connection that is unusable at once is reported as not established instead of opening others without end.

The stand-in of upstreams now echoes the identifier in rejections, as the instances do; a rejection without one has a scenario of its own.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
@@ -23,6 +23,9 @@
     read_response_metadata,
 )
 from ragworthollow.transport.exchange import Exchange
+from ragworthollow.transport.foreign_response_error import (
+    ForeignResponseError,
+)
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
@@ -142,16 +145,9 @@
                     global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
                 ),
             )
-    except (
-        ClientConnectorError,
-        ConnectionTimeoutError,
-    ) as error:
-        # No connection was established, so nothing was sent.
-        return _make_error(plan, Reason.connect_failed, error, Outcome.not_run)
-    except TimeoutError as error:
-        return _make_error(plan, Reason.attempt_timeout, error, Outcome.unknown)
     except (ClientError, OSError, ValueError) as error:
-        return _make_error(plan, Reason.connection_lost, error, Outcome.unknown)
+        reason, outcome = _classify_error(error)
+        return _make_error(plan, reason, error, outcome)
     return _check_response_head(context, job, plan, response, sent_ms)
 
 
@@ -193,6 +189,17 @@
     )
 
 
+def _classify_error(error: Exception) -> tuple[Reason, Outcome]:
+    if isinstance(error, ClientConnectorError | ConnectionTimeoutError):
+        # No connection was established, so nothing was sent.
+        return Reason.connect_failed, Outcome.not_run
+    if isinstance(error, TimeoutError):
+        return Reason.attempt_timeout, Outcome.unknown
+    if isinstance(error, ForeignResponseError):
+        return Reason.mismatched_answer, Outcome.unknown
+    return Reason.connection_lost, Outcome.unknown
+
+
 def _check_response_head(
     context: GatewayContext,
     job: RequestJob,
@@ -223,10 +230,7 @@
     status: int,
     metadata: ResponseMetadata,
 ) -> UpstreamFailure | None:
-    if (
-        metadata.request_id != job.request_parameters.request_id
-        and not metadata.is_not_run
-    ):
+    if metadata.request_id != job.request_parameters.request_id:
         return _make_status_failure(
             plan, Reason.mismatched_answer, status, Outcome.unknown
         )
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -13,6 +13,10 @@
 MAX_IN_FLIGHT = 1_000
 MAX_DEADLINE_MS = 600_000
 STREAM_READ_LIMIT_BYTES = 4_000_000
+# Bounds the request identifiers that a connection to an upstream remembers.
+CONNECTION_EXCHANGES = 256
+# Body of a response that belongs to an earlier request.
+DISCARDED_BODY_BYTES = 1_000_000
 
 # Idempotency keys.
 KEY_MAX_AGE_MS = 300_000
--- a/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
@@ -1,9 +1,8 @@
-"""Reuse connections to upstreams only if they hold no unexpected data."""
+"""Open connections to upstreams."""
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ClientRequest
-from aiohttp.connector import Connection
 from aiohttp.tracing import Trace
 
 from ragworthollow.conf import global_settings
@@ -14,31 +13,8 @@
 _MILLISECONDS = 1000
 
 
-class CheckedConnector(Connector):
-    """
-    Skip idle connections on which unsolicited bytes have arrived.
-
-    An upstream may send a second response after a complete one. aiohttp
-    would use it as the response to the next request on the connection. That
-    request may have run by then, and its own response would be lost.
-    """
-
-    async def connect(
-        self,
-        req: ClientRequest,
-        traces: list[Trace],
-        timeout: aiohttp.ClientTimeout,
-    ) -> Connection:
-        """Return a connection without unread bytes."""
-        while True:
-            connection = await super().connect(req, traces, timeout)
-            protocol = connection.protocol
-            if protocol is None:
-                return connection
-            if not protocol.should_close:
-                protocol.begin_exchange()
-                return connection
-            connection.close()
+class UpstreamConnector(Connector):
+    """Connect without counting pauses of this process as waiting."""
 
     async def _create_connection(
         self,
@@ -46,7 +22,6 @@
         traces: list[Trace],
         timeout: aiohttp.ClientTimeout,
     ) -> ResponseHandler:
-        """Connect without counting pauses of this process as waiting."""
         async with limit_running_time(timeout.sock_connect):
             return await super()._create_connection(
                 req,
@@ -70,7 +45,7 @@
         Session that the caller must close.
     """
     session = aiohttp.ClientSession(
-        connector=CheckedConnector(
+        connector=UpstreamConnector(
             identity_header=identity_header,
             limit=0,
             use_dns_cache=False,
--- a/packages/ragworthollow/src/ragworthollow/transport/exchange.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/exchange.py
@@ -17,11 +17,14 @@
     head_after_ms : float
         Time from the choice of the connection to the end of the response head,
         in milliseconds.
+    discarded_copies : int
+        Responses to earlier requests that came before this one.
     """
 
     number: int
     response_id: str
     head_after_ms: float
+    discarded_copies: int
 
     def describe(self) -> dict[str, object]:
         """Return log fields."""
@@ -29,4 +32,5 @@
             'exchange': self.number,
             'response_id': self.response_id,
             'head_after_ms': round(self.head_after_ms, 1),
+            'discarded_copies': self.discarded_copies,
         }
--- a/packages/ragworthollow/src/ragworthollow/transport/response_protocol.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/response_protocol.py
@@ -5,19 +5,37 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import StreamReader
 
+from ragworthollow.conf import global_settings
+from ragworthollow.transport.body_framing import BodyFraming, get_body_framing
 from ragworthollow.transport.connection_end import ConnectionEnd
 from ragworthollow.transport.exchange import Exchange
+from ragworthollow.transport.foreign_response_error import (
+    ForeignResponseError,
+)
 from ragworthollow.utils import get_monotonic_ms
 
+# Heads with a lower status announce a response.
+_FIRST_STATUS = 200
+# Copies before the response to one request.
+_MAX_COPIES = 4
+
 
 class ResponseProtocol(ResponseHandler):
     """
-    Read responses, and treat a failed connection as an incomplete body.
+    Read the responses that belong to the requests of one connection.
+
+    A peer may send the response to an earlier request once more, where the
+    response to the current one is expected. Such a copy is discarded if
+    requests and responses name the request. A request is never sent twice on a
+    connection, so that a response that names it belongs to this attempt.
 
     A body without a length or chunks ends with its connection. The base class
     reports its end in the same way whether the peer closed the connection or
-    the connection was reset or timed out.
+    the connection was reset or timed out; here, a failed connection makes it
+    incomplete.
 
     Parameters
     ----------
@@ -45,11 +63,35 @@
         self._identity_header = identity_header
         self._exchange_count = 0
         self._began_ms: float = 0
+        self._is_idle = True
+        self._request_id = ''
+        self._sent_ids: set[str] = set()
+        self._copy_count = 0
+
+    def has_exchanges(self) -> bool:
+        """Return whether the connection has carried a request."""
+        return self._exchange_count > 0
 
-    def begin_exchange(self) -> None:
-        """Count a request that is about to be sent."""
+    def may_carry(self, headers: Mapping[str, str]) -> bool:
+        """Return whether a request with these headers may be sent."""
+        is_repeat = headers.get(self._identity_header) in self._sent_ids
+        return not self.should_close and not is_repeat
+
+    def begin_exchange(self, headers: Mapping[str, str]) -> None:
+        """Expect the response to a request that is about to be sent."""
+        self._is_idle = False
         self._exchange_count += 1
         self._began_ms = get_monotonic_ms()
+        self._copy_count = 0
+        self._request_id = headers.get(self._identity_header, '')
+        if self._request_id:
+            self._sent_ids.add(self._request_id)
+        if self._exchange_count >= global_settings.CONNECTION_EXCHANGES:
+            self.force_close()
+
+    def end_exchange(self) -> None:
+        """Expect nothing until the next request."""
+        self._is_idle = True
 
     def describe_exchange(self, headers: Mapping[str, str]) -> Exchange:
         """Describe the exchange of a response whose head has just been read."""
@@ -57,8 +99,56 @@
             number=self._exchange_count,
             response_id=headers.get(self._identity_header, ''),
             head_after_ms=get_monotonic_ms() - self._began_ms,
+            discarded_copies=self._copy_count,
         )
 
+    async def read(self) -> tuple[RawResponseMessage, StreamReader]:
+        """
+        Read the next response head, after copies of earlier responses.
+
+        Raises
+        ------
+        ForeignResponseError
+            If there are too many copies, or one whose end cannot be found.
+        """
+        while True:
+            message, body = await super().read()
+            response_id = message.headers.get(self._identity_header, '')
+            if response_id == self._request_id or message.code < _FIRST_STATUS:
+                return message, body
+            if response_id not in self._sent_ids:
+                # It cannot be told whose response this is, so the next one on
+                # the connection could belong to this request.
+                self.force_close()
+                return message, body
+            await self._discard(message, body)
+
+    def data_received(self, data: bytes) -> None:  # noqa: WPS110
+        """Process received bytes; give up a connection that was idle."""
+        # The library passes no bytes when it resumes reading.
+        if data and self._is_idle:
+            self.force_close()
+        super().data_received(data)
+
+    async def _discard(
+        self, message: RawResponseMessage, body: StreamReader
+    ) -> None:
+        """Read a response to its end without using it."""
+        self._copy_count += 1
+        is_framed = get_body_framing(message.headers) != BodyFraming.connection
+        may_continue = is_framed and not message.should_close
+        if self._copy_count > _MAX_COPIES or not may_continue:
+            raise ForeignResponseError(
+                'responses to earlier requests came instead'
+            )
+        discarded_bytes = 0
+        while not body.at_eof():
+            discarded_bytes += len(await body.readany())
+            if discarded_bytes > global_settings.DISCARDED_BODY_BYTES:
+                raise ForeignResponseError(
+                    'the response to an earlier request does not end'
+                )
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a body that is not complete, and record the end."""
         if exc is None:
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -14,7 +14,8 @@
     write_stream,
 )
 
-_REQUEST_ID_HEADER = 'x-ragworthollow-request-id'
+_ECHOED_HEADER = 'X-Ragworthollow-Request-Id'
+_REQUEST_ID_HEADER = _ECHOED_HEADER.lower()
 _LAST_EVENT_ID_HEADER = 'last-event-id'
 EVENT_COUNT = 5
 # An instance crashes when it is asked to run a piece with this key.
@@ -59,6 +60,9 @@
         # Headers added to the responses.
         self.response_headers: dict[str, str] = {}
         self.is_refusing = False
+        # Sends each response once more while the next request on its connection
+        # runs.
+        self.is_repeating = False
         self._open_writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, port: int) -> None:
@@ -95,11 +99,14 @@
     async def _serve_request(self, reader, writer) -> bool:
         request = await _read_request(reader)
         self.arrivals.append(request)
+        if self.is_repeating:
+            writer.write(getattr(writer, 'last_response', b''))
         expected_instance = request.headers.get(
             'x-ragworthollow-expect-instance'
         )
         if expected_instance not in {None, self.name}:
-            _write_response(writer, '421 Misdirected Request', {}, b'')
+            headers = {_ECHOED_HEADER: request.request_id}
+            _write_response(writer, '421 Misdirected Request', headers, b'')
             return True
         if request.path == '/api/stage-run':
             return await self._run_pieces(request, writer)
@@ -124,7 +131,7 @@
         """Record that execution has started; return the response headers."""
         self.runs.append(request)
         return {
-            'X-Ragworthollow-Request-Id': request.request_id,
+            _ECHOED_HEADER: request.request_id,
             'X-Ragworthollow-Response-Signature': f'{self.name}.signed',
             'X-Ragworthollow-Server-Load': '1,0,4',
             **self.response_headers,
@@ -189,7 +196,8 @@
     lines += [f'{name}: {text}' for name, text in headers.items()]
     lines.append(f'Content-Length: {len(body) if length is None else length}')
     head = '\r\n'.join([*lines, '', '']).encode()
-    writer.write(head + body)
+    writer.last_response = head + body
+    writer.write(writer.last_response)
 
 
 async def _respond(standin, request, _reader, writer):
@@ -204,12 +212,28 @@
     return False
 
 
-async def _refuse(standin, _request, _reader, writer):
+async def _refuse(standin, request, _reader, writer):
+    headers = {
+        _ECHOED_HEADER: request.request_id,
+        'X-Ragworthollow-Not-Executed': '1',
+        **standin.response_headers,
+    }
+    _write_response(writer, '503 Service Unavailable', headers, b'')
+    return True
+
+
+async def _refuse_unnamed(standin, _request, _reader, writer):
     headers = {'X-Ragworthollow-Not-Executed': '1', **standin.response_headers}
     _write_response(writer, '503 Service Unavailable', headers, b'')
     return True
 
 
+async def _misdirect(_standin, request, _reader, writer):
+    headers = {_ECHOED_HEADER: request.request_id}
+    _write_response(writer, '421 Misdirected Request', headers, b'')
+    return True
+
+
 async def _respond_unavailable(standin, request, _reader, writer):
     headers = standin.record_run(request)
     _write_response(
@@ -226,7 +250,7 @@
 
 async def _respond_for_other_request(standin, request, _reader, writer):
     headers = standin.record_run(request)
-    headers['X-Ragworthollow-Request-Id'] = 'of-another-request'
+    headers[_ECHOED_HEADER] = 'of-another-request'
     _write_response(writer, '200 OK', headers, b'the answer of another')
     return True
 
@@ -437,6 +461,8 @@
     'answer': _respond,
     'close': _close,
     'refuse': _refuse,
+    'unnamed': _refuse_unnamed,
+    'misdirect': _misdirect,
     'busy': _respond_unavailable,
     'fail': _fail,
     'other': _respond_for_other_request,
