Take status 409 for 'not run' only from engines

What callers saw: nothing that was reported. A plain service that answers 409 after it has run a call (a conflict, by the usual meaning of the status) was reported as not_run, model_not_loaded, and the caller could send the call again.

Cause: the sidecar classified 409 without regard to the kind of the call; only the protocol of engines defines it. Now other kinds get outcome failed.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/upstream_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/upstream_client.py
@@ -101,7 +101,7 @@
             timeout=get_timeout(remaining_ms),
         ) as response:
             if response.status >= _BAD_REQUEST:
-                return await _classify_status(response)
+                return await _classify_status(call, response)
             if call.kind is StageKind.generate:
                 return await _read_stream(call, response, emit)
             return _decode_response(call, await response.read())
@@ -164,11 +164,14 @@
     return UpstreamResult(outcome=Outcome.done, output=response.output)
 
 
-async def _classify_status(response: aiohttp.ClientResponse) -> UpstreamResult:
+async def _classify_status(
+    call: StageCall, response: aiohttp.ClientResponse
+) -> UpstreamResult:
     detail = (await response.text())[:200]
-    if response.status == _CONFLICT:
-        # The upstream protocol defines this status as: the model is not loaded
-        # and nothing has run.
+    is_engine = call.kind is StageKind.generate
+    if is_engine and response.status == _CONFLICT:
+        # The protocol of engines defines this status as: the model is not
+        # loaded and nothing has run.
         return UpstreamResult(
             outcome=Outcome.not_run,
             reason=Reason.model_not_loaded,
--- a/tests/features/hop.feature
+++ b/tests/features/hop.feature
@@ -26,3 +26,16 @@
       | answers an earlier stage             | repeatable     | unknown | mismatched_answer  |
       | answers status 500                   | non-repeatable | unknown | connection_lost    |
       | answers whole                        | non-repeatable | done    | nothing            |
+
+  Scenario Outline: The upstream of a sidecar answers status 409 to <kind>
+    # Guards against "not run" for a call that a service has run: only engines
+    # define this status as a model that is not loaded.
+    Given an upstream that answers every call with status 409
+    When a sidecar sends it a call of kind <kind>
+    Then the call ended as <outcome> for <reason>
+
+    Examples:
+      | kind     | outcome | reason           |
+      | plain    | failed  | upstream_error   |
+      | encode   | failed  | upstream_error   |
+      | generate | not_run | model_not_loaded |
