Let engines of the soak of gateways reject requests and answer twice

The soak counted requests that were refused and ran, but its engines had room for all, and no engine sent a response a second time. So a rejection of one request could not be taken for that of the next on the connection.

Its engines now have few slots and a short queue, reject requests beyond them, and in seeded windows of four to six seconds send responses a second time (where the next one is expected, or while none is), call requests misdirected, hang, reset, and send heads or bodies without end. Callers send bursts beyond the slots, on routes with one attempt too, and take up broken streams. Gateways get SIGHUP as well. Verdicts are given after all engines are idle. Each part of a response must be of its own request, and events must follow each other without a gap, also where a caller takes a stream up. Each violation is printed with its seed, engines, times and log lines.

--- /dev/null
+++ b/measure/engine_breakage.py
@@ -0,0 +1,70 @@
+"""Give engines faults for a few seconds each, in overlapping series."""
+
+import asyncio
+import random
+from collections.abc import Mapping, Sequence
+from types import MappingProxyType
+
+from tests.standins.engine_fault import EngineFault
+from tests.standins.limited_engine import LimitedEngine
+
+# Share of the requests of an engine that have a fault while it is present.
+_SECOND_ANSWERS = MappingProxyType(
+    {
+        EngineFault.second_rejection: 0.3,
+        EngineFault.second_answer: 0.05,
+        EngineFault.idle_answer: 0.05,
+        EngineFault.misdirected: 0.02,
+    }
+)
+_OTHER_FAULTS = MappingProxyType(
+    {
+        EngineFault.hang: 0.02,
+        EngineFault.reset: 0.05,
+        EngineFault.endless_head: 0.01,
+        EngineFault.endless_body: 0.01,
+    }
+)
+_PAUSE_S = (0, 2)
+_WINDOW_S = (4, 6)
+
+
+class EngineBreakage:
+    """
+    Make engines send second answers, hang, reset or not end.
+
+    Parameters
+    ----------
+    engines : sequence of LimitedEngine
+        What to disturb.
+    rng : Random
+        Makes the choices repeatable.
+    """
+
+    def __init__(
+        self, *, engines: Sequence[LimitedEngine], rng: random.Random
+    ) -> None:
+        self._engines = engines
+        self._rng = rng
+
+    async def run(self) -> None:
+        """Disturb until cancelled."""
+        await asyncio.gather(
+            *(
+                self._repeat(ratios, random.Random(self._rng.random()))
+                for ratios in (_SECOND_ANSWERS, _SECOND_ANSWERS, _OTHER_FAULTS)
+            )
+        )
+
+    async def _repeat(
+        self, ratios: Mapping[EngineFault, float], rng: random.Random
+    ) -> None:
+        while True:
+            await asyncio.sleep(rng.uniform(*_PAUSE_S))
+            engine = rng.choice(self._engines)
+            engine.fault_ratios.update(ratios)
+            try:
+                await asyncio.sleep(rng.uniform(*_WINDOW_S))
+            finally:
+                for fault in ratios:
+                    engine.fault_ratios.pop(fault, None)
--- /dev/null
+++ b/measure/faulty_fleet.py
@@ -0,0 +1,69 @@
+"""Run gateways in front of engines that reject requests and have faults."""
+
+import random
+from collections import Counter
+
+from measure.gateway_fleet import GatewayFleet
+from tests.standins.engine_fault import EngineFault
+from tests.standins.limited_engine import LimitedEngine
+
+_SLOTS = 3
+_QUEUE = 2
+_SINGLE_ATTEMPT = {'unsafe': '/unsafe-once/', 'stream': '/stream-once/'}
+
+
+class FaultyFleet(GatewayFleet):
+    """
+    Run gateways with routes of one attempt, and engines that are soon full.
+
+    Parameters
+    ----------
+    size : int
+        Number of gateways.
+    rng : Random
+        Chooses the requests with a fault.
+    """
+
+    def __init__(self, *, size: int, rng: random.Random) -> None:
+        super().__init__(size=size)
+        self._rng = rng
+
+    def make_configuration(self, version: int) -> dict:
+        made = super().make_configuration(version)
+        single = [
+            {
+                **route,
+                'name': f'{route["name"]}-once',
+                'path_prefix': _SINGLE_ATTEMPT[route['kind']],
+                'max_attempts': 1,
+            }
+            for route in made['routes']
+            if route['kind'] in _SINGLE_ATTEMPT and not route['can_resume']
+        ]
+        return {**made, 'routes': [*made['routes'], *single]}
+
+    def make_upstream(self, name: str, **options) -> LimitedEngine:
+        return LimitedEngine(
+            name,
+            rng=random.Random(self._rng.random()),
+            slots=_SLOTS,
+            queue=_QUEUE,
+            **options,
+        )
+
+    def count_engine_faults(self) -> Counter[str]:
+        return sum(
+            (engine.counts for engine in self.upstreams.values()), Counter()
+        )
+
+    async def wait_for_second_rejections(self, count: int) -> None:
+        await self.wait_for(
+            lambda: (
+                self.count_engine_faults()[EngineFault.second_rejection]
+                >= count
+            )
+        )
+
+    def are_engines_idle(self) -> bool:
+        """Return whether no request can run any more."""
+        return all(engine.is_idle() for engine in self.upstreams.values())
--- a/measure/gateway_caller.py
+++ b/measure/gateway_caller.py
@@ -10,7 +10,7 @@
 
 _RESPONSE_LIMIT_S = 10
 _RECONNECT_S = 0.05
-_STREAM_PATH = '/stream/'
+_STREAM_PREFIX = '/stream'
 _NEW_CONNECTION_RATIO = 0.2
 
 
@@ -62,16 +62,24 @@
         kind = self._rng.choice(('safe', 'unsafe', 'unsafe', 'stream'))
         if kind == 'stream':
             pause_ms = self._rng.choice((10, 50, 300))
-            return f'{_STREAM_PATH}paced?{pause_ms}'
+            return f'/stream/paced?{pause_ms}'
         return f'/{kind}/delay?{self._rng.randint(5, 300)}'
 
     def _choose_headers(self) -> tuple[str, ...]:
         """Return the header lines of the next request beside those of all."""
         return ()
 
+    def _choose_body(self) -> bytes:
+        """Return the body of the next request; a request without one is GET."""
+        return b''
+
+    def _get_last_event_id(self) -> int:
+        """Return the event after which the next response begins."""
+        return 0
+
     def _choose_limit_ms(self, path: str) -> int:
         # A stopping gateway refuses requests that may outlast its stop.
-        if path.startswith(_STREAM_PATH):
+        if path.startswith(_STREAM_PREFIX):
             return self._rng.choice((2500, 4000))
         return self._rng.choice((600, 1000, 2500))
 
@@ -103,6 +111,7 @@
             gateway=self._gateway,
             is_first=self._is_first,
             started_s=time.monotonic(),
+            last_event_id=self._get_last_event_id(),
         )
         self._is_first = False
         self.sent.append(sent)
@@ -111,6 +120,7 @@
             sent.request_id,
             *self._choose_headers(),
             limit_ms=sent.limit_ms,
+            body=self._choose_body(),
         )
         try:
             response = await asyncio.wait_for(
@@ -120,6 +130,6 @@
             return True
         finally:
             sent.ended_s = time.monotonic()
+            sent.body = connection.received.decode('latin-1')
         sent.status = response.status
-        sent.body = response.body.decode('latin-1')
         return response.is_last or response.status is None
--- a/measure/gateway_fleet.py
+++ b/measure/gateway_fleet.py
@@ -73,12 +73,22 @@
             self.upstreams[f'u{number}'].response_headers = {
                 _LOAD_HEADER: f'1,0,4,{_WORK_TIMES[number - 1]}'
             }
+        self.configuration = self.make_configuration(
+            self.configuration['version']
+        )
         plain, *others = self.configuration['services']
         await self.configure(services=[{**plain, 'engine': {}}, *others])
         for name, port in self.front_ports.items():
             self._write_settings(name, port)
         await asyncio.gather(*map(self.start, self.front_ports))
 
+    def make_configuration(self, version: int) -> dict:
+        return make_configuration(version)
+
+    def count_engine_faults(self) -> Counter[str]:
+        """Return how often engines rejected requests and had faults."""
+        return Counter()
+
     async def start(self, name: str) -> None:
         """Start a gateway, and wait until it reports itself ready."""
         self._busy.add(name)
@@ -199,7 +209,7 @@
         """Disturb for some time, then stop all gateways at the same time."""
         around = self._start(self._disturb_store, self._change_configuration)
         at_processes = self._start(
-            self._stop, self._stop, self._kill, self._freeze
+            self._stop, self._stop, self._kill, self._freeze, self._reload
         )
         await _end(at_processes, seconds)
         await self._fleet.stop_all()
@@ -245,6 +255,14 @@
             self.counts['freeze'] += 1
             await self._fleet.freeze(rng.choice(running), rng.uniform(0, 1))
 
+    async def _reload(self, rng: random.Random) -> None:
+        """Make a gateway read its settings again, as SIGHUP asks."""
+        await asyncio.sleep(rng.uniform(0.2, 2))
+        ready = self._fleet.get_ready()
+        if ready:
+            self.counts['reload'] += 1
+            self._fleet.processes.send(rng.choice(ready), signal.SIGHUP)
+
     async def _disturb_store(self, rng: random.Random) -> None:
         await asyncio.sleep(rng.uniform(0, 2))
         fault = rng.choice(_STORE_FAULTS)
@@ -261,17 +279,16 @@
         await asyncio.sleep(rng.uniform(0.5, 3))
         self.counts['configuration'] += 1
         version = self._fleet.configuration['version'] + 1
-        changed = make_configuration(version=version)
+        changed = self._fleet.make_configuration(version)
         for route in changed['routes']:
             route['priority'] = rng.choice((1, 2))
         await self._fleet.configure(**changed)
 
 
 def run_on_fleet(
-    size: int, play: Callable[[GatewayFleet], Awaitable[dict]]
+    fleet: GatewayFleet, play: Callable[[GatewayFleet], Awaitable[dict]]
 ) -> dict:
     """Run a soak on a fleet of its own, and add the folder of its logs."""
-    fleet = GatewayFleet(size=size)
     print(f'logs: {fleet.folder}', file=sys.stderr, flush=True)
     try:
         summary = fleet.run(play(fleet))
--- a/measure/gateway_soak.py
+++ b/measure/gateway_soak.py
@@ -8,111 +8,25 @@
 import cyclopts
 import msgspec
 
+from measure.burst_caller import BurstCaller
+from measure.engine_breakage import EngineBreakage
+from measure.faulty_fleet import FaultyFleet
 from measure.gateway_caller import GatewayCaller
 from measure.gateway_fleet import GatewayBreakage, GatewayFleet, run_on_fleet
+from measure.gateway_judge import FAULTS, GatewayJudge
 from measure.sent_request import Sent
-from measure.spoiled_streams import SpoiledStreamCaller, is_spoiled, is_stream
-from ragworthollow.conf import global_settings
-from tests.standins.upstream import EVENT_COUNT
+from measure.spoiled_streams import SpoiledStreamCaller
 
 _CALLERS = 16
 _SPOILED_STREAM_CALLERS = 6
-_OK = 200
-_REFUSED = 503
-# Earliest exit of a gateway that ends its stop with requests in flight.
-_STOP_LIMIT_S = (
-    global_settings.GATEWAY_GRACE_S
-    - global_settings.GATEWAY_STOP_MARGIN_MS / 1000
-    - global_settings.GATEWAY_FINAL_RESPONSES_MS / 1000
-)
-_FAULTS = ('cut_by_stop', 'truncated', 'doubled', 'crossed', 'false_not_run')
+_BURST_CALLERS = 30
+_REPORTED_OF_EACH = 5
+# Sent before anything else is disturbed, so that no run is without them.
+_FIRST_REJECTIONS = 20
 
 app = cyclopts.App(name='gateway_soak', help='Randomised run of gateways.')
 
 
-class Judge:
-    """
-    Tell what became of each request.
-
-    Parameters
-    ----------
-    fleet : GatewayFleet
-        Where the requests were sent.
-    """
-
-    def __init__(self, *, fleet: GatewayFleet) -> None:
-        self._fleet = fleet
-
-    def judge(self, sent: Sent) -> None:
-        """Set the verdict of a request."""
-        sent.runs = sum(
-            upstream.count_runs(sent.request_id)
-            for upstream in self._fleet.upstreams.values()
-        )
-        sent.verdict = self._find_verdict(sent)
-
-    def is_late(self, sent: Sent) -> bool:
-        """Return whether a request was sent to a gateway that was stopping."""
-        stop_s = self._find_stop(sent)
-        return stop_s is not None and stop_s < sent.started_s
-
-    def _find_verdict(self, sent: Sent) -> str:
-        if sent.runs > 1 and sent.path.startswith('/unsafe/'):
-            return 'doubled'
-        if sent.status == _OK and sent.request_id not in sent.body:
-            return 'crossed'
-        if sent.status == _REFUSED and sent.runs:
-            return 'false_not_run'
-        if sent.status == _OK:
-            return 'answered' if self._is_whole(sent) else 'truncated'
-        if sent.status is not None:
-            return f'{sent.status}'
-        return self._find_cut(sent) if sent.runs else 'not_run'
-
-    def _is_whole(self, sent: Sent) -> bool:
-        return sent.body.count(sent.request_id) == (
-            EVENT_COUNT if is_stream(sent.path) else 1
-        )
-
-    def _find_cut(self, sent: Sent) -> str:
-        kinds = {
-            one.kind
-            for one in self._fleet.disturbances
-            if one.gateway == sent.gateway
-            and one.began_s <= sent.ended_s
-            and one.ended_s >= sent.started_s
-        }
-        for kind in ('kill', 'freeze'):
-            if kind in kinds:
-                return f'cut_beside_{kind}'
-        if is_spoiled(sent.path):
-            return 'broken_by_upstream'
-        is_long = is_stream(sent.path)
-        if is_long and sent.ended_s - sent.started_s > sent.limit_ms / 1000:
-            return 'stream_at_time_limit'
-        stop_s = self._find_stop(sent)
-        if is_long and stop_s and sent.ended_s - stop_s > _STOP_LIMIT_S:
-            return 'stream_at_stop_limit'
-        return 'cut_by_stop'
-
-    def _find_stop(self, sent: Sent) -> float | None:
-        """Return the time of SIGTERM of the process that got a request."""
-        starts = self._fleet.starts[sent.gateway]
-        process_start_s = max(
-            (start_s for start_s in starts if start_s < sent.started_s),
-            default=0,
-        )
-        stops = self._fleet.stops[sent.gateway]
-        return next(
-            (
-                stop_s
-                for stop_s in stops
-                if process_start_s < stop_s < sent.ended_s
-            ),
-            None,
-        )
-
-
 async def run_gateway_soak(
     fleet: GatewayFleet, seed: int, seconds: float
 ) -> dict:
@@ -120,41 +34,69 @@
     rng = random.Random(seed)
     breakage = GatewayBreakage(fleet=fleet, rng=random.Random(rng.random()))
     callers = [
-        GatewayCaller(
-            name=f'c{number}', fleet=fleet, rng=random.Random(rng.random())
-        )
-        for number in range(_CALLERS)
-    ]
-    callers += [
-        SpoiledStreamCaller(
-            name=f's{number}', fleet=fleet, rng=random.Random(rng.random())
-        )
-        for number in range(_SPOILED_STREAM_CALLERS)
+        *_make_callers(GatewayCaller, 'c', _CALLERS, fleet, rng),
+        *_make_callers(
+            SpoiledStreamCaller, 's', _SPOILED_STREAM_CALLERS, fleet, rng
+        ),
     ]
     await fleet.start_all()
-    calling = [asyncio.ensure_future(caller.run()) for caller in callers]
+    running = []
+    if isinstance(fleet, FaultyFleet):
+        callers += _make_callers(BurstCaller, 'b', _BURST_CALLERS, fleet, rng)
+        engine_breakage = EngineBreakage(
+            engines=tuple(fleet.upstreams.values()),
+            rng=random.Random(rng.random()),
+        )
+        running.append(asyncio.ensure_future(engine_breakage.run()))
+    running += [asyncio.ensure_future(caller.run()) for caller in callers]
+    if isinstance(fleet, FaultyFleet):
+        await fleet.wait_for_second_rejections(_FIRST_REJECTIONS)
     await breakage.run(seconds)
     await fleet.wait_for(
         lambda: not any(caller.is_waiting() for caller in callers)
     )
-    for task in calling:
+    for task in running:
         task.cancel()
-    outcomes = await asyncio.gather(*calling, return_exceptions=True)
+    outcomes = await asyncio.gather(*running, return_exceptions=True)
     for outcome in outcomes:
         if not isinstance(outcome, asyncio.CancelledError):
             raise outcome
+    if isinstance(fleet, FaultyFleet):
+        await fleet.wait_for(fleet.are_engines_idle)
     sent = [one for caller in callers for one in caller.sent]
-    return _summarise(fleet, sent, breakage.counts)
+    return _summarise(fleet, seed, sent, breakage.counts)
+
+
+def _make_callers(
+    make: type[GatewayCaller],
+    prefix: str,
+    count: int,
+    fleet: GatewayFleet,
+    rng: random.Random,
+) -> list[GatewayCaller]:
+    return [
+        make(
+            name=f'{prefix}{number:02}',
+            fleet=fleet,
+            rng=random.Random(rng.random()),
+        )
+        for number in range(count)
+    ]
 
 
 def _summarise(
-    fleet: GatewayFleet, sent: list[Sent], counts: Counter[str]
+    fleet: GatewayFleet, seed: int, sent: list[Sent], counts: Counter[str]
 ) -> dict:
-    judge = Judge(fleet=fleet)
+    judge = GatewayJudge(fleet=fleet)
     for one in sent:
         judge.judge(one)
     verdicts = Counter(one.verdict for one in sent)
-    faulty = [one for one in sent if one.verdict in _FAULTS]
+    faulty = [one for one in sent if one.verdict in FAULTS]
+    for fault in FAULTS:
+        alike = [one for one in faulty if one.verdict == fault]
+        for one in alike[:_REPORTED_OF_EACH]:
+            report = {'seed': seed, **judge.describe(one)}
+            print(msgspec.json.encode(report).decode(), file=sys.stderr)
     path = fleet.folder / 'failures.json'
     path.write_bytes(
         msgspec.json.encode(
@@ -169,31 +111,50 @@
     return {
         'sent': len(sent),
         'sent_while_stopping': sum(map(judge.is_late, sent)),
-        **dict.fromkeys(_FAULTS, 0),
+        **dict.fromkeys(FAULTS, 0),
         **verdicts,
         'stops': sum(map(len, fleet.stops.values())),
         'exit_codes': {
             str(code): count for code, count in fleet.exit_codes.items()
         },
         'disturbed': counts,
+        'engines': fleet.count_engine_faults(),
     }
 
 
 def count_faults(summary: dict) -> int:
     """Return the number of requests that must not occur."""
-    return sum(summary[name] for name in _FAULTS)
+    return sum(summary[name] for name in FAULTS)
 
 
-def run(*, seed: int, seconds: float, gateways: int) -> dict:
+def run(
+    *, seed: int, seconds: float, gateways: int, has_faulty_engines: bool
+) -> dict:
     """Run a soak from start to end."""
+    fleet = (
+        FaultyFleet(size=gateways, rng=random.Random(seed))
+        if has_faulty_engines
+        else GatewayFleet(size=gateways)
+    )
     return run_on_fleet(
-        gateways, lambda fleet: run_gateway_soak(fleet, seed, seconds)
+        fleet, lambda started: run_gateway_soak(started, seed, seconds)
     )
 
 
 @app.default
-def main(*, seed: int = 1, seconds: float = 20, gateways: int = 4) -> None:
-    summary = run(seed=seed, seconds=seconds, gateways=gateways)
+def main(
+    *,
+    seed: int = 1,
+    seconds: float = 20,
+    gateways: int = 4,
+    faulty_engines: bool = True,
+) -> None:
+    summary = run(
+        seed=seed,
+        seconds=seconds,
+        gateways=gateways,
+        has_faulty_engines=faulty_engines,
+    )
     line = {'seed': seed, 'seconds': seconds, **summary}
     print(msgspec.json.encode(line).decode())
     sys.exit(1 if count_faults(summary) else 0)
--- a/measure/harmful_part_soak.py
+++ b/measure/harmful_part_soak.py
@@ -145,7 +145,10 @@
 
 def run(*, seed: int, seconds: float, gateways: int) -> dict:
     """Run a soak from start to end."""
-    return run_on_fleet(gateways, lambda fleet: run_soak(fleet, seed, seconds))
+    return run_on_fleet(
+        GatewayFleet(size=gateways),
+        lambda fleet: run_soak(fleet, seed, seconds),
+    )
 
 
 @app.default
--- a/measure/sent_request.py
+++ b/measure/sent_request.py
@@ -12,6 +12,7 @@
     gateway: str
     is_first: bool
     started_s: float
+    last_event_id: int = 0
     ended_s: float = 0
     status: int | None = None
     body: str = ''
--- a/measure/spoiled_streams.py
+++ b/measure/spoiled_streams.py
@@ -37,8 +37,3 @@
 def is_spoiled(path: str) -> bool:
     """Return whether a path asks for a stream that is broken off."""
     return f'/{SPOILED}?' in path and not path.endswith(WHOLE)
-
-
-def is_stream(path: str) -> bool:
-    """Return whether the response to a path is a stream."""
-    return path.startswith(('/stream/', '/resumable/'))
--- a/tests/features/steps/gateway_soak.py
+++ b/tests/features/steps/gateway_soak.py
@@ -12,10 +12,28 @@
     'seconds'
 )
 def run_gateways(context, seed, span):
-    context.summary = run(seed=seed, seconds=span, gateways=_GATEWAYS)
+    context.summary = run(
+        seed=seed,
+        seconds=span,
+        gateways=_GATEWAYS,
+        has_faulty_engines=False,
+    )
 
 
-@then('no request was cut by a stop, doubled, crossed or falsely refused')
+@when(
+    'gateways in front of full engines are disturbed at random from seed '
+    '{seed:d} for {span:d} seconds'
+)
+def run_before_full_engines(context, seed, span):
+    context.summary = run(
+        seed=seed, seconds=span, gateways=_GATEWAYS, has_faulty_engines=True
+    )
+
+
+@then(
+    'no request was cut by a stop, doubled, crossed, out of order or falsely '
+    'refused'
+)
 def check_requests(context):
     assert not count_faults(context.summary), context.summary
     assert context.summary['answered'], context.summary
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -1,6 +1,7 @@
 """Stand in for one upstream instance, with faults chosen by path."""
 
 import asyncio
+import time
 from types import SimpleNamespace
 
 import msgspec
@@ -95,11 +96,18 @@
     async def _serve_request(self, reader, writer) -> bool:
         request = await _read_request(reader)
         self.arrivals.append(request)
+        return await self._receive(request, reader, writer)
+
+    async def _receive(self, request, reader, writer) -> bool:
+        """Take a request; return whether the connection stays open."""
+        return await self._answer(request, reader, writer)
+
+    async def _answer(self, request, reader, writer) -> bool:
         expected_instance = request.headers.get(
             'x-ragworthollow-expect-instance'
         )
         if expected_instance not in {None, self.name}:
-            _write_response(writer, '421 Misdirected Request', {}, b'')
+            write_misdirected(writer)
             return True
         if request.path == '/api/stage-run':
             return await self._run_pieces(request, writer)
@@ -122,6 +130,7 @@
 
     def record_run(self, request) -> dict[str, str]:
         """Record that execution has started; return the response headers."""
+        request.began_s = time.time()
         self.runs.append(request)
         return {
             'X-Ragworthollow-Request-Id': request.request_id,
@@ -192,6 +201,21 @@
     writer.write(head + body)
 
 
+def write_misdirected(writer) -> None:
+    """Tell that a request was meant for another instance."""
+    _write_response(writer, '421 Misdirected Request', {}, b'')
+
+
+def write_rejection(writer, headers: dict[str, str]) -> None:
+    """Tell that a request was not executed, for want of a place."""
+    _write_response(
+        writer,
+        '503 Service Unavailable',
+        {'X-Ragworthollow-Not-Executed': '1', **headers},
+        b'',
+    )
+
+
 async def _respond(standin, request, _reader, writer):
     _write_response(
         writer, '200 OK', standin.record_run(request), b'whole answer'
@@ -205,8 +229,7 @@
 
 
 async def _refuse(standin, _request, _reader, writer):
-    headers = {'X-Ragworthollow-Not-Executed': '1', **standin.response_headers}
-    _write_response(writer, '503 Service Unavailable', headers, b'')
+    write_rejection(writer, standin.response_headers)
     return True
 
 
@@ -302,8 +325,9 @@
 
 
 async def _stream_with_pauses(standin, request, _reader, writer):
+    first = int(request.headers.get(_LAST_EVENT_ID_HEADER, '0')) + 1
     _start_stream(standin, request, writer)
-    for number in range(1, EVENT_COUNT + 1):
+    for number in range(first, EVENT_COUNT + 1):
         await asyncio.sleep(_read_pause_s(request))
         event = f'id: {number}\ndata: {request.request_id}\n\n'
         _write_chunk(writer, event.encode())
@@ -418,9 +442,16 @@
 
 
 def _start_stream(standin, request, writer) -> None:
-    headers = standin.record_run(request)
-    headers['Content-Type'] = 'text/event-stream'
-    headers['Transfer-Encoding'] = 'chunked'
+    write_stream_head(writer, standin.record_run(request))
+
+
+def write_stream_head(writer, headers: dict[str, str]) -> None:
+    """Begin a stream that is sent in chunks."""
+    headers = {
+        **headers,
+        'Content-Type': 'text/event-stream',
+        'Transfer-Encoding': 'chunked',
+    }
     lines = [f'{name}: {text}' for name, text in headers.items()]
     writer.write('\r\n'.join(['HTTP/1.1 200 OK', *lines, '', '']).encode())
 
