Scale the soak of gateways with their number, and judge it later

A request that an engine had not yet read when the engines seemed idle would have run uncounted: verdicts are now given once all connections to the engines are closed. Engines and callers grow with the number of gateways, for runs by hand with many of them.

--- a/measure/gateway_fleet.py
+++ b/measure/gateway_fleet.py
@@ -18,7 +18,8 @@
 from tests.fixtures.gateways import HOST, GatewayHarness, make_configuration
 
 _POLL_S = 0.02
-_UPSTREAMS = 3
+_MIN_UPSTREAMS = 3
+_GATEWAYS_PER_UPSTREAM = 3
 _LOAD_HEADER = 'X-Ragworthollow-Server-Load'
 # Work times of the instances, in percent: an uneven pool of engines.
 _WORK_TIMES = (70, 70, 170)
@@ -68,10 +69,13 @@
 
     async def start_all(self) -> None:
         await self.open()
-        for number in range(1, _UPSTREAMS + 1):
+        size = len(self.front_ports)
+        count = max(_MIN_UPSTREAMS, size // _GATEWAYS_PER_UPSTREAM)
+        for number in range(1, count + 1):
             await self.add_upstream(f'u{number}', 'plain')
+            work_time = _WORK_TIMES[(number - 1) % len(_WORK_TIMES)]
             self.upstreams[f'u{number}'].response_headers = {
-                _LOAD_HEADER: f'1,0,4,{_WORK_TIMES[number - 1]}'
+                _LOAD_HEADER: f'1,0,4,{work_time}'
             }
         self.configuration = self.make_configuration(
             self.configuration['version']
--- a/measure/gateway_soak.py
+++ b/measure/gateway_soak.py
@@ -19,7 +19,8 @@
 
 _CALLERS = 16
 _SPOILED_STREAM_CALLERS = 6
-_BURST_CALLERS = 30
+_MIN_BURST_CALLERS = 30
+_BURST_CALLERS_PER_GATEWAY = 4
 _REPORTED_OF_EACH = 5
 # Sent before anything else is disturbed, so that no run is without them.
 _FIRST_REJECTIONS = 20
@@ -42,7 +43,11 @@
     await fleet.start_all()
     running = []
     if isinstance(fleet, FaultyFleet):
-        callers += _make_callers(BurstCaller, 'b', _BURST_CALLERS, fleet, rng)
+        count = max(
+            _MIN_BURST_CALLERS,
+            _BURST_CALLERS_PER_GATEWAY * len(fleet.front_ports),
+        )
+        callers += _make_callers(BurstCaller, 'b', count, fleet, rng)
         engine_breakage = EngineBreakage(
             engines=tuple(fleet.upstreams.values()),
             rng=random.Random(rng.random()),
@@ -76,7 +81,7 @@
 ) -> list[GatewayCaller]:
     return [
         make(
-            name=f'{prefix}{number:02}',
+            name=f'{prefix}{number:03}',
             fleet=fleet,
             rng=random.Random(rng.random()),
         )
--- a/tests/feature_runs.py
+++ b/tests/feature_runs.py
@@ -20,6 +20,7 @@
 _STARTED_FIRST = (
     'quarantine',
     'soak',
+    'gateway_soak',
     'store_news',
     'answer_notices',
     'graceful_stop',
--- a/tests/standins/limited_engine.py
+++ b/tests/standins/limited_engine.py
@@ -67,8 +67,8 @@
         self._slot_freed = asyncio.Condition()
 
     def is_idle(self) -> bool:
-        """Return whether no request runs or waits."""
-        return not self._running and not self._waiting
+        """Return whether all connections are closed, so that nothing runs."""
+        return not self._open_writers
 
     def record_run(self, request) -> dict[str, str]:
         return {**super().record_run(request), **self._describe_load()}
