Replace engines in the soak of gateways, and report each violation whole

An engine with another name takes the address of one, while the entry of before is still listed: so requests are misdirected, and sent again on the same connection, and a second 421 can answer the second of them. Routes allow more attempts than there are engines. failures.json holds engines, times and log lines of every violation, with the name that the engine had at that time.

--- a/measure/engine_breakage.py
+++ b/measure/engine_breakage.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from types import MappingProxyType
 
+from measure.faulty_fleet import FaultyFleet
 from tests.standins.engine_fault import EngineFault
-from tests.standins.limited_engine import LimitedEngine
 
 # Share of the requests of an engine that have a fault while it is present.
 _SECOND_ANSWERS = MappingProxyType(
@@ -14,7 +14,6 @@
         EngineFault.second_rejection: 0.3,
         EngineFault.second_answer: 0.05,
         EngineFault.idle_answer: 0.05,
-        EngineFault.misdirected: 0.02,
     }
 )
 _OTHER_FAULTS = MappingProxyType(
@@ -27,24 +26,24 @@
 )
 _PAUSE_S = (0, 2)
 _WINDOW_S = (4, 6)
+_REPLACEMENT_PAUSE_S = (0.5, 2)
+_REPLACEMENT_OVERLAP_S = (0.2, 1)
 
 
 class EngineBreakage:
     """
-    Make engines send second answers, hang, reset or not end.
+    Make engines send second answers, hang, reset or not end; replace them.
 
     Parameters
     ----------
-    engines : sequence of LimitedEngine
-        What to disturb.
+    fleet : FaultyFleet
+        Whose engines to disturb.
     rng : Random
         Makes the choices repeatable.
     """
 
-    def __init__(
-        self, *, engines: Sequence[LimitedEngine], rng: random.Random
-    ) -> None:
-        self._engines = engines
+    def __init__(self, *, fleet: FaultyFleet, rng: random.Random) -> None:
+        self._fleet = fleet
         self._rng = rng
 
     async def run(self) -> None:
@@ -53,7 +52,8 @@
             *(
                 self._repeat(ratios, random.Random(self._rng.random()))
                 for ratios in (_SECOND_ANSWERS, _SECOND_ANSWERS, _OTHER_FAULTS)
-            )
+            ),
+            self._replace(random.Random(self._rng.random())),
         )
 
     async def _repeat(
@@ -61,10 +61,19 @@
     ) -> None:
         while True:
             await asyncio.sleep(rng.uniform(*_PAUSE_S))
-            engine = rng.choice(self._engines)
+            engine = rng.choice(tuple(self._fleet.upstreams.values()))
             engine.fault_ratios.update(ratios)
             try:
                 await asyncio.sleep(rng.uniform(*_WINDOW_S))
             finally:
                 for fault in ratios:
                     engine.fault_ratios.pop(fault, None)
+
+    async def _replace(self, rng: random.Random) -> None:
+        """Give the address of an engine to another, again and again."""
+        while True:
+            await asyncio.sleep(rng.uniform(*_REPLACEMENT_PAUSE_S))
+            await self._fleet.replace_engine(
+                rng.choice(tuple(self._fleet.upstreams)),
+                rng.uniform(*_REPLACEMENT_OVERLAP_S),
+            )
--- a/measure/faulty_fleet.py
+++ b/measure/faulty_fleet.py
@@ -1,5 +1,6 @@
 """Run gateways in front of engines that reject requests and have faults."""
 
+import asyncio
 import random
 from collections import Counter
 
@@ -9,6 +10,9 @@
 
 _SLOTS = 3
 _QUEUE = 2
+_POOL = 'plain'
+# More than there are engines: one that has a new name gets a request again.
+_MANY_ATTEMPTS = 6
 _SINGLE_ATTEMPT = {'unsafe': '/unsafe-once/', 'stream': '/stream-once/'}
 
 
@@ -27,10 +31,15 @@
     def __init__(self, *, size: int, rng: random.Random) -> None:
         super().__init__(size=size)
         self._rng = rng
+        self._replaced = 0
 
     def make_configuration(self, version: int) -> dict:
         made = super().make_configuration(version)
-        single = [
+        routes = [
+            {**route, 'max_attempts': _MANY_ATTEMPTS}
+            for route in made['routes']
+        ]
+        routes += [
             {
                 **route,
                 'name': f'{route["name"]}-once',
@@ -40,7 +49,7 @@
             for route in made['routes']
             if route['kind'] in _SINGLE_ATTEMPT and not route['can_resume']
         ]
-        return {**made, 'routes': [*made['routes'], *single]}
+        return {**made, 'routes': routes}
 
     def make_upstream(self, name: str, **options) -> LimitedEngine:
         return LimitedEngine(
@@ -51,6 +60,18 @@
             **options,
         )
 
+    async def replace_engine(self, name: str, overlap_s: float) -> None:
+        """Let an engine with another name take the address of one."""
+        self._replaced += 1
+        new_name = f'e{self._replaced}'
+        engine = self.upstreams.pop(name)
+        engine.name = new_name
+        self.upstreams[new_name] = engine
+        self.failure_domains[new_name] = self.failure_domains[name]
+        await self.publish_instance(new_name, _POOL)
+        await asyncio.sleep(overlap_s)
+        await self.remove_instance(name)
+
     def count_engine_faults(self) -> Counter[str]:
         return sum(
             (engine.counts for engine in self.upstreams.values()), Counter()
--- a/measure/gateway_judge.py
+++ b/measure/gateway_judge.py
@@ -45,10 +45,10 @@
         self._fleet = fleet
         # When each request began to run, and where.
         self._runs: dict[str, list[tuple[str, float]]] = {}
-        for name, upstream in fleet.upstreams.items():
+        for upstream in fleet.upstreams.values():
             for run in upstream.runs:
                 self._runs.setdefault(run.request_id, []).append(
-                    (name, run.began_s)
+                    (run.instance, run.began_s)
                 )
         self._spoiled_by_engines = {
             request_id
--- a/measure/gateway_soak.py
+++ b/measure/gateway_soak.py
@@ -49,8 +49,7 @@
         )
         callers += _make_callers(BurstCaller, 'b', count, fleet, rng)
         engine_breakage = EngineBreakage(
-            engines=tuple(fleet.upstreams.values()),
-            rng=random.Random(rng.random()),
+            fleet=fleet, rng=random.Random(rng.random())
         )
         running.append(asyncio.ensure_future(engine_breakage.run()))
     running += [asyncio.ensure_future(caller.run()) for caller in callers]
@@ -97,16 +96,16 @@
         judge.judge(one)
     verdicts = Counter(one.verdict for one in sent)
     faulty = [one for one in sent if one.verdict in FAULTS]
+    reports = [{'seed': seed, **judge.describe(one)} for one in faulty]
     for fault in FAULTS:
-        alike = [one for one in faulty if one.verdict == fault]
-        for one in alike[:_REPORTED_OF_EACH]:
-            report = {'seed': seed, **judge.describe(one)}
+        alike = [one for one in reports if one['verdict'] == fault]
+        for report in alike[:_REPORTED_OF_EACH]:
             print(msgspec.json.encode(report).decode(), file=sys.stderr)
     path = fleet.folder / 'failures.json'
     path.write_bytes(
         msgspec.json.encode(
             {
-                'faulty': faulty,
+                'faulty': reports,
                 'starts': fleet.starts,
                 'stops': fleet.stops,
                 'disturbances': fleet.disturbances,
--- a/tests/standins/engine_fault.py
+++ b/tests/standins/engine_fault.py
@@ -8,14 +8,14 @@
     Name a fault.
 
     `second_rejection` and `second_answer` send the response before once more
-    where the next one on the connection is expected, `idle_answer` while none
-    is; `endless_head` and `endless_body` go on until the caller closes.
+    where the next one on the connection is expected, if it says that a request
+    was not executed and otherwise; `idle_answer` does so while none is
+    expected. `endless_head` and `endless_body` go on until the caller closes.
     """
 
     second_rejection = 'second_rejection'
     second_answer = 'second_answer'
     idle_answer = 'idle_answer'
-    misdirected = 'misdirected'
     hang = 'hang'
     reset = 'reset'
     endless_head = 'endless_head'
--- a/tests/standins/limited_engine.py
+++ b/tests/standins/limited_engine.py
@@ -8,12 +8,11 @@
 from tests.standins.repeating_writer import RepeatingWriter
 from tests.standins.upstream import (
     UpstreamStandin,
-    write_misdirected,
     write_rejection,
     write_stream_head,
 )
 
-_REJECTED = b'HTTP/1.1 503 '
+_NOT_EXECUTED = (b'HTTP/1.1 503 ', b'HTTP/1.1 421 ')
 _IDLE_MAX_S = 0.1
 _ENDLESS_STEP_S = 0.02
 _ENDLESS_FIELD = b'X-Filler: and so on\r\n'
@@ -89,16 +88,15 @@
 
     def _repeat(self, request, last: bytes, writer) -> None:
         kind = EngineFault.second_answer
-        if last.startswith(_REJECTED):
+        if last.startswith(_NOT_EXECUTED):
             kind = EngineFault.second_rejection
         if last and self._has_fault(kind):
             self.faulty_requests.add(request.request_id)
             writer.repeat(last)
 
     async def _admit(self, request, reader, writer) -> bool:
-        if self._has_fault(EngineFault.misdirected):
-            write_misdirected(writer)
-            return True
+        if self.is_misdirected(request):
+            return await self._answer(request, reader, writer)
         if self._running >= self._slots and self._waiting >= self._queue:
             self.counts['rejected'] += 1
             identifier = {'X-Ragworthollow-Request-Id': request.request_id}
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -103,11 +103,8 @@
         return await self._answer(request, reader, writer)
 
     async def _answer(self, request, reader, writer) -> bool:
-        expected_instance = request.headers.get(
-            'x-ragworthollow-expect-instance'
-        )
-        if expected_instance not in {None, self.name}:
-            write_misdirected(writer)
+        if self.is_misdirected(request):
+            _write_response(writer, '421 Misdirected Request', {}, b'')
             return True
         if request.path == '/api/stage-run':
             return await self._run_pieces(request, writer)
@@ -122,6 +119,13 @@
         handle = _BEHAVIOURS[request.path.partition('?')[0].split('/')[-1]]
         return await handle(self, request, reader, writer)
 
+    def is_misdirected(self, request) -> bool:
+        """Return whether a request was meant for another instance."""
+        expected_instance = request.headers.get(
+            'x-ragworthollow-expect-instance'
+        )
+        return expected_instance not in {None, self.name}
+
     def take_partial_stream(self) -> PartialStream:
         """Return the stream to send next; a complete one if none is left."""
         if self.partial_streams:
@@ -131,6 +135,7 @@
     def record_run(self, request) -> dict[str, str]:
         """Record that execution has started; return the response headers."""
         request.began_s = time.time()
+        request.instance = self.name
         self.runs.append(request)
         return {
             'X-Ragworthollow-Request-Id': request.request_id,
@@ -201,11 +206,6 @@
     writer.write(head + body)
 
 
-def write_misdirected(writer) -> None:
-    """Tell that a request was meant for another instance."""
-    _write_response(writer, '421 Misdirected Request', {}, b'')
-
-
 def write_rejection(writer, headers: dict[str, str]) -> None:
     """Tell that a request was not executed, for want of a place."""
     _write_response(
