--- a/tests/standins/limited_engine.py
+++ b/tests/standins/limited_engine.py
@@ -99,8 +99,7 @@
             return await self._answer(request, reader, writer)
         if self._running >= self._slots and self._waiting >= self._queue:
             self.counts['rejected'] += 1
-            identifier = {'X-Ragworthollow-Request-Id': request.request_id}
-            write_rejection(writer, {**identifier, **self._describe_load()})
+            write_rejection(writer, request, self._describe_load())
             return True
         self._waiting += 1
         async with self._slot_freed:
