--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -1,6 +1,7 @@
 """Stand in for one upstream instance, with faults chosen by path."""
 
 import asyncio
+import time
 from types import SimpleNamespace
 
 import msgspec
@@ -101,13 +102,15 @@
         self.arrivals.append(request)
         if self.is_repeating:
             writer.write(getattr(writer, 'last_response', b''))
-        expected_instance = request.headers.get(
-            'x-ragworthollow-expect-instance'
-        )
-        if expected_instance not in {None, self.name}:
-            headers = {_ECHOED_HEADER: request.request_id}
-            _write_response(writer, '421 Misdirected Request', headers, b'')
-            return True
+        return await self._receive(request, reader, writer)
+
+    async def _receive(self, request, reader, writer) -> bool:
+        """Take a request; return whether the connection stays open."""
+        return await self._answer(request, reader, writer)
+
+    async def _answer(self, request, reader, writer) -> bool:
+        if self.is_misdirected(request):
+            return await _misdirect(self, request, reader, writer)
         if request.path == '/api/stage-run':
             return await self._run_pieces(request, writer)
         if request.path == '/api/stage-free':
@@ -121,6 +124,13 @@
         handle = _BEHAVIOURS[request.path.partition('?')[0].split('/')[-1]]
         return await handle(self, request, reader, writer)
 
+    def is_misdirected(self, request) -> bool:
+        """Return whether a request was meant for another instance."""
+        expected_instance = request.headers.get(
+            'x-ragworthollow-expect-instance'
+        )
+        return expected_instance not in {None, self.name}
+
     def take_partial_stream(self) -> PartialStream:
         """Return the stream to send next; a complete one if none is left."""
         if self.partial_streams:
@@ -129,6 +139,8 @@
 
     def record_run(self, request) -> dict[str, str]:
         """Record that execution has started; return the response headers."""
+        request.began_s = time.time()
+        request.instance = self.name
         self.runs.append(request)
         return {
             _ECHOED_HEADER: request.request_id,
@@ -200,6 +212,16 @@
     writer.write(writer.last_response)
 
 
+def write_rejection(writer, request, headers: dict[str, str]) -> None:
+    """Tell that a request was not executed, for want of a place."""
+    headers = {
+        _ECHOED_HEADER: request.request_id,
+        'X-Ragworthollow-Not-Executed': '1',
+        **headers,
+    }
+    _write_response(writer, '503 Service Unavailable', headers, b'')
+
+
 async def _respond(standin, request, _reader, writer):
     _write_response(
         writer, '200 OK', standin.record_run(request), b'whole answer'
@@ -213,12 +235,7 @@
 
 
 async def _refuse(standin, request, _reader, writer):
-    headers = {
-        _ECHOED_HEADER: request.request_id,
-        'X-Ragworthollow-Not-Executed': '1',
-        **standin.response_headers,
-    }
-    _write_response(writer, '503 Service Unavailable', headers, b'')
+    write_rejection(writer, request, standin.response_headers)
     return True
 
 
@@ -326,8 +343,9 @@
 
 
 async def _stream_with_pauses(standin, request, _reader, writer):
+    first = int(request.headers.get(_LAST_EVENT_ID_HEADER, '0')) + 1
     _start_stream(standin, request, writer)
-    for number in range(1, EVENT_COUNT + 1):
+    for number in range(first, EVENT_COUNT + 1):
         await asyncio.sleep(_read_pause_s(request))
         event = f'id: {number}\ndata: {request.request_id}\n\n'
         _write_chunk(writer, event.encode())
@@ -442,9 +460,16 @@
 
 
 def _start_stream(standin, request, writer) -> None:
-    headers = standin.record_run(request)
-    headers['Content-Type'] = 'text/event-stream'
-    headers['Transfer-Encoding'] = 'chunked'
+    write_stream_head(writer, standin.record_run(request))
+
+
+def write_stream_head(writer, headers: dict[str, str]) -> None:
+    """Begin a stream that is sent in chunks."""
+    headers = {
+        **headers,
+        'Content-Type': 'text/event-stream',
+        'Transfer-Encoding': 'chunked',
+    }
     lines = [f'{name}: {text}' for name, text in headers.items()]
     writer.write('\r\n'.join(['HTTP/1.1 200 OK', *lines, '', '']).encode())
 
