Take results of pieces only from the response to their own call

What callers saw: a piece of a request, and with it the response to the request, was made from the results of another request, after a stage instance had sent a response twice on a connection that was kept.

Cause: a call for pieces carried no identifier, and its response was taken by its place on the connection. A copy that came during the next call was taken for that call's response, and its own response for that of the call after it, so that one copy gave many calls foreign results. The HTTP library gives a connection back with the last byte of a response, for one without a body with its head, so that closing it after a check comes too late.

Each message to a stage instance now carries an identifier. A response that names another one is foreign, and so is one that names none, once its instance has returned one for a call. Where none comes back, a response must name new handles of the address that was called; one without handles ends its connection, so that on a connection in use each earlier response has a handle that tells a copy of it. Responses keep their connection until they have been checked. A foreign response ends its connection and costs a call.

The stand-in for upstreams named the results of two stages by the same handle, which a real instance cannot do. Its handles now name the stage, and the check of a request's inputs expects the stage as well.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_monitor.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_monitor.py
@@ -14,11 +14,17 @@
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
+from ragworthollow_daemon.gateway.attribution import Attribution
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.pool_throttle import PoolThrottle
+from ragworthollow_daemon.gateway.response_attribution import (
+    attribute_report,
+)
 from ragworthollow_daemon.gateway.response_metadata import (
     apply_response_metadata,
 )
+from ragworthollow_daemon.gateway.stage_message import StageMessage
+from ragworthollow_daemon.gateway.stage_response import StageResponse
 
 _STEP = 'pieces'
 
@@ -54,21 +60,19 @@
     if not throttle.try_acquire(instance):
         return None
     sent_ms = get_boottime_ms()
+    message = StageMessage(
+        instance=instance,
+        method='GET',
+        path=REPORT_PATH,
+        timeout=make_timeout(
+            global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
+            global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
+        ),
+        attribute=attribute_report,
+    )
     try:
-        async with context.upstream_session.get(
-            f'http://{instance.address}{REPORT_PATH}',
-            timeout=make_timeout(
-                global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
-                global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
-            ),
-        ) as response:
-            apply_response_metadata(
-                context,
-                instance,
-                read_response_metadata(response.status, response.headers),
-                sent_ms=sent_ms,
-            )
-            return decode_is_busy(await response.read())
+        response = await context.stage_exchange.send(message)
+        return _read_report(context, instance, response, sent_ms)
     except (
         TimeoutError,
         aiohttp.ClientError,
@@ -85,6 +89,23 @@
         return None
 
 
+def _read_report(
+    context: GatewayContext,
+    instance: UpstreamInstance,
+    response: StageResponse,
+    sent_ms: float,
+) -> bool | None:
+    if response.attribution is Attribution.foreign:
+        return None
+    apply_response_metadata(
+        context,
+        instance,
+        read_response_metadata(response.status, response.headers),
+        sent_ms=sent_ms,
+    )
+    return decode_is_busy(response.body)
+
+
 class CallMonitor:
     """
     Determine whether an overdue call is slow or its response was lost.
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -3,8 +3,7 @@
 import asyncio
 import contextlib
 import random
-import signal
-from collections.abc import Callable, Collection, Coroutine
+from collections.abc import Collection, Coroutine
 
 from ragworthollow.balancing import EngineView
 from ragworthollow.conf import GatewaySettings, global_settings
@@ -16,6 +15,7 @@
 from ragworthollow.routes import RequestLimits, RouteTable
 from ragworthollow.throttling import Throttle
 from ragworthollow.transport.sessions import (
+    make_held_session,
     make_unauthenticated_session,
     make_upstream_session,
 )
@@ -27,14 +27,12 @@
 from ragworthollow.utils import get_monotonic_ms, make_identifier
 from ragworthollow_daemon.drain import DrainState
 from ragworthollow_daemon.gateway.quarantine import Quarantine
-from ragworthollow_daemon.gateway.shutdown_state import ShutdownState
-
-RequestShutdown = Callable[[], None]
-
-
-def send_sigterm() -> None:
-    """Send SIGTERM to this process, as the platform does."""
-    signal.raise_signal(signal.SIGTERM)
+from ragworthollow_daemon.gateway.shutdown_state import (
+    RequestShutdown,
+    ShutdownState,
+    send_sigterm,
+)
+from ragworthollow_daemon.gateway.stage_exchange import StageExchange
 
 
 class GatewayContext:
@@ -77,6 +75,12 @@
         self._has_route_table = asyncio.Event()
         self.directory = Directory()
         self.load_tracker = LoadTracker()
+        self._stage_session = make_held_session(REQUEST_ID_HEADER)
+        self._stage_exchange = StageExchange(
+            session=self._stage_session,
+            load_tracker=self.load_tracker,
+            metrics=self.metrics,
+        )
         self._engine_view = EngineView(load_tracker=self.load_tracker)
         self._throttle = Throttle(
             gateway=settings.instance,
@@ -98,6 +102,11 @@
         """Return the number of gateways, including this one."""
         return self._members
 
+    @property
+    def stage_exchange(self) -> StageExchange:
+        """Return the exchange of messages with stage instances."""
+        return self._stage_exchange
+
     @property
     def quarantine(self) -> Quarantine:
         """Return the quarantine of requests that crash instances."""
@@ -204,6 +213,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.session.close()
         await self.upstream_session.close()
+        await self._stage_session.close()
 
     def _get_burst(self, pool: str) -> float:
         slack = self.settings.retry_slack * global_settings.RETRY_BUDGET_USE
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_call.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_call.py
@@ -9,22 +9,27 @@
 from ragworthollow.pieces import PieceCall, PieceResult
 from ragworthollow.platform.response_wire import read_response_metadata
 from ragworthollow.platform.stage_wire import (
-    EXPECT_INSTANCE,
     RUN_PATH,
     decode_run,
     encode_run,
 )
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
+from ragworthollow_daemon.gateway.attribution import Attribution
 from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.response_attribution import (
+    find_mismatch,
+    make_call_attribution,
+)
 from ragworthollow_daemon.gateway.response_metadata import (
     apply_response_metadata,
 )
+from ragworthollow_daemon.gateway.stage_message import StageMessage
+from ragworthollow_daemon.gateway.stage_response import StageResponse
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
 _STEP = 'pieces'
 _OK = 200
-_JSON = 'application/json'
 
 PieceResults = tuple[PieceResult, ...]
 
@@ -51,21 +56,19 @@
     now_ms = get_monotonic_ms()
     sent_ms = get_boottime_ms()
     pieces = tuple(waiting.piece for waiting in call.pieces)
+    message = StageMessage(
+        instance=call.instance,
+        method='POST',
+        path=RUN_PATH,
+        timeout=make_timeout(
+            global_settings.PIECE_CALL_TIMEOUT_MS,
+            global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
+        ),
+        attribute=make_call_attribution(call),
+        body=encode_run(pieces, now_ms),
+    )
     try:
-        async with context.upstream_session.post(
-            f'http://{call.instance.address}{RUN_PATH}',
-            data=encode_run(pieces, now_ms),
-            headers={
-                'Content-Type': _JSON,
-                EXPECT_INSTANCE: call.instance.instance,
-            },
-            timeout=make_timeout(
-                global_settings.PIECE_CALL_TIMEOUT_MS,
-                global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
-            ),
-        ) as response:
-            body = await response.read()
-            return _read_response(context, call, response, body, sent_ms)
+        response = await context.stage_exchange.send(message)
     except (
         aiohttp.ClientConnectorError,
         aiohttp.ConnectionTimeoutError,
@@ -75,15 +78,22 @@
         return _make_failure(
             call, Reason.connection_lost, repr(error), Outcome.unknown
         )
+    return _read_response(context, call, response, sent_ms)
 
 
 def _read_response(
     context: GatewayContext,
     call: PieceCall,
-    response: aiohttp.ClientResponse,
-    body: bytes,
+    response: StageResponse,
     sent_ms: float,
 ) -> Result[PieceResults, UpstreamFailure]:
+    if response.attribution is Attribution.foreign:
+        return _make_failure(
+            call,
+            Reason.mismatched_answer,
+            f'status {response.status} of another request',
+            Outcome.unknown,
+        )
     metadata = read_response_metadata(response.status, response.headers)
     apply_response_metadata(
         context,
@@ -104,17 +114,15 @@
             Outcome.unknown,
         )
     try:
-        results = decode_run(body)
+        results = decode_run(response.body)
     except msgspec.DecodeError as error:
         return _make_failure(
             call, Reason.truncated, str(error), Outcome.unknown
         )
-    if len(results) != len(call.pieces):
+    mismatch = find_mismatch(call, results)
+    if mismatch:
         return _make_failure(
-            call,
-            Reason.mismatched_answer,
-            f'{len(results)} results for {len(call.pieces)} pieces',
-            Outcome.unknown,
+            call, Reason.mismatched_answer, mismatch, Outcome.unknown
         )
     return Ok(results)
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/result_releases.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/result_releases.py
@@ -8,21 +8,24 @@
 from ragworthollow.logs.events import log_event
 from ragworthollow.platform.response_wire import read_response_metadata
 from ragworthollow.platform.stage_wire import (
-    EXPECT_INSTANCE,
     RELEASE_RESULTS_PATH,
     encode_release,
 )
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import get_boottime_ms
+from ragworthollow_daemon.gateway.attribution import Attribution
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.pool_throttle import PoolThrottle
+from ragworthollow_daemon.gateway.response_attribution import (
+    attribute_release,
+)
 from ragworthollow_daemon.gateway.response_metadata import (
     apply_response_metadata,
 )
+from ragworthollow_daemon.gateway.stage_message import StageMessage
 
 _STEP = 'pieces'
-_JSON = 'application/json'
 _MILLISECONDS = 1000
 
 
@@ -97,26 +100,19 @@
     handles: tuple[str, ...],
 ) -> None:
     sent_ms = get_boottime_ms()
+    message = StageMessage(
+        instance=instance,
+        method='POST',
+        path=RELEASE_RESULTS_PATH,
+        timeout=make_timeout(
+            global_settings.STORE_TIMEOUT_MS,
+            global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
+        ),
+        attribute=attribute_release,
+        body=encode_release(handles),
+    )
     try:
-        async with context.upstream_session.post(
-            f'http://{instance.address}{RELEASE_RESULTS_PATH}',
-            data=encode_release(handles),
-            headers={
-                'Content-Type': _JSON,
-                EXPECT_INSTANCE: instance.instance,
-            },
-            timeout=make_timeout(
-                global_settings.STORE_TIMEOUT_MS,
-                global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
-            ),
-        ) as response:
-            apply_response_metadata(
-                context,
-                instance,
-                read_response_metadata(response.status, response.headers),
-                sent_ms=sent_ms,
-            )
-            await response.read()
+        response = await context.stage_exchange.send(message)
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         # The producer drops results by itself when they expire.
         context.metrics.count_event('free_failed')
@@ -126,3 +122,11 @@
             peer=instance.instance,
             error=repr(error),
         )
+        return
+    if response.attribution is not Attribution.foreign:
+        apply_response_metadata(
+            context,
+            instance,
+            read_response_metadata(response.status, response.headers),
+            sent_ms=sent_ms,
+        )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/shutdown_state.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/shutdown_state.py
@@ -1,6 +1,7 @@
 """Decide what a stopping gateway accepts, and when it aborts requests."""
 
 import asyncio
+import signal
 from collections.abc import Callable, Coroutine
 from typing import TypeVar
 
@@ -9,9 +10,15 @@
 from ragworthollow.utils import get_boottime_ms
 
 Outcome = TypeVar('Outcome')
+RequestShutdown = Callable[[], None]
 _MILLISECONDS = 1000
 
 
+def send_sigterm() -> None:
+    """Send SIGTERM to this process, as the platform does."""
+    signal.raise_signal(signal.SIGTERM)
+
+
 def _always_allow() -> bool:
     return True
 
--- a/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
@@ -55,7 +55,10 @@
             )
 
 
-def make_upstream_session(identity_header: str = '') -> aiohttp.ClientSession:
+def make_upstream_session(
+    identity_header: str = '',
+    response_class: type[ExchangeResponse] = ExchangeResponse,
+) -> aiohttp.ClientSession:
     """
     Create a session for requests to upstreams.
 
@@ -63,6 +66,8 @@
     ----------
     identity_header : str
         Header in which requests and their responses name the request.
+    response_class : type
+        Class of the responses.
 
     Returns
     -------
@@ -78,7 +83,7 @@
                 global_settings.UPSTREAM_IDLE_MS / _MILLISECONDS
             ),
         ),
-        response_class=ExchangeResponse,
+        response_class=response_class,
         read_bufsize=global_settings.STREAM_READ_LIMIT_BYTES,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/packages/ragworthollow/src/ragworthollow/upstreams/load_tracker.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/load_tracker.py
@@ -32,6 +32,8 @@
         Latest reported time that work takes there, relative to the usual one.
     work_time_reported_ms : float
         Time at which that ratio arrived, on the monotonic clock.
+    returns_identifiers : bool
+        Whether a response to a call for pieces has named its call.
     """
 
     in_flight: int = 0
@@ -43,6 +45,7 @@
     failures: int = 0
     work_time_ratio: float = 1
     work_time_reported_ms: float = field(default=float('-inf'))
+    returns_identifiers: bool = False
 
     def get_other_requests(self, now_ms: float) -> int:
         """Return the requests of other processes, by the latest report."""
--- a/tests/features/steps/gateway_fleet.py
+++ b/tests/features/steps/gateway_fleet.py
@@ -7,6 +7,7 @@
 from ragworthollow.utils import get_boottime_ms
 from tests.fixtures.stage_requests import GATEWAY_NAMES, send_stage_requests
 from tests.standins.partial_streams import End
+from tests.standins.upstream import make_handle
 
 _PLAIN_INSTANCES = ('u1', 'u2')
 
@@ -87,7 +88,7 @@
         ]
         actual = run.headers['x-ragworthollow-inputs'].split(',')
         expected = [
-            f'{address}/{response.request_id}-{number}' for number in (0, 1)
+            f'{address}/{response.request_id}-1-{number}' for number in (0, 1)
         ]
         assert actual == expected, run.headers
 
@@ -105,7 +106,7 @@
     stage = context.gateway_stage
     upstream = stage.upstreams['s1']
     handles = {
-        f'{upstream.address}/{item["id"]}-{item["piece"]}'
+        make_handle(upstream.address, item)
         for call in upstream.calls
         for item in call
     }
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -163,7 +163,12 @@
         if item['stage'] and self.failing_pieces:
             self.failing_pieces -= 1
             return {'reason': 'error'}
-        return {'handle': f'{self.address}/{item["id"]}-{item["piece"]}'}
+        return {'handle': make_handle(self.address, item)}
+
+
+def make_handle(address: str, item: dict) -> str:
+    """Return the handle of the result of a piece."""
+    return f'{address}/{item["id"]}-{item["stage"]}-{item["piece"]}'
 
 
 async def _read_request(reader) -> SimpleNamespace:
