Keep connections to stage instances that return no identifier

Cause: since responses have to name their request, a connection is given up after any response that names none. Where stage instances return no identifier, each call for pieces then needs a connection of its own, which the platform charges.

The session for stage instances leaves responses without a name to its caller, which attributes them by their handles.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/response_attribution.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/response_attribution.py
@@ -37,9 +37,7 @@
         is_new = history.add(handles)
         if not is_new or find_mismatch(call, results):
             return Attribution.foreign
-        if not handles or history.is_full():
-            return Attribution.unrepeatable
-        return Attribution.distinct
+        return Attribution.distinct if handles else Attribution.unrepeatable
 
     return attribute
 
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -465,9 +465,6 @@
 # A stage call that takes this long is not expected to be answered any more.
 PIECE_CALL_TIMEOUT_MS = 6_000
 PIECE_ATTEMPTS = 3
-# Number of results after which a connection to a stage instance is replaced:
-# their handles are kept for its lifetime.
-CONNECTION_HANDLES_LIMIT = 2_000
 SCHEDULER_TICK_MS = 50
 # Minimum delay after which a refused caller may retry; a jitter of a half keeps
 # callers that are refused together from returning together.
--- a/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
@@ -33,6 +33,8 @@
 def make_upstream_session(
     identity_header: str = '',
     response_class: type[ExchangeResponse] = ExchangeResponse,
+    *,
+    may_omit_identity: bool = False,
 ) -> aiohttp.ClientSession:
     """
     Create a session for requests to upstreams.
@@ -43,6 +45,8 @@
         Header in which requests and their responses name the request.
     response_class : type
         Class of the responses.
+    may_omit_identity : bool
+        Whether a response may name no request.
 
     Returns
     -------
@@ -52,6 +56,7 @@
     session = aiohttp.ClientSession(
         connector=UpstreamConnector(
             identity_header=identity_header,
+            may_omit_identity=may_omit_identity,
             limit=0,
             use_dns_cache=False,
             keepalive_timeout=(
--- a/packages/ragworthollow/src/ragworthollow/transport/connector.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/connector.py
@@ -24,16 +24,25 @@
     identity_header : str
         Header in which requests and their responses name the request; empty if
         the peers name none.
+    may_omit_identity : bool
+        Whether a response may name no request.
     **options
         Options of `aiohttp.TCPConnector`.
     """
 
-    def __init__(self, *, identity_header: str = '', **options: Any) -> None:
+    def __init__(
+        self,
+        *,
+        identity_header: str = '',
+        may_omit_identity: bool = False,
+        **options: Any,
+    ) -> None:
         super().__init__(**options)
         self._factory = functools.partial(
             ResponseProtocol,
             loop=self._loop,
             identity_header=identity_header,
+            may_omit_identity=may_omit_identity,
         )
 
     async def connect(
--- a/packages/ragworthollow/src/ragworthollow/transport/held_session.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/held_session.py
@@ -21,4 +21,8 @@
         Session that the caller must close; its responses keep their
         connections until they are released.
     """
-    return make_upstream_session(identity_header, response_class=HeldResponse)
+    return make_upstream_session(
+        identity_header,
+        response_class=HeldResponse,
+        may_omit_identity=True,
+    )
--- a/packages/ragworthollow/src/ragworthollow/transport/response_protocol.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/response_protocol.py
@@ -44,6 +44,9 @@
     identity_header : str
         Header in which requests and their responses name the request; empty if
         the peer names none.
+    may_omit_identity : bool
+        Whether a response may name no request.  The caller then has to find
+        out by other means which request it answers.
 
     Attributes
     ----------
@@ -58,9 +61,11 @@
         loop: asyncio.AbstractEventLoop,
         *,
         identity_header: str = '',
+        may_omit_identity: bool = False,
     ) -> None:
         super().__init__(loop=loop)
         self._identity_header = identity_header
+        self._may_omit_identity = may_omit_identity
         self._exchange_count = 0
         self._began_ms: float = 0
         self._is_idle = True
@@ -116,6 +121,8 @@
             response_id = message.headers.get(self._identity_header, '')
             if response_id == self._request_id or message.code < _FIRST_STATUS:
                 return message, body
+            if not response_id and self._may_omit_identity:
+                return message, body
             if response_id not in self._sent_ids:
                 # It cannot be told whose response this is, so the next one on
                 # the connection could belong to this request.
