--- a/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
@@ -30,7 +30,12 @@
             )
 
 
-def make_upstream_session(identity_header: str = '') -> aiohttp.ClientSession:
+def make_upstream_session(
+    identity_header: str = '',
+    response_class: type[ExchangeResponse] = ExchangeResponse,
+    *,
+    may_omit_identity: bool = False,
+) -> aiohttp.ClientSession:
     """
     Create a session for requests to upstreams.
 
@@ -38,6 +43,10 @@
     ----------
     identity_header : str
         Header in which requests and their responses name the request.
+    response_class : type
+        Class of the responses.
+    may_omit_identity : bool
+        Whether a response may name no request.
 
     Returns
     -------
@@ -47,13 +56,14 @@
     session = aiohttp.ClientSession(
         connector=UpstreamConnector(
             identity_header=identity_header,
+            may_omit_identity=may_omit_identity,
             limit=0,
             use_dns_cache=False,
             keepalive_timeout=(
                 global_settings.UPSTREAM_IDLE_MS / _MILLISECONDS
             ),
         ),
-        response_class=ExchangeResponse,
+        response_class=response_class,
         read_bufsize=global_settings.STREAM_READ_LIMIT_BYTES,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
