Read streams in time proportional to their bytes, and limit events

Callers saw: one stream without the end of an event held up a whole gateway. With 192 KB in chunks of 64 bytes, other requests had no answer half a second after their timeout, and the ready checks went unanswered.

Cause: EventBuffer joined all bytes since the last event with each chunk and searched all of them again, without a limit for the length of an event. The relay took all chunks that had arrived without giving the event loop a turn, since nothing is written meanwhile. The HTTP library parsed up to 8 MB of chunks before it stopped reading a connection.

Now each byte is searched once; only a line ending at a cut is looked at again. An event longer than MAX_EVENT_BYTES breaks the stream off as truncated. The relay gives the loop a turn after 16 KiB or 64 chunks. Upstream connections stop being read and parsed at 64 KiB, or 2,048 chunks, that are not processed.

The tests failed on the code before: - One event without end, 200,000 bytes in chunks of 1,460: 13,601,360 bytes searched (limit 800,000); chunks of 1 byte did not end within 100 s. - The events of a stream do not depend on how it is cut: AssertionError: (b'\n\r\n', b'\n\r'). - A stream arrives faster than it is read: 200000 bytes in one turn, and 198560 in chunks of 1,460 or 64. - A stream with an event that is too long: relayed as complete. - Requests beside streams of one long event: TimeoutError with chunks of 1,460; did not end within 20 s with chunks of 16.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
@@ -7,6 +7,7 @@
 
 from ragworthollow.platform.response_wire import make_caller_headers
 from ragworthollow.transport.body_framing import BodyFraming
+from ragworthollow.transport.paced_reading import iterate_paced
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.body_end import BodyEnd
 from ragworthollow_daemon.gateway.event_buffer import EventBuffer
@@ -131,18 +132,21 @@
         Raises
         ------
         ClientError
-            If the upstream disconnects or ends its stream inside an event;
-            `get_last_event_id` returns the event after which to resume.
+            If the upstream disconnects, ends its stream inside an event, or
+            sends an event that is too long; `get_last_event_id` returns the
+            event after which to resume.
         ConnectionError
             If the caller disconnects.
         """
         self._event_buffer.discard_incomplete()
-        async for chunk, _ in upstream.content.iter_chunks():
+        async for chunk in iterate_paced(upstream.content):
             complete = self._event_buffer.feed(chunk)
             if complete:
                 self.timing.record(get_monotonic_ms())
                 on_first_event()
                 await self._write(complete)
+            if self._event_buffer.is_event_too_long:
+                raise ClientPayloadError('an event of the stream is too long')
         self._check_end()
         rest = self._event_buffer.get_incomplete()
         if rest:
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -14,6 +14,19 @@
 MAX_DEADLINE_MS = 600_000
 STREAM_READ_LIMIT_BYTES = 4_000_000
 
+# Streams of upstreams.
+
+# Maximum length of one event, without the blank line at its end; a stream with
+# a longer one is broken off.
+MAX_EVENT_BYTES = 262_144
+# Number of bytes and of chunks of a stream that are processed before the event
+# loop continues with other work.
+STREAM_TURN_BYTES = 16_384
+STREAM_TURN_CHUNKS = 64
+# Received bytes of a response from which its connection is not read until
+# half of them have been processed.
+UPSTREAM_READ_BUFFER_BYTES = 32_768
+
 # Idempotency keys.
 KEY_MAX_AGE_MS = 300_000
 KEY_FUTURE_MARGIN_MS = 250
--- a/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
@@ -68,7 +68,7 @@
                 global_settings.UPSTREAM_IDLE_MS / _MILLISECONDS
             ),
         ),
-        read_bufsize=global_settings.STREAM_READ_LIMIT_BYTES,
+        read_bufsize=global_settings.UPSTREAM_READ_BUFFER_BYTES,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=(
--- a/tests/features/broken_streams.feature
+++ b/tests/features/broken_streams.feature
@@ -122,6 +122,64 @@
     # inside a line ending.
     Then any events with any line endings in any chunks leave the buffer whole
 
+  Scenario: The events of a stream do not depend on how it is cut
+    # Guards against events that are told apart by where their bytes were cut.
+    Then any bytes in any chunks give the events that they give as a whole
+
+  Scenario Outline: One event without end in chunks of <chunk_bytes> bytes
+    # Guards against a stream whose bytes are searched again with each chunk, so
+    # that the time for it grows with the square of its length.
+    When <total_bytes> bytes without the end of an event are fed in chunks of <chunk_bytes>
+    Then no more than 4 times as many bytes were searched
+
+    Examples:
+      | total_bytes | chunk_bytes |
+      | 200000      | 1           |
+      | 200000      | 16          |
+      | 200000      | 64          |
+      | 200000      | 1460        |
+
+  Scenario Outline: An event is <excess> bytes longer than the limit
+    # Guards against an event that fills the memory of a gateway, and against a
+    # limit that depends on how the stream is cut.
+    When an event of <excess> bytes beyond the limit follows a short one
+    Then the buffer has passed on <events> events and reports <report>
+
+    Examples:
+      | excess | events | report            |
+      | 0      | 2      | no event          |
+      | 1      | 1      | an event too long |
+
+  Scenario: A stream with an event that is too long is broken off
+    # Guards against a stream that is relayed as complete without an event.
+    When a caller posts to /stream/long?1000000
+    Then it gets 0 whole events and a broken connection
+
+  Scenario Outline: A stream arrives faster than it is read: <chunk_bytes> bytes
+    # Guards against a reader that keeps the event loop until the end of a stream
+    # because all of its chunks have arrived.
+    When a stream of 200000 bytes in chunks of <chunk_bytes> is relayed at once
+    Then other work ran at least every 16384 bytes and every 64 chunks
+
+    Examples:
+      | chunk_bytes |
+      | 1           |
+      | 64          |
+      | 1460        |
+      | 200000      |
+
+  Scenario Outline: Requests beside streams of one long event, <chunk_bytes> bytes
+    # Guards against a gateway that answers nobody in time while it reads
+    # streams with one long event.
+    When 50 callers with 3000 ms post beside 4 streams of /stream/long?<chunk_bytes>
+    Then each of them got its own complete response
+
+    Examples:
+      | chunk_bytes |
+      | 16          |
+      | 64          |
+      | 1460        |
+
   Scenario: A caller's connection is closing when events arrive for it
     # Guards against an instance that is blamed, and a stream resumed for nobody,
     # since a write to a caller and a read from an upstream fail alike.
--- a/tests/features/steps/broken_streams.py
+++ b/tests/features/steps/broken_streams.py
@@ -1,6 +1,7 @@
 """Steps for streams that upstreams break off or frame in different ways."""
 
 import asyncio
+import contextlib
 from types import SimpleNamespace
 from unittest import mock
 
@@ -9,6 +10,7 @@
 from behave import given, then, when
 
 from ragworthollow.outcomes import Reason
+from ragworthollow_daemon.gateway.event_buffer import EventBuffer
 from ragworthollow_daemon.gateway.response_progress import ResponseProgress
 from ragworthollow_daemon.gateway.stream_relay import StreamRelay
 from tests.fixtures.gateways import API_KEY
@@ -213,12 +215,16 @@
 def prepare_closing_caller(context):
     writer = mock.AsyncMock()
     writer.write.side_effect = aiohttp.ClientConnectionResetError('closing')
+    context.relay = _make_relay(writer)
+
+
+def _make_relay(writer) -> StreamRelay:
     request = make_mocked_request('POST', '/stream/', writer=writer)
     job = SimpleNamespace(
         request=request,
         request_parameters=SimpleNamespace(last_event_id=''),
     )
-    context.relay = StreamRelay(
+    return StreamRelay(
         job=job,
         is_draining=bool,
         progress=ResponseProgress(step='forward', peer='plain'),
@@ -253,3 +259,86 @@
     error = context.relay_error
     assert isinstance(error, ConnectionError), repr(error)
     assert not isinstance(error, aiohttp.ClientError), repr(error)
+
+
+@when(
+    'a stream of {total_bytes:d} bytes in chunks of {chunk_bytes:d} is relayed '
+    'at once'
+)
+def relay_at_once(context, total_bytes, chunk_bytes):
+    context.turns = asyncio.run(_relay_at_once(total_bytes, chunk_bytes))
+
+
+async def _relay_at_once(total_bytes, chunk_bytes) -> list[tuple[int, int]]:
+    """Return how many bytes and chunks were processed in each turn."""
+    processed = SimpleNamespace(size=0, count=0)
+    turns = []
+
+    class CountingBuffer(EventBuffer):
+        def feed(self, chunk: bytes) -> bytes:
+            processed.size += len(chunk)
+            processed.count += 1
+            return super().feed(chunk)
+
+    async def count_turns():
+        while True:
+            turns.append((processed.size, processed.count))
+            processed.size = 0
+            processed.count = 0
+            await asyncio.sleep(0)
+
+    async def iterate():
+        for _ in range(total_bytes // chunk_bytes):
+            yield b'Z' * chunk_bytes, True
+
+    relay = _make_relay(mock.AsyncMock())
+    relay._event_buffer = CountingBuffer()  # noqa: SLF001
+    upstream = SimpleNamespace(
+        status=200,
+        headers={},
+        connection=None,
+        content=SimpleNamespace(iter_chunks=iterate),
+    )
+    await relay.start(upstream)
+    counting = asyncio.ensure_future(count_turns())
+    with contextlib.suppress(aiohttp.ClientPayloadError):
+        await relay.relay_events(upstream, lambda: None)
+    turns.append((processed.size, processed.count))
+    counting.cancel()
+    return turns
+
+
+@then(
+    'other work ran at least every {max_bytes:d} bytes and every {count:d} '
+    'chunks'
+)
+def check_turns(context, max_bytes, count):
+    # The chunk that reaches the limit is processed in the same turn.
+    for turn_bytes, turn_count in context.turns:
+        assert turn_bytes <= 2 * max_bytes, turn_bytes
+        assert turn_count <= count, turn_count
+
+
+@when(
+    '{count:d} callers with {limit_ms:d} ms post beside {streams:d} streams '
+    'of {path:S}'
+)
+def send_beside_streams(context, count, limit_ms, streams, path):
+    stage = context.gateway_stage
+
+    async def send_all():
+        streaming = [
+            asyncio.ensure_future(stage.send(path)) for _ in range(streams)
+        ]
+        # Callers leave at their limit; a gateway that does not run would
+        # otherwise answer them late, and succeed.
+        async with asyncio.timeout(limit_ms / 1000):
+            context.responses = await asyncio.gather(
+                *(
+                    stage.send('/safe/answer', limit_ms=limit_ms)
+                    for _ in range(count)
+                )
+            )
+        await asyncio.gather(*streaming)
+
+    stage.run(send_all())
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -22,6 +22,7 @@
 # More than the buffers of a connection hold.
 LARGE_BODY_BYTES = 32_000_000
 _LARGE_EVENT_CHARS = 100_000
+LONG_EVENT_BYTES = 1_000_000
 
 
 class UpstreamStandin:
@@ -384,6 +385,18 @@
         await writer.drain()
 
 
+async def _stream_long_event(standin, request, _reader, writer):
+    """Stream one event in chunks of a size as in `long?16`."""
+    _start_stream(standin, request, writer)
+    size = int(request.path.partition('?')[2])
+    chunk = f'{size:x}\r\n'.encode() + b'Z' * size + b'\r\n'
+    writer.write(chunk * (LONG_EVENT_BYTES // size))
+    await writer.drain()
+    _write_chunk(writer, b'\n\n')
+    _write_chunk(writer, b'')
+    return True
+
+
 async def _fail_unframed(standin, request, _reader, writer):
     _write_unframed(
         writer, standin.record_run(request), '500 Internal Server Error'
@@ -457,6 +470,7 @@
     'spoiled': _spoil_stream,
     'held': _hold_stream,
     'flood': _flood,
+    'long': _stream_long_event,
     'error': _fail_unframed,
     'pause': _pause_stream,
 }
