End a call as unreadable whatever its decoder raises

Callers saw: a stage instance that answered with deeply nested JSON was never used again, and its pieces waited until the limit of their requests.

Cause: the decoder raises RecursionError for such a text, which no reader expects; the call was left without an end. Values of the store that are not Base64 raised binascii.Error in the same way.

All JSON of other processes is now decoded by decode_json, which turns every error into the DecodeError that all readers handle. Values of the store are decoded together with their message.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/key_router.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/key_router.py
@@ -10,7 +10,7 @@
 from ragworthollow.platform.instance_list import InstanceEntry
 from ragworthollow.routing import PeerState
 from ragworthollow.transport import OnceKey
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.utils import decode_json, get_monotonic_ms
 from ragworthollow.utils.message import Message
 from ragworthollow_daemon.entry.pool_router import PoolRouter
 from ragworthollow_daemon.process_context import ProcessContext, get_timeout
@@ -173,9 +173,9 @@
                 timeout=get_timeout(timeout_ms),
                 raise_for_status=True,
             ) as response:
-                return msgspec.json.decode(
+                return decode_json(
                     await response.read(),
-                    type=answer_type,
+                    answer_type,
                 )
         except _FAILURES:
             return None
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/operator_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/operator_routes.py
@@ -18,7 +18,7 @@
 from ragworthollow.membership.process_status import ProcessStatus
 from ragworthollow.outcomes import Reason
 from ragworthollow.transport.responses import Problem, respond
-from ragworthollow.utils import get_wall_ms, hash_secret
+from ragworthollow.utils import decode_json, get_wall_ms, hash_secret
 from ragworthollow_daemon.process_context import ProcessContext, get_timeout
 from ragworthollow_daemon.web.configuration_routes import Announcement
 
@@ -110,9 +110,9 @@
     ) -> web.Response:
         request = request.clone(client_max_size=_MAX_CHANGE_BYTES)
         try:
-            change = msgspec.json.decode(
+            change = decode_json(
                 await request.read(),
-                type=ChangeRequest,
+                ChangeRequest,
             )
         except msgspec.DecodeError as error:
             return respond(
@@ -188,7 +188,7 @@
                 body = await response.read()
         except (TimeoutError, ClientError, OSError):
             return status
-        reported = msgspec.json.decode(body, type=ProcessStatus)
+        reported = decode_json(body, ProcessStatus)
         return msgspec.structs.replace(status, generation=reported.generation)
 
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/request_validator.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/request_validator.py
@@ -13,6 +13,7 @@
 from ragworthollow.outcomes import Outcome, Reason, Refusal
 from ragworthollow.transport import OnceKey
 from ragworthollow.utils import (
+    decode_json,
     get_creation_ms,
     get_monotonic_ms,
     get_wall_ms,
@@ -117,7 +118,7 @@
                 f'at most {global_settings.MAX_BODY_BYTES} bytes',
             )
         try:
-            return Ok(msgspec.json.decode(body, type=PipelineRequest))
+            return Ok(decode_json(body, PipelineRequest))
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             return self._refuse(Reason.bad_request, str(error))
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/stage_caller.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/entry/stage_caller.py
@@ -14,7 +14,7 @@
 from ragworthollow.transport import StageAnswer, StageCall, StreamLine
 from ragworthollow.transport.stage_answer import refuse
 from ragworthollow.transport.tracked_body import TrackedBody
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.utils import decode_json, get_monotonic_ms
 from ragworthollow_daemon.process_context import ProcessContext
 
 Emit = Callable[[StreamLine], Awaitable[None]]
@@ -125,9 +125,9 @@
             if is_stream and response.content_type != 'application/json':
                 answer = await self._read_stream(peer, call, response, emit)
             else:
-                answer = msgspec.json.decode(
+                answer = decode_json(
                     await response.read(),
-                    type=StageAnswer,
+                    StageAnswer,
                 )
         return self._check_identity(peer, call, answer)
 
@@ -139,7 +139,7 @@
         emit: Emit,
     ) -> StageAnswer:
         async for raw_line in response.content:
-            line = msgspec.json.decode(raw_line, type=StreamLine)
+            line = decode_json(raw_line, StreamLine)
             if line.answer is not None:
                 return line.answer
             await emit(line)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/host_pinger.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/host_pinger.py
@@ -20,7 +20,7 @@
     HostState,
 )
 from ragworthollow.transport.timeouts import make_timeout
-from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
+from ragworthollow.utils import decode_json, get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.engine_exchange import (
     ENGINE_REPORTS,
@@ -131,9 +131,9 @@
                     global_settings.PEER_CONNECT_TIMEOUT_MS,
                 ),
             ) as response:
-                state = msgspec.json.decode(
+                state = decode_json(
                     await response.read(),
-                    type=HostState,
+                    HostState,
                 )
         except (
             TimeoutError,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
@@ -14,7 +14,7 @@
 from ragworthollow.platform.stored import Stored
 from ragworthollow.platform.transaction import Put
 from ragworthollow.transport.host_messages import CHANGE_PATH, MemberChange
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.utils import decode_json, get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.peer_notifications import notify_peer
 
@@ -200,7 +200,7 @@
         if not key.startswith(_PREFIX):
             continue
         try:
-            member = msgspec.json.decode(stored.text, type=GatewayMember)
+            member = decode_json(stored.text, GatewayMember)
         except msgspec.DecodeError as error:
             log_error(
                 'member_unreadable',
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -24,7 +24,7 @@
     encode_results,
 )
 from ragworthollow.transport.responses import Problem, respond
-from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
+from ragworthollow.utils import decode_json, get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.engine_exchange import (
     exchange_engine_reports,
@@ -98,7 +98,7 @@
         """Apply the ping of a peer, and respond with this gateway's state."""
         body = await request.read()
         try:
-            ping = msgspec.json.decode(body, type=GatewayPing)
+            ping = decode_json(body, GatewayPing)
         except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=_BAD_REQUEST)
         now_ms = get_monotonic_ms()
@@ -148,7 +148,7 @@
         """Send an update of the store to a gateway that cannot read it."""
         body = await request.read()
         try:
-            update_request = msgspec.json.decode(body, type=UpdateRequest)
+            update_request = decode_json(body, UpdateRequest)
         except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=_BAD_REQUEST)
         self._context.metrics.count_event('store_news_told')
@@ -164,7 +164,7 @@
         """Apply a gateway's announcement that it joins or leaves."""
         body = await request.read()
         try:
-            change = msgspec.json.decode(body, type=MemberChange)
+            change = decode_json(body, MemberChange)
         except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=_BAD_REQUEST)
         now_ms = get_monotonic_ms()
@@ -182,7 +182,7 @@
         """Run pieces; they are cancelled if the requester disconnects."""
         body = await request.read()
         try:
-            order = msgspec.json.decode(body, type=PiecesRequest)
+            order = decode_json(body, PiecesRequest)
         except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=_BAD_REQUEST)
         now_ms = get_monotonic_ms()
@@ -203,7 +203,7 @@
         """
         body = await request.read()
         try:
-            release = msgspec.json.decode(body, type=ResultsRelease)
+            release = decode_json(body, ResultsRelease)
         except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=_BAD_REQUEST)
         host = self._members.find_host(release.pool)
@@ -226,7 +226,7 @@
         """Take over a scheduler's state from its previous host."""
         body = await request.read()
         try:
-            transfer = msgspec.json.decode(body, type=SchedulerTransfer)
+            transfer = decode_json(body, SchedulerTransfer)
         except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=_BAD_REQUEST)
         self._handover.apply_transfer(transfer)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine_records.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine_records.py
@@ -11,6 +11,7 @@
 from ragworthollow.platform.stored import Stored
 from ragworthollow.platform.transaction import Put
 from ragworthollow.quarantine import CrashReport
+from ragworthollow.utils import decode_json
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.quarantine_change import QuarantineChange
 
@@ -94,7 +95,7 @@
 
     def _apply_record(self, key: str, stored: Stored) -> None:
         try:
-            report = msgspec.json.decode(stored.text, type=CrashReport)
+            report = decode_json(stored.text, CrashReport)
         except msgspec.DecodeError as error:
             log_error(
                 'quarantine_record_unreadable',
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/status_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/status_routes.py
@@ -11,7 +11,7 @@
 )
 from ragworthollow.transport.responses import Problem, respond
 from ragworthollow.upstreams.operator_messages import INSTANCES_PATH
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.utils import decode_json, get_monotonic_ms
 from ragworthollow.utils.message import Message
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.instances_view import describe_instances
@@ -154,7 +154,7 @@
         """Release a request from quarantine on all gateways."""
         body = await request.read()
         try:
-            order = msgspec.json.decode(body, type=ReleaseRequest)
+            order = decode_json(body, ReleaseRequest)
         except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=_BAD_REQUEST)
         is_released = self._context.quarantine.release(order.fingerprint)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/assignment_reader.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/assignment_reader.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Mapping
 
-import msgspec
 from result import Err, Ok
 
 from ragworthollow.logs.events import log_event
@@ -11,7 +10,7 @@
 from ragworthollow.once.member_key import MemberKey
 from ragworthollow.platform import Stored
 from ragworthollow.platform.transaction import Compare, compare_with
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.utils import decode_json, get_monotonic_ms
 from ragworthollow_daemon.process_context import ProcessContext
 from ragworthollow_daemon.sidecar.member_lease import MemberLease
 
@@ -127,9 +126,9 @@
     def _decode_members(self, entries: Mapping[str, Stored]) -> Members:
         prefix = self.get_member_key('')
         members = {
-            key.removeprefix(prefix): msgspec.json.decode(
+            key.removeprefix(prefix): decode_json(
                 stored.text,
-                type=MemberKey,
+                MemberKey,
             )
             for key, stored in entries.items()
             if key.startswith(prefix)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/member_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/member_client.py
@@ -10,6 +10,7 @@
     MemberRequest,
     RecordTransfer,
 )
+from ragworthollow.utils import decode_json
 from ragworthollow.utils.message import Message
 from ragworthollow_daemon.process_context import get_timeout
 
@@ -64,9 +65,9 @@
                 timeout=get_timeout(global_settings.PEER_TIMEOUT_MS),
                 raise_for_status=True,
             ) as response:
-                return msgspec.json.decode(
+                return decode_json(
                     await response.read(),
-                    type=MemberReply,
+                    MemberReply,
                 )
         except (
             TimeoutError,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/member_lease.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/member_lease.py
@@ -7,7 +7,7 @@
 from ragworthollow.once.member_key import MemberKey
 from ragworthollow.platform import PlatformError, StoreClient, Stored
 from ragworthollow.platform.transaction import Compare, Put, compare_with
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.utils import decode_json, get_monotonic_ms
 
 
 class MemberLease:
@@ -88,7 +88,7 @@
             Whether this process holds the key now.
         """
         if current.text:
-            previous = msgspec.json.decode(current.text, type=MemberKey)
+            previous = decode_json(current.text, MemberKey)
             if previous.address != member.address:
                 return Ok(False)
         sent_ms = get_monotonic_ms()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_routes.py
@@ -12,7 +12,7 @@
 from ragworthollow.once.promises import make_reply
 from ragworthollow.transport import OnceKey
 from ragworthollow.transport.responses import Problem, respond
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.utils import decode_json, get_monotonic_ms
 from ragworthollow_daemon.sidecar.once_agent import OnceAgent
 from ragworthollow_daemon.sidecar.once_executor import OnceExecutor
 
@@ -64,7 +64,7 @@
     async def look_up(self, request: web.Request) -> web.Response:
         """Return the state of a key, waiting while its call runs."""
         try:
-            once = msgspec.json.decode(await request.read(), type=OnceKey)
+            once = decode_json(await request.read(), OnceKey)
             wait_ms = float(request.query.get('wait_ms', 0))
         except (msgspec.DecodeError, ValueError) as error:
             return respond(Problem(error=str(error)), status=400)
@@ -97,9 +97,9 @@
     async def receive_records(self, request: web.Request) -> web.Response:
         """Store records of ranges about to be assigned to this process."""
         try:
-            transfer = msgspec.json.decode(
+            transfer = decode_json(
                 await request.read(),
-                type=RecordTransfer,
+                RecordTransfer,
             )
         except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=400)
@@ -116,6 +116,6 @@
 
 async def _read_request(request: web.Request) -> MemberRequest | None:
     try:
-        return msgspec.json.decode(await request.read(), type=MemberRequest)
+        return decode_json(await request.read(), MemberRequest)
     except msgspec.DecodeError:
         return None
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/order_agent.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/order_agent.py
@@ -19,7 +19,7 @@
 from ragworthollow.logs.events import log_event
 from ragworthollow.once.member_key import MemberKey
 from ragworthollow.platform.transaction import compare_with
-from ragworthollow.utils import get_monotonic_ms, get_wall_ms
+from ragworthollow.utils import decode_json, get_monotonic_ms, get_wall_ms
 from ragworthollow_daemon.process_context import ProcessContext, get_timeout
 from ragworthollow_daemon.sidecar.member_lease import MemberLease
 
@@ -216,9 +216,9 @@
                 timeout=get_timeout(global_settings.PEER_TIMEOUT_MS),
                 raise_for_status=True,
             ) as response:
-                engine_models = msgspec.json.decode(
+                engine_models = decode_json(
                     await response.read(),
-                    type=EngineModels,
+                    EngineModels,
                 )
         except _FAILURES:
             return None
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/stage_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/stage_routes.py
@@ -8,6 +8,7 @@
 from ragworthollow.configuration.stage import StageKind
 from ragworthollow.transport import OnceKey, StageAnswer, StageCall, StreamLine
 from ragworthollow.transport.responses import Problem, respond
+from ragworthollow.utils import decode_json
 from ragworthollow_daemon.process_context import ProcessContext
 from ragworthollow_daemon.sidecar.once_executor import OnceExecutor
 from ragworthollow_daemon.sidecar.stage_executor import StageExecutor
@@ -51,7 +52,7 @@
     async def run_stage(self, request: web.Request) -> web.StreamResponse:
         """Run one stage call; stream the output of a generating stage."""
         try:
-            call = msgspec.json.decode(await request.read(), type=StageCall)
+            call = decode_json(await request.read(), StageCall)
         except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=400)
         with self._context.drain.serving(call.request_id, request.remote or ''):
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/upstream_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/upstream_client.py
@@ -10,6 +10,7 @@
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.transport import StageCall, StreamLine
 from ragworthollow.transport.tracked_body import TrackedBody
+from ragworthollow.utils import decode_json
 from ragworthollow_daemon.process_context import get_timeout
 from ragworthollow_daemon.sidecar.upstream_messages import (
     CompletionChunk,
@@ -152,7 +153,7 @@
 
 
 def _decode_response(call: StageCall, body: bytes) -> UpstreamResult:
-    response = msgspec.json.decode(body, type=UpstreamResponse)
+    response = decode_json(body, UpstreamResponse)
     if response.request_id != call.request_id:
         # The response belongs to another request; it is unknown whether this
         # request has run.
@@ -204,7 +205,7 @@
     texts: list[str] = []
     is_finished = False
     async for event in _iterate_events(response):
-        chunk = msgspec.json.decode(event, type=CompletionChunk)
+        chunk = decode_json(event, CompletionChunk)
         expected = call.resume_offset + len(texts)
         choice = chunk.choices[0]
         if chunk.id != call.request_id or choice.index != expected:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/configuration_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/configuration_routes.py
@@ -7,6 +7,7 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.transport.responses import Problem, respond
+from ragworthollow.utils import decode_json
 from ragworthollow.utils.message import Message
 from ragworthollow_daemon.process_context import ProcessContext
 
@@ -73,9 +74,9 @@
     async def apply_announcement(self, request: web.Request) -> web.Response:
         """Fetch an announced generation from the process that has it."""
         try:
-            announcement = msgspec.json.decode(
+            announcement = decode_json(
                 await request.read(),
-                type=Announcement,
+                Announcement,
             )
         except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=400)
--- a/packages/ragworthollow/src/ragworthollow/configuration/configuration_synchronizer.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/configuration_synchronizer.py
@@ -21,6 +21,7 @@
 from ragworthollow.platform import StoreClient
 from ragworthollow.platform.store_position import StorePosition
 from ragworthollow.transport.timeouts import make_inactivity_timeout
+from ragworthollow.utils import decode_json
 
 _MILLISECONDS_PER_SECOND = 1000
 _NO_CONTENT = 204
@@ -149,7 +150,7 @@
         ) as response:
             if response.status == _NO_CONTENT:
                 return None
-            return msgspec.json.decode(await response.read(), type=Snapshot)
+            return decode_json(await response.read(), Snapshot)
 
     async def _apply_snapshot(self, snapshot: Snapshot) -> None:
         applied = self._store.apply(snapshot)
--- a/packages/ragworthollow/src/ragworthollow/configuration/store.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/store.py
@@ -15,6 +15,7 @@
 from ragworthollow.configuration.parse_cache import ParseCache
 from ragworthollow.configuration.snapshot import Snapshot, hash_text
 from ragworthollow.outcomes import Reason
+from ragworthollow.utils import decode_json
 
 Listener = Callable[[], None]
 
@@ -165,4 +166,4 @@
     """
     if not text:
         return Manifest()
-    return msgspec.json.decode(text, type=Manifest)
+    return decode_json(text, Manifest)
--- a/packages/ragworthollow/src/ragworthollow/engines/load_budget.py
+++ b/packages/ragworthollow/src/ragworthollow/engines/load_budget.py
@@ -5,6 +5,7 @@
 
 from ragworthollow.platform import PlatformError, StoreClient
 from ragworthollow.platform.transaction import Put, compare_with
+from ragworthollow.utils import decode_json
 from ragworthollow.utils.message import Message
 
 _KEY = 'weights/budget'
@@ -87,7 +88,7 @@
     stored = budget_read.ok_value
     window = LoadWindow()
     if stored.text:
-        window = msgspec.json.decode(stored.text, type=LoadWindow)
+        window = decode_json(stored.text, LoadWindow)
     updated = consume_load(window, limit, now_ms)
     if updated is None:
         return Ok(False)
--- a/packages/ragworthollow/src/ragworthollow/once/assignment.py
+++ b/packages/ragworthollow/src/ragworthollow/once/assignment.py
@@ -1,9 +1,9 @@
 """Define which process owns which keys of a pool."""
 
-import msgspec
 import xxhash
 
 from ragworthollow.conf import global_settings
+from ragworthollow.utils import decode_json
 from ragworthollow.utils.hashing import get_rank
 from ragworthollow.utils.message import Message
 
@@ -138,4 +138,4 @@
     """
     if not text:
         return Assignment()
-    return msgspec.json.decode(text, type=Assignment)
+    return decode_json(text, Assignment)
--- a/packages/ragworthollow/src/ragworthollow/platform/configuration_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/configuration_wire.py
@@ -16,6 +16,7 @@
     WeightedPool,
 )
 from ragworthollow.routes.allowed_regions import AllowedRegions
+from ragworthollow.utils import decode_json
 from ragworthollow.utils.message import Message
 
 CONFIGURATION_KEY = 'op/config'
@@ -137,7 +138,7 @@
         The route table, or the error with the reason why it is invalid.
     """
     try:
-        configuration = msgspec.json.decode(text, type=_Configuration)
+        configuration = decode_json(text, _Configuration)
     except msgspec.DecodeError as error:
         return Err(
             PlatformError(
--- a/packages/ragworthollow/src/ragworthollow/platform/instance_poller.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/instance_poller.py
@@ -10,6 +10,7 @@
 from ragworthollow.logs.events import log_event
 from ragworthollow.platform.instance_list import InstanceList
 from ragworthollow.transport.timeouts import make_inactivity_timeout
+from ragworthollow.utils import decode_json
 
 _MILLISECONDS = 1000
 _NOT_MODIFIED = 304
@@ -93,9 +94,7 @@
         ) as response:
             if response.status == _NOT_MODIFIED:
                 return None
-            fetched = msgspec.json.decode(
-                await response.read(), type=InstanceList
-            )
+            fetched = decode_json(await response.read(), InstanceList)
             # Kept only with its list: it makes the service leave that out.
             self._entity_tag = response.headers.get('ETag', '')
             return fetched
--- a/packages/ragworthollow/src/ragworthollow/platform/instances_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/instances_wire.py
@@ -8,6 +8,7 @@
 
 from ragworthollow.logs.events import log_error
 from ragworthollow.upstreams import UpstreamInstance
+from ragworthollow.utils import decode_json
 from ragworthollow.utils.message import Message
 
 INSTANCES_PREFIX = 'servers/'
@@ -66,7 +67,7 @@
     """
     name = key.removeprefix(INSTANCES_PREFIX)
     try:
-        entry = msgspec.json.decode(text, type=_Entry)
+        entry = decode_json(text, _Entry)
     except (msgspec.DecodeError, RecursionError) as error:
         return _reject(key, repr(error))
     if not name or not _is_address(entry.addr):
--- a/packages/ragworthollow/src/ragworthollow/platform/restored_order.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/restored_order.py
@@ -5,6 +5,7 @@
 from ragworthollow.platform.configuration_wire import CONFIGURATION_KEY
 from ragworthollow.platform.drains_wire import DRAINS_PREFIX
 from ragworthollow.platform.instances_wire import INSTANCES_PREFIX
+from ragworthollow.utils import decode_json
 from ragworthollow.utils.message import Message
 
 _LEAVING = 'draining'
@@ -82,7 +83,7 @@
 
 
 def _read_order(text: str, kind: type[_Version | _Report]) -> tuple:
-    decoded = msgspec.json.decode(text, type=kind)
+    decoded = decode_json(text, kind)
     if isinstance(decoded, _Version):
         return (decoded.version,)
     return decoded.get_order()
--- a/packages/ragworthollow/src/ragworthollow/platform/stage_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/stage_wire.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ragworthollow.pieces.piece import Piece, PieceOutcome, PieceResult
+from ragworthollow.utils import decode_json
 from ragworthollow.utils.message import Message
 
 RUN_PATH = '/api/stage-run'
@@ -115,7 +116,7 @@
     msgspec.DecodeError
         The bytes are not a valid response.
     """
-    response = msgspec.json.decode(text, type=_RunResponse)
+    response = decode_json(text, _RunResponse)
     return tuple(
         PieceResult(
             handle=item.handle,
@@ -143,7 +144,7 @@
     msgspec.DecodeError
         The bytes are not a valid report.
     """
-    report = msgspec.json.decode(text, type=_Report)
+    report = decode_json(text, _Report)
     return bool(report.busy or report.waiting)
 
 
--- a/packages/ragworthollow/src/ragworthollow/platform/store_reader.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_reader.py
@@ -1,6 +1,5 @@
 """Read and watch the platform's store."""
 
-import base64
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -333,7 +332,7 @@
     return Stored(
         # Values are arbitrary bytes; a value that is not UTF-8 text belongs to
         # another system and must not fail a read of all keys.
-        text=base64.b64decode(item.encoded).decode(errors='replace'),
+        text=item.stored_bytes.decode(errors='replace'),
         mod_revision=item.rev,
         create_revision=item.create_revision,
         read_revision=item.as_of,
--- a/packages/ragworthollow/src/ragworthollow/platform/store_transport.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_transport.py
@@ -11,7 +11,7 @@
 from ragworthollow.platform.exceptions import PlatformError
 from ragworthollow.platform.store_response import StoreResponse
 from ragworthollow.transport.timeouts import make_inactivity_timeout
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.utils import decode_json, get_monotonic_ms
 
 UNLIMITED_BYTES = float('inf')
 _HEADERS = {'Content-Type': 'application/json'}
@@ -140,7 +140,7 @@
         message = None
         if response_type is not None:
             try:
-                message = msgspec.json.decode(body, type=response_type)
+                message = decode_json(body, response_type)
             except msgspec.DecodeError as error:
                 detail = f'{error}, after {len(body)} bytes'
                 return Err(self._explain(path, detail, applied=True))
--- a/packages/ragworthollow/src/ragworthollow/platform/store_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_wire.py
@@ -9,12 +9,12 @@
     """
     Hold one key and its value.
 
-    `value` is Base64 text, `rev` the store-wide revision of the last change;
-    with a `lease` of 0 the key does not expire.
+    `value` is sent as Base64 text; `rev` is the store-wide revision of the
+    last change; with a `lease` of 0 the key does not expire.
     """
 
     key: str = ''
-    encoded: str = msgspec.field(name='value', default='')
+    stored_bytes: bytes = msgspec.field(name='value', default=b'')
     rev: int = 0
     create_revision: int = 0
     lease: int = 0
--- a/packages/ragworthollow/src/ragworthollow/replica/update_codec.py
+++ b/packages/ragworthollow/src/ragworthollow/replica/update_codec.py
@@ -7,6 +7,7 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.replica.store_update import StoreUpdate
+from ragworthollow.utils import decode_json
 
 
 def encode_update(update: StoreUpdate | None) -> bytes:
@@ -29,7 +30,7 @@
             body,
             global_settings.MAX_UNPACKED_UPDATE_BYTES,
         )
-        update = msgspec.json.decode(decompressed, type=StoreUpdate | None)
+        update = decode_json(decompressed, StoreUpdate | None)
     except (zlib.error, msgspec.DecodeError) as error:
         return Err(repr(error))
     return Ok(update)
--- a/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/piece_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ragworthollow.pieces import Piece, PieceOutcome, PieceResult
+from ragworthollow.utils import decode_json
 from ragworthollow.utils.message import Message
 
 
@@ -228,7 +229,7 @@
     msgspec.DecodeError
         The bytes are not a valid response.
     """
-    response = msgspec.json.decode(text, type=PiecesResponse)
+    response = decode_json(text, PiecesResponse)
     return tuple(
         PieceResult(
             outcome=message.outcome,
--- a/packages/ragworthollow/src/ragworthollow/utils/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/utils/__init__.py
@@ -8,11 +8,13 @@
 )
 from ragworthollow.utils.hashing import get_rank, hash_secret
 from ragworthollow.utils.identifiers import get_creation_ms, make_identifier
+from ragworthollow.utils.json_decoding import decode_json
 from ragworthollow.utils.message import Message, StrictMessage
 
 __all__ = (
     'Message',
     'StrictMessage',
+    'decode_json',
     'get_boottime_ms',
     'get_creation_ms',
     'get_monotonic_ms',
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -225,6 +225,14 @@
       | length     | close |
       | chunked    | reset |
 
+  Scenario: The answer to a call nests its values deeply
+    # Guards against a call that never ends, and an instance that gets no other,
+    # since the decoder of its answer raised an unexpected error.
+    Given two more gateways and an instance for stage work
+    And the next 2 answers to calls nest their values 5000 levels deep
+    When 6 callers post to /staged/answer through all gateways
+    Then each of them got its own complete response
+
   Scenario: The host of a scheduler is killed while it has pieces of others
     # The gateway that fills the calls of a pool is killed; gateways that sent
     # pieces to it get no response and must use another host.
--- a/tests/features/steps/gateway_fleet.py
+++ b/tests/features/steps/gateway_fleet.py
@@ -68,6 +68,17 @@
     ]
 
 
+@given(
+    'the next {count:d} answers to calls nest their values {levels:d} levels '
+    'deep'
+)
+def nest_answers(context, count, levels):
+    body = b'{"unknown":' + b'[' * levels + b']' * levels + b'}'
+    context.gateway_stage.upstreams['s1'].spoiled_bodies = [
+        body for _ in range(count)
+    ]
+
+
 @when('{count:d} callers post to {path:S} through all gateways')
 def send_through_all(context, count, path):
     stage = context.gateway_stage
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -50,6 +50,8 @@
         self.failing_pieces = 0
         # Framing and end of answers to calls that are cut in the middle.
         self.cut_answers: list[tuple[str, End]] = []
+        # Bodies that are sent instead of the next answers to calls.
+        self.spoiled_bodies: list[bytes] = []
         self.active_calls = 0
         self.max_active_calls = 0
         # Paused streams and held responses continue once this is set.
@@ -144,6 +146,8 @@
         body = msgspec.json.encode(
             {'items': list(map(self._make_result, items))}
         )
+        if self.spoiled_bodies:
+            body = self.spoiled_bodies.pop()
         if self.cut_answers:
             framing, end = self.cut_answers.pop()
             return await write_response(
