Ignore SIGHUP while the modules of a gateway load

Callers saw: a SIGHUP within the first half second of a process ended it. Cause: the signal ends a process until a handler is set, and the gateway sets its handler only after its modules are loaded. The signal is now ignored from the first statement of the start script; the gateway reads its settings after that anyway.

--- a/deploy/run_daemon.py
+++ b/deploy/run_daemon.py
@@ -9,6 +9,7 @@
 
 import gc
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -22,6 +23,8 @@
 
 def main() -> None:
     """Run the gateway with the settings file that the platform provides."""
+    # Ends a process by default; the gateway handles it once it runs.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     for variable_name in _CERTIFICATE_VARIABLES:
         os.environ[variable_name] = os.devnull
     sys.path.insert(0, str(_BUILT))
