Pass on request bodies with Content-Encoding as they came

Callers saw: a body with Content-Encoding: gzip or deflate reached the upstream decoded, with the header still on it; br was answered 400, and a body that is no gzip 500.

Cause: the HTTP server decodes bodies unless told otherwise. It no longer does.

The tests failed before: gzip with status 500 (zlib.error: incorrect header check), deflate with a decoded body, br with status 400 "Can not decode content-encoding: brotli (br)". They pass now.

--- a/packages/ragworthollow/src/ragworthollow/transport/limited_server.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/limited_server.py
@@ -141,6 +141,8 @@
             self._get_limits,
             loop=asyncio.get_running_loop(),
             access_log=None,
+            # Bodies are passed on as they were sent.
+            auto_decompress=False,
             max_line_size=global_settings.GATEWAY_HEADER_BYTES,
             max_field_size=global_settings.GATEWAY_HEADER_BYTES,
             lingering_time=(global_settings.GATEWAY_LINGER_MS / _MILLISECONDS),
