--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
@@ -1,7 +1,7 @@
 """Make a single attempt at one upstream instance."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from aiohttp import (
     ClientConnectorError,
@@ -21,6 +21,10 @@
     make_caller_headers,
     read_response_metadata,
 )
+from ragworthollow.transport.exchange import Exchange
+from ragworthollow.transport.foreign_response_error import (
+    ForeignResponseError,
+)
 from ragworthollow.transport.target_url import make_target_url
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.upstreams import UpstreamInstance
@@ -52,11 +56,14 @@
         Headers as received.
     body : bytes
         Complete body.
+    exchange : Exchange
+        Where it came from.
     """
 
     status: int
     headers: CIMultiDictProxy[str]
     body: bytes
+    exchange: Exchange
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -138,16 +145,9 @@
                     global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
                 ),
             )
-    except (
-        ClientConnectorError,
-        ConnectionTimeoutError,
-    ) as error:
-        # No connection was established, so nothing was sent.
-        return _make_error(plan, Reason.connect_failed, error, Outcome.not_run)
-    except TimeoutError as error:
-        return _make_error(plan, Reason.attempt_timeout, error, Outcome.unknown)
     except (ClientError, OSError, ValueError) as error:
-        return _make_error(plan, Reason.connection_lost, error, Outcome.unknown)
+        reason, outcome = _classify_error(error)
+        return _make_error(plan, reason, error, outcome)
     return _check_response_head(context, job, plan, response, sent_ms)
 
 
@@ -184,10 +184,22 @@
             status=response.status,
             headers=response.headers,
             body=body,
+            exchange=response.exchange,
         ),
     )
 
 
+def _classify_error(error: Exception) -> tuple[Reason, Outcome]:
+    if isinstance(error, ClientConnectorError | ConnectionTimeoutError):
+        # No connection was established, so nothing was sent.
+        return Reason.connect_failed, Outcome.not_run
+    if isinstance(error, TimeoutError):
+        return Reason.attempt_timeout, Outcome.unknown
+    if isinstance(error, ForeignResponseError):
+        return Reason.mismatched_answer, Outcome.unknown
+    return Reason.connection_lost, Outcome.unknown
+
+
 def _check_response_head(
     context: GatewayContext,
     job: RequestJob,
@@ -209,7 +221,7 @@
     if failure is None:
         return Ok(response)
     response.close()
-    return Err(failure)
+    return Err(replace(failure, exchange=response.exchange))
 
 
 def _classify_response(
@@ -218,10 +230,7 @@
     status: int,
     metadata: ResponseMetadata,
 ) -> UpstreamFailure | None:
-    if (
-        metadata.request_id != job.request_parameters.request_id
-        and not metadata.is_not_run
-    ):
+    if metadata.request_id != job.request_parameters.request_id:
         return _make_status_failure(
             plan, Reason.mismatched_answer, status, Outcome.unknown
         )
