--- a/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/checked_connector.py
@@ -64,7 +64,7 @@
             ),
         ),
         response_class=response_class,
-        read_bufsize=global_settings.STREAM_READ_LIMIT_BYTES,
+        read_bufsize=global_settings.UPSTREAM_READ_BUFFER_BYTES,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=(
