Log each part of a relayed stream

Six streams were reported out of order. The logs tell neither which events each upstream contributed nor which software version it ran, so that two versions in one stream, a resumption that begins anew and a response that skips or repeats events look alike.

A line stream_part is written when the part of an upstream ends, whether it is complete, broken off or abandoned. The version of an entry and the header Resumes are decoded for it.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
@@ -8,6 +8,7 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.outcomes import Outcome, Reason
+from ragworthollow.platform.response_wire import read_response_id
 from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.attempt import (
@@ -25,6 +26,7 @@
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.response_progress import ResponseProgress
+from ragworthollow_daemon.gateway.stream_part_log import log_stream_part
 from ragworthollow_daemon.gateway.stream_relay import StreamRelay
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
@@ -178,6 +180,7 @@
             return None
         finally:
             upstream.close()
+            self._log_part(series, plan, relay, upstream)
         series.record_response(
             plan,
             upstream.status,
@@ -186,6 +189,22 @@
         )
         return await relay.finish()
 
+    def _log_part(
+        self,
+        series: AttemptSeries,
+        plan: AttemptPlan,
+        relay: StreamRelay,
+        upstream: ClientResponse,
+    ) -> None:
+        if upstream.status in _SUCCESS_STATUSES:
+            log_stream_part(
+                self._context,
+                series.job,
+                plan,
+                relay.sequence,
+                read_response_id(upstream.headers),
+            )
+
     def _make_first_event_callback(
         self,
         series: AttemptSeries,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
@@ -10,6 +10,7 @@
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.body_end import BodyEnd
 from ragworthollow_daemon.gateway.event_buffer import EventBuffer
+from ragworthollow_daemon.gateway.event_sequence import EventSequence
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.response_progress import ResponseProgress
 from ragworthollow_daemon.gateway.stream_timing import StreamTiming
@@ -54,6 +55,13 @@
         Returns whether the process is shutting down.
     progress : ResponseProgress
         Updated when the head of the response is sent.
+
+    Attributes
+    ----------
+    sequence : EventSequence
+        Ids of the events that were passed on.
+    timing : StreamTiming
+        When they arrived.
     """
 
     def __init__(
@@ -70,6 +78,9 @@
         self._event_buffer = EventBuffer()
         self._body_end: BodyEnd | None = None
         self.timing = StreamTiming()
+        self.sequence = EventSequence(
+            resumed_after=job.request_parameters.last_event_id,
+        )
 
     def is_started(self) -> bool:
         """Return whether the head of the response has been sent."""
@@ -77,10 +88,7 @@
 
     def get_last_event_id(self) -> str:
         """Return the id of the event after which to resume the stream."""
-        return (
-            self._event_buffer.last_event_id
-            or self._job.request_parameters.last_event_id
-        )
+        return self.sequence.last_event_id
 
     def describe_end(self) -> dict[str, object]:
         """Return log fields that tell how the last upstream ended its body."""
@@ -97,6 +105,7 @@
     async def start(self, upstream: ClientResponse) -> None:
         """Send the head, unless that of an earlier upstream has been sent."""
         self._body_end = BodyEnd(response=upstream)
+        self.sequence.begin_part()
         if self._response is not None:
             return
         response = web.StreamResponse(
@@ -141,6 +150,7 @@
             complete = self._event_buffer.feed(chunk)
             if complete:
                 self.timing.record(get_monotonic_ms())
+                self.sequence.record(complete)
                 on_first_event()
                 await self._write(complete)
         self._check_end()
--- a/packages/ragworthollow/src/ragworthollow/exchange/request_parameters.py
+++ b/packages/ragworthollow/src/ragworthollow/exchange/request_parameters.py
@@ -43,6 +43,9 @@
         Key of the data that stages without inputs read.
     last_event_id : str
         Event after which a stream resumes; empty to start from the beginning.
+    resumes_request_id : str
+        Identifier of the caller's attempt whose response brought the first
+        event of the stream that it resumes; empty if it names none.
     """
 
     request_id: str
@@ -54,6 +57,7 @@
     piece_counts: tuple[int, ...] = ()
     piece_key: str = ''
     last_event_id: str = ''
+    resumes_request_id: str = ''
 
     def get_shared_parts(self) -> tuple[PromptPart, ...]:
         """Return the prompt parts that other requests may share."""
--- a/packages/ragworthollow/src/ragworthollow/platform/instances_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/instances_wire.py
@@ -80,6 +80,7 @@
         is_leaving=entry.state is _State.leaving,
         started_unix_ms=entry.born,
         warm_up_remaining_ms=max(0, entry.cold_left_ms),
+        software_version=entry.version,
     )
 
 
--- a/packages/ragworthollow/src/ragworthollow/platform/request_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/request_wire.py
@@ -19,6 +19,7 @@
 _PIECES = 'X-Ragworthollow-Pieces'
 _PIECE_KEY = 'X-Ragworthollow-Piece-Key'
 _LAST_EVENT = 'Last-Event-Id'
+_RESUMES = 'Resumes'
 _EXPECT_INSTANCE = 'X-Ragworthollow-Expect-Instance'
 _TENANT = 'X-Ragworthollow-Tenant'
 _PRIORITY = 'X-Ragworthollow-Request-Priority'
@@ -91,6 +92,7 @@
         piece_counts=_read_counts(headers.get(_PIECES, '')),
         piece_key=headers.get(_PIECE_KEY, ''),
         last_event_id=headers.get(_LAST_EVENT, ''),
+        resumes_request_id=headers.get(_RESUMES, ''),
     )
 
 
--- a/packages/ragworthollow/src/ragworthollow/platform/response_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/response_wire.py
@@ -58,7 +58,7 @@
     """
     limit_per_s, unreadable_limit = _read_limit(headers)
     return ResponseMetadata(
-        request_id=headers.get(_ID, ''),
+        request_id=read_response_id(headers),
         is_signed=_RESPONSE_SIGNATURE in headers,
         is_not_run=_NOT_EXECUTED in headers or status == _MISDIRECTED,
         is_misdirected=status == _MISDIRECTED,
@@ -71,6 +71,11 @@
     )
 
 
+def read_response_id(headers: Mapping[str, str]) -> str:
+    """Return the request that a response names; empty if it names none."""
+    return headers.get(_ID, '')
+
+
 def read_load(headers: Mapping[str, str]) -> InstanceLoad | None:
     """
     Decode a load report, `running,waiting,slots,work time in percent`.
--- a/packages/ragworthollow/src/ragworthollow/upstreams/upstream_instance.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/upstream_instance.py
@@ -29,6 +29,9 @@
         Region of the failure domain; empty if unknown.
     warm_up_remaining_ms : float
         Remaining warm-up time when the entry was written.
+    software_version : str
+        Version of its software; what two versions generate does not fit
+        together.  Versions have no order.
     """
 
     instance: str
@@ -40,6 +43,7 @@
     started_unix_ms: int = 0
     region: str = ''
     warm_up_remaining_ms: float = 0
+    software_version: str = ''
 
     def get_incarnation(self) -> str:
         """Return an identifier that is unique to this incarnation."""
