Pass on the events of a stream only while each follows the one before

Callers got streams in which an event was missing, came twice or belonged to another run, and which looked complete: the relay did not look at the ids of events. An instance that begins anew where it should resume was enough.

An event that is not the next one now ends the attempt with the reason events_out_of_order, and neither it nor what follows is passed on. A stream that may resume goes on elsewhere behind the last event that was passed on; any other is broken off visibly. Ids that are no numbers are not compared.

--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/loss_cause.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/loss_cause.py
@@ -78,6 +78,7 @@
     Reason.connect_failed: LossCause.connection_broken,
     Reason.connection_lost: LossCause.connection_broken,
     Reason.truncated: LossCause.connection_broken,
+    Reason.events_out_of_order: LossCause.upstream_error,
     Reason.mismatched_answer: LossCause.connection_broken,
 }
 _CALLER_ERRORS = (
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_failures.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt_failures.py
@@ -10,6 +10,7 @@
         Reason.connect_failed,
         Reason.connection_lost,
         Reason.truncated,
+        Reason.events_out_of_order,
         Reason.mismatched_answer,
         Reason.misdirected,
         Reason.upstream_full,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
@@ -24,6 +24,7 @@
     ForwardResult,
 )
 from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.event_order_error import EventOrderError
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.response_progress import ResponseProgress
 from ragworthollow_daemon.gateway.stream_part_log import log_stream_part
@@ -174,7 +175,7 @@
         except (TimeoutError, ClientError) as error:
             series.record_failure(
                 plan,
-                _make_truncation_failure(plan, error),
+                _make_stream_failure(plan, error),
                 relay.describe_end(),
             )
             return None
@@ -277,12 +278,15 @@
         return render_response(response)
 
 
-def _make_truncation_failure(
+def _make_stream_failure(
     plan: AttemptPlan, error: Exception
 ) -> UpstreamFailure:
+    is_out_of_order = isinstance(error, EventOrderError)
     return UpstreamFailure(
         outcome=Outcome.unknown,
-        reason=Reason.truncated,
+        reason=(
+            Reason.events_out_of_order if is_out_of_order else Reason.truncated
+        ),
         step=_STEP,
         peer=plan.instance.instance,
         detail=repr(error),
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
@@ -10,6 +10,7 @@
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.body_end import BodyEnd
 from ragworthollow_daemon.gateway.event_buffer import EventBuffer
+from ragworthollow_daemon.gateway.event_order_error import EventOrderError
 from ragworthollow_daemon.gateway.event_sequence import EventSequence
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.response_progress import ResponseProgress
@@ -140,8 +141,9 @@
         Raises
         ------
         ClientError
-            If the upstream disconnects or ends its stream inside an event;
-            `get_last_event_id` returns the event after which to resume.
+            If the upstream disconnects, ends its stream inside an event or
+            sends an event that does not follow; `get_last_event_id` returns
+            the event after which to resume.
         ConnectionError
             If the caller disconnects.
         """
@@ -149,10 +151,7 @@
         async for chunk, _ in upstream.content.iter_chunks():
             complete = self._event_buffer.feed(chunk)
             if complete:
-                self.timing.record(get_monotonic_ms())
-                self.sequence.record(complete)
-                on_first_event()
-                await self._write(complete)
+                await self._pass_on(complete, on_first_event)
         self._check_end()
         rest = self._event_buffer.get_incomplete()
         if rest:
@@ -168,6 +167,20 @@
         """Return the exception to raise if the stream cannot go on."""
         return StreamAborted(response=self._response, failure=failure)
 
+    async def _pass_on(
+        self, complete: bytes, on_first_event: Callable[[], None]
+    ) -> None:
+        events = self.sequence.take(complete)
+        if events:
+            self.timing.record(get_monotonic_ms())
+            on_first_event()
+            await self._write(events)
+        if self.sequence.rejected_id is not None:
+            raise EventOrderError(
+                rejected_id=self.sequence.rejected_id,
+                last_id=self.sequence.last_event_id,
+            )
+
     def _check_end(self) -> None:
         """Raise ClientPayloadError if a regular end leaves events missing."""
         if self._event_buffer.has_partial_event():
--- a/packages/ragworthollow/src/ragworthollow/outcomes/reason.py
+++ b/packages/ragworthollow/src/ragworthollow/outcomes/reason.py
@@ -35,6 +35,7 @@
     connection_lost = 'connection_lost'
     answer_lost = 'answer_lost'
     truncated = 'truncated'
+    events_out_of_order = 'events_out_of_order'
     mismatched_answer = 'mismatched_answer'
     attempt_timeout = 'attempt_timeout'
     upstream_error = 'upstream_error'
--- /dev/null
+++ b/tests/features/steps/event_sequence.py
@@ -0,0 +1,108 @@
+"""Steps for the check that events follow each other, without a network."""
+
+import re
+
+from behave import then
+from hypothesis import given as given_any
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from ragworthollow_daemon.gateway.event_buffer import EventBuffer
+from ragworthollow_daemon.gateway.event_sequence import EventSequence
+
+_EXAMPLES = 400
+_NEWLINES = ('\n', '\r\n', '\r')
+_ID = re.compile(rb'id: (\d+)')
+
+
+def _render(ids: list[str], newline: str) -> bytes:
+    """Render events with these ids; an empty id is left out."""
+    return b''.join(
+        f'{f"id: {event_id}{newline}" if event_id else ""}'
+        f'data: id: 7{newline}{newline}'.encode()
+        for event_id in ids
+    )
+
+
+@st.composite
+def _chunked(draw, ids) -> tuple[list[str], list[bytes]]:
+    """Draw event ids and the chunks that carry their events."""
+    event_ids = draw(ids)
+    body = _render(event_ids, draw(st.sampled_from(_NEWLINES)))
+    cuts = sorted(draw(st.lists(st.integers(0, len(body)), max_size=6)))
+    bounds = [0, *cuts, len(body)]
+    chunks = [
+        body[start:end] for start, end in zip(bounds, bounds[1:], strict=False)
+    ]
+    return event_ids, chunks
+
+
+def _pass_on(sequence: EventSequence, chunks: list[bytes]) -> bytes:
+    """Pass chunks on as the relay does, up to the first rejected event."""
+    buffer = EventBuffer()
+    passed = b''
+    for chunk in chunks:
+        passed += sequence.take(buffer.feed(chunk))
+        if sequence.rejected_id is not None:
+            return passed
+    return passed + buffer.get_incomplete()
+
+
+_ANY_IDS = st.lists(
+    st.one_of(st.just(''), st.integers(0, 6).map(str)), max_size=8
+)
+_TEXT_IDS = st.lists(st.sampled_from(('', 'a', 'b-1', '1.5')), max_size=6)
+
+
+@then('the passed events of any stream follow each other')
+def check_any_events(context):
+    _check_any_events()
+
+
+@settings(max_examples=_EXAMPLES, derandomize=True, deadline=None)
+@given_any(stream=_chunked(_ANY_IDS), known=st.integers(0, 3))
+def _check_any_events(stream, known):
+    event_ids, chunks = stream
+    sequence = EventSequence(resumed_after=str(known) if known else '')
+    passed = _pass_on(sequence, chunks)
+    assert b''.join(chunks).startswith(passed), (passed, chunks)
+    passed_ids = [
+        int(number)
+        for number in _ID.findall(passed.replace(b'data: id: 7', b''))
+    ]
+    first = known + 1 if known else min([1, *passed_ids])
+    expected = list(range(first, first + len(passed_ids)))
+    assert passed_ids == expected, (event_ids, passed_ids)
+    numbered = [int(event_id) for event_id in event_ids if event_id]
+    is_rejected = sequence.rejected_id is not None
+    assert is_rejected == (passed_ids != numbered), (event_ids, passed_ids)
+    last = str(passed_ids[-1]) if passed_ids else str(known or '')
+    assert sequence.last_event_id == last
+
+
+@then('any stream whose events follow each other is passed on unchanged')
+def check_ordered_events(context):
+    _check_ordered_events()
+
+
+@settings(max_examples=_EXAMPLES, derandomize=True, deadline=None)
+@given_any(data=st.data(), known=st.integers(0, 12), count=st.integers(0, 12))
+def _check_ordered_events(data, known, count):
+    ids = [str(number) for number in range(known + 1, known + count + 1)]
+    _, chunks = data.draw(_chunked(st.just(ids)))
+    sequence = EventSequence(resumed_after=str(known) if known else '')
+    assert _pass_on(sequence, chunks) == b''.join(chunks)
+
+
+@then('any stream without numbered events is passed on unchanged')
+def check_unnumbered_events(context):
+    _check_unnumbered_events()
+
+
+@settings(max_examples=_EXAMPLES, derandomize=True, deadline=None)
+@given_any(stream=_chunked(_TEXT_IDS), known=st.sampled_from(('', 'x', '4')))
+def _check_unnumbered_events(stream, known):
+    _, chunks = stream
+    sequence = EventSequence(resumed_after=known)
+    passed = _pass_on(sequence, chunks)
+    assert passed == b''.join(chunks)
--- a/tests/features/steps/stream_order.py
+++ b/tests/features/steps/stream_order.py
@@ -1,6 +1,59 @@
 """Steps for the order and the software versions of streams."""
 
-from behave import then
+import re
+
+from behave import given, then
+
+from tests.standins.partial_streams import End, PartialStream
+
+_BROKEN = 'broken'
+
+
+def _make_stream(text: str) -> PartialStream:
+    """Make a response from a text such as `1 2 broken`."""
+    words = text.split()
+    numbers = tuple(int(word) for word in words if word != _BROKEN)
+    end = End.close if _BROKEN in words else End.regular
+    return PartialStream(framing='chunked', end=end, numbers=numbers)
+
+
+@given('upstreams whose next responses hold events {responses}')
+def prepare_responses(context, responses):
+    # Shared, and taken from the end.
+    streams = [_make_stream(text) for text in responses.split(';')]
+    streams.reverse()
+    for upstream in context.gateway_stage.upstreams.values():
+        upstream.partial_streams = streams
+
+
+@given('a third instance of the pool')
+def add_third_instance(context):
+    stage = context.gateway_stage
+    stage.run(stage.add_upstream('u3', 'plain'))
+    directory = stage.get_context().directory
+    stage.run(stage.wait_for(lambda: len(directory.get_pool('plain')) == 3))
+
+
+@then('it gets events {first:d} to {last:d} once, in order, and the end')
+def check_events(context, first, last):
+    body = context.response.body
+    numbers = [int(number) for number in re.findall(rb'id: (\d+)', body)]
+    assert numbers == list(range(first, last + 1)), body
+    assert context.response.is_whole
+
+
+@then(
+    'an attempt failed with reason {reason:S}: event {rejected:d} after '
+    '{last:d}'
+)
+def check_reason(context, reason, rejected, last):
+    (fields,) = [
+        fields
+        for event, fields in context.log_lines
+        if event == 'attempt_failed'
+    ]
+    assert fields['reason'] == reason, fields
+    assert f"event '{rejected}' after '{last}'" in fields['detail'], fields
 
 
 @then(
--- a/tests/standins/partial_streams.py
+++ b/tests/standins/partial_streams.py
@@ -47,6 +47,8 @@
         Text after its last event.
     text : str
         Text in each of its events.
+    numbers : tuple of int
+        Numbers of its events, whatever was asked for; empty for the usual.
     """
 
     framing: str
@@ -55,6 +57,7 @@
     newline: str = '\n'
     trailer: str = ''
     text: str = 'token'
+    numbers: tuple[int, ...] = ()
 
     def render(self, first: int) -> bytes:
         """Return the body from an event on."""
@@ -62,7 +65,7 @@
             f'id: {number}\ndata: {self.text} {number}\n\n'.replace(
                 '\n', self.newline
             ).encode()
-            for number in range(first, EVENT_COUNT + 1)
+            for number in self.numbers or range(first, EVENT_COUNT + 1)
         ]
         if self.stop is Stop.head:
             return b''
