Apply the metadata of a response only if it names the request

Load, pause, shutdown and warm-up of a response that names another request or none were applied to the instance before the identifiers were compared (found by a review of the fix). The record of stream versions moves to the directory, whose entries it belongs to.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
@@ -208,15 +208,14 @@
     sent_ms: float,
 ) -> OpenResult:
     metadata = read_response_metadata(response.status, response.headers)
-    is_verified = metadata.is_signed or metadata.is_not_run
-    apply_response_metadata(
-        context,
-        plan.instance,
-        metadata,
-        sent_ms=sent_ms,
-        is_authentic=is_verified
-        and metadata.request_id == job.request_parameters.request_id,
-    )
+    if metadata.request_id == job.request_parameters.request_id:
+        apply_response_metadata(
+            context,
+            plan.instance,
+            metadata,
+            sent_ms=sent_ms,
+            is_authentic=metadata.is_signed or metadata.is_not_run,
+        )
     failure = _classify_response(job, plan, response.status, metadata)
     if failure is None:
         return Ok(response)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -22,7 +22,6 @@
 from ragworthollow.upstreams import (
     Directory,
     LoadTracker,
-    StreamVersions,
     UpstreamInstance,
 )
 from ragworthollow.utils import get_monotonic_ms, make_identifier
@@ -75,9 +74,6 @@
         self.route_table: RouteTable | None = None
         self._has_route_table = asyncio.Event()
         self.directory = Directory()
-        self._stream_versions = StreamVersions(
-            limit=global_settings.MAX_STREAM_VERSIONS
-        )
         self.load_tracker = LoadTracker()
         self._stage_session = make_held_session(REQUEST_ID_HEADER)
         self._stage_exchange = StageExchange(
@@ -121,11 +117,6 @@
         """Return what is known of the engines."""
         return self._engine_view
 
-    @property
-    def stream_versions(self) -> StreamVersions:
-        """Return the software versions of streams relayed here."""
-        return self._stream_versions
-
     @property
     def throttle(self) -> Throttle:
         """Return the throttle for instances with reduced capacity."""
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instances_subscriber.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instances_subscriber.py
@@ -113,7 +113,9 @@
         for instance in (*change.appeared, *change.restarted):
             self._context.load_tracker.forget_incarnation(instance)
         for instance in change.restarted:
-            self._context.stream_versions.forget_version(instance, previous_ms)
+            self._context.directory.stream_versions.forget_version(
+                instance, previous_ms
+            )
             self._on_restart(instance)
         log_event(
             'instances_changed',
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
@@ -70,7 +70,7 @@
         Request that resumes a stream.
     """
     now_ms = get_monotonic_ms()
-    origin = context.stream_versions.find(
+    origin = context.directory.stream_versions.find(
         job.request_parameters.resumes_request_id, now_ms
     )
     if origin is None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_binding.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_binding.py
@@ -61,7 +61,7 @@
             return
         now_ms = get_monotonic_ms()
         spread_ms = self._context.settings.leaving_bound_ms
-        is_recorded = self._context.stream_versions.record(
+        is_recorded = self._context.directory.stream_versions.record(
             request_id,
             StreamOrigin(
                 software_version=instance.software_version,
--- a/packages/ragworthollow/src/ragworthollow/upstreams/directory.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/directory.py
@@ -7,6 +7,7 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.upstreams.domain_drains import DomainDrains
 from ragworthollow.upstreams.instance_signals import InstanceSignals
+from ragworthollow.upstreams.stream_versions import StreamVersions
 from ragworthollow.upstreams.upstream_instance import UpstreamInstance
 from ragworthollow.upstreams.version_history import VersionHistory
 from ragworthollow.utils import get_monotonic_ms
@@ -66,6 +67,8 @@
         Drained failure domains.
     versions : VersionHistory
         Software versions that the instances of each pool have had.
+    stream_versions : StreamVersions
+        Software versions of the streams that this process has relayed.
     updated_ms : float
         Time at which the current list was requested, on the monotonic clock.
     """
@@ -80,6 +83,9 @@
         self._recovered_ms = float('-inf')
         self.drains = DomainDrains()
         self.versions = VersionHistory()
+        self.stream_versions = StreamVersions(
+            limit=global_settings.MAX_STREAM_VERSIONS
+        )
         self.updated_ms = float('-inf')
 
     def record_outage(self) -> None:
