Ask peers which software version began a stream

A caller that resumes a stream returns to any gateway. While two versions serve, one that did not relay the beginning refused it, so that with four gateways three in four streams were lost though their version was known.

Before it refuses because of several versions or of an old list, a gateway asks up to 16 responsive peers and keeps what the first of them knows. A version that is uncertain there is uncertain here. Nothing is sent while a pool has one version.

The scenario 'Most resumptions go on while two versions serve' without asking: ASSERT FAILED: Counter({503: 30, 200: 10}); now 40 of 40 go on, each at the version that began it. The earlier scenario of a resumption at another gateway now expects that it goes on at the same version instead of 503; that 503 is given where no peer knows the version has scenarios of its own.

Passed: stream_versions, stream_order and broken_streams.feature (82 scenarios).

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -12,9 +12,12 @@
 from ragworthollow.transport.host_messages import (
     CHANGE_PATH,
     PING_PATH,
+    STREAM_ORIGIN_PATH,
     GatewayPing,
     HostState,
     MemberChange,
+    StreamOriginAnswer,
+    StreamOriginQuery,
 )
 from ragworthollow.transport.piece_messages import (
     PiecesRequest,
@@ -89,6 +92,7 @@
         application.router.add_post(PING_PATH, self.handle_ping)
         application.router.add_post(CHANGE_PATH, self.apply_member_change)
         application.router.add_post(UPDATE_PATH, self.send_update)
+        application.router.add_post(STREAM_ORIGIN_PATH, self.tell_origin)
         application.router.add_post(RUN_PATH, self.run_pieces)
         application.router.add_post(FREE_PATH, self.release_results)
         application.router.add_post(TRANSFER_PATH, self.apply_transfer)
@@ -178,6 +182,27 @@
         )
         return web.Response()
 
+    async def tell_origin(self, request: web.Request) -> web.Response:
+        """Tell a peer which software version began a stream."""
+        body = await request.read()
+        try:
+            query = msgspec.json.decode(body, type=StreamOriginQuery)
+        except msgspec.DecodeError as error:
+            return respond(Problem(error=str(error)), status=_BAD_REQUEST)
+        now_ms = get_monotonic_ms()
+        origin = self._context.stream_versions.find(query.request_id, now_ms)
+        if origin is None:
+            return respond(StreamOriginAnswer())
+        return respond(
+            StreamOriginAnswer(
+                is_known=True,
+                software_version=origin.software_version,
+                instance=origin.instance,
+                age_ms=now_ms - origin.began_ms,
+                left_ms=origin.expires_ms - now_ms,
+            ),
+        )
+
     async def run_pieces(self, request: web.Request) -> web.Response:
         """Run pieces; they are cancelled if the requester disconnects."""
         body = await request.read()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_handler.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_handler.py
@@ -6,6 +6,7 @@
 from result import Err
 
 from ragworthollow.logs.events import log_event
+from ragworthollow.membership.gateway_members import GatewayMembers
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.platform.request_wire import (
     read_request_id,
@@ -20,6 +21,9 @@
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.request_runner import RequestRunner
 from ragworthollow_daemon.gateway.response_progress import ResponseProgress
+from ragworthollow_daemon.gateway.stream_origin_client import (
+    StreamOriginClient,
+)
 from ragworthollow_daemon.gateway.stream_relay import StreamAborted
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
@@ -36,6 +40,8 @@
         Shared state of this process.
     pieces : PieceClient
         Client that runs the stages of requests.
+    members : GatewayMembers
+        Gateways of the cluster.
     """
 
     def __init__(
@@ -43,10 +49,17 @@
         *,
         context: GatewayContext,
         pieces: PieceClient,
+        members: GatewayMembers,
     ) -> None:
         self._context = context
         self._admission = Admission(context=context)
-        self._runner = RequestRunner(context=context, pieces=pieces)
+        self._runner = RequestRunner(
+            context=context,
+            pieces=pieces,
+            fetch_origin=StreamOriginClient(
+                context=context, members=members
+            ).fetch,
+        )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request and return its response."""
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
@@ -1,7 +1,7 @@
 """Run requests through their stages and forward them to an upstream."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from result import Err, Result
@@ -33,6 +33,7 @@
 _DEFERRABLE_REASONS = frozenset((Reason.overloaded, Reason.stage_late))
 
 ResponseResult = Result[web.StreamResponse, UpstreamFailure]
+FetchOrigin = Callable[[str], Awaitable[bool]]
 
 
 class RequestRunner:
@@ -45,6 +46,9 @@
         Shared state of this process.
     pieces : PieceClient
         Client that runs the stages of requests.
+    fetch_origin : callable
+        Asks peers which software version began a stream, given the attempt
+        that brought its first event; returns whether one knows it.
     """
 
     def __init__(
@@ -52,9 +56,11 @@
         *,
         context: GatewayContext,
         pieces: PieceClient,
+        fetch_origin: FetchOrigin,
     ) -> None:
         self._context = context
         self._pieces = pieces
+        self._fetch_origin = fetch_origin
         self._forwarder = Forwarder(context=context)
         self.deferral = DeferralQueue(
             context=context,
@@ -83,9 +89,9 @@
         Result
             The response, or the failure.
         """
-        final_refusal = self._find_final_refusal(
-            job
-        ) or self._find_resume_refusal(job)
+        final_refusal = self._find_final_refusal(job)
+        if final_refusal is None and is_resume(job):
+            final_refusal = await self._find_resume_refusal(job)
         if final_refusal is not None:
             return Err(final_refusal)
         estimate = LatencyEstimate(
@@ -146,10 +152,14 @@
                 return make_refusal(Reason.no_instance, pool)
         return None
 
-    def _find_resume_refusal(self, job: RequestJob) -> UpstreamFailure | None:
-        if not is_resume(job):
-            return None
+    async def _find_resume_refusal(
+        self, job: RequestJob
+    ) -> UpstreamFailure | None:
         decision = decide_resume(self._context, job)
+        request_id = job.request_parameters.resumes_request_id
+        may_ask = decision.may_be_known_elsewhere() and request_id
+        if may_ask and await self._fetch_origin(request_id):
+            decision = decide_resume(self._context, job)
         log_resume(self._context, job, decision)
         return decision.make_refusal(job.pool)
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
@@ -10,6 +10,7 @@
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
 _STEP = 'resume'
+_ASKED_SOURCES = frozenset(('versions', 'stale'))
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,6 +38,10 @@
     age_ms: float | None = None
     retry_after_ms: float | None = None
 
+    def may_be_known_elsewhere(self) -> bool:
+        """Return whether a peer may know more of the stream."""
+        return self.source in _ASKED_SOURCES
+
     def make_refusal(self, pool: str) -> UpstreamFailure | None:
         """Return the refusal; None if the stream may go on."""
         if self.software_version is not None:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -108,6 +108,7 @@
         request_handler = RequestHandler(
             context=self.context,
             pieces=self._piece_client,
+            members=self.members,
         )
         peer_routes = PeerRoutes(
             context=self.context,
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -443,6 +443,8 @@
 # Maximum number of streams whose software version is remembered; several times
 # those that a gateway relays within the longest time limit of a route.
 MAX_STREAM_VERSIONS = 16_384
+# Maximum number of peers that are asked for the software version of a stream.
+STREAM_ORIGIN_PEERS = 16
 # A live machine accepts within milliseconds on these networks.
 UPSTREAM_CONNECT_TIMEOUT_MS = 300
 # Engines close idle connections; a connection that was idle for longer than
--- a/packages/ragworthollow/src/ragworthollow/transport/host_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/host_messages.py
@@ -9,6 +9,7 @@
 
 PING_PATH = '/v1/ping'
 CHANGE_PATH = '/v1/members/change'
+STREAM_ORIGIN_PATH = '/v1/streams/origin'
 
 
 class GatewayPing(Message):
@@ -95,6 +96,35 @@
     engines: dict[str, EngineReport] | None = None
 
 
+class StreamOriginQuery(Message):
+    """Ask which software version began a stream, by its first attempt."""
+
+    request_id: str
+
+
+class StreamOriginAnswer(Message):
+    """
+    Tell which software version began a stream.
+
+    Attributes
+    ----------
+    is_known : bool
+        Whether the gateway has relayed the stream.
+    software_version : str, optional
+        The version; None if it is not certain.
+    instance : str
+        Instance that generated the first event.
+    age_ms, left_ms : float
+        Milliseconds since the first event, and until the record expires.
+    """
+
+    is_known: bool = False
+    software_version: str | None = None
+    instance: str = ''
+    age_ms: float = 0
+    left_ms: float = 0
+
+
 class MemberChange(Message):
     """Notify the other gateways that one joins or leaves."""
 
--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -1,5 +1,8 @@
 """Steps for streams while instances of two software versions serve."""
 
+import random
+from collections import Counter
+
 from behave import given, then, when
 
 from ragworthollow.upstreams import (
@@ -8,8 +11,10 @@
     UpstreamInstance,
 )
 from ragworthollow.upstreams.version_history import VersionHistory
+from tests.standins.partial_streams import PartialStream, Stop
 
 _PATH = '/resumable/partial'
+_SEED = 1
 
 
 def _publish(context, name: str, version: str, born: int = 0) -> None:
@@ -47,6 +52,72 @@
     stage.run(stage.wait_for(lambda: len(directory.get_pool('plain')) == 2))
 
 
+@given('{count:d} more gateways that know all instances')
+def add_gateways(context, count):
+    stage = context.gateway_stage
+    for number in range(2, count + 2):
+        name = f'g{number}'
+        stage.run(stage.add_gateway(name))
+        stage.run(stage.wait_for_configuration(name))
+        directory = stage.get_context(name).directory
+        stage.run(stage.wait_for(_makes_pool_known(directory)))
+    for name in stage.gateways:
+        stage.run(stage.wait_for(_makes_members_known(stage, name)))
+
+
+def _makes_pool_known(directory):
+    return lambda: len(directory.get_pool('plain')) == 4
+
+
+def _makes_members_known(stage, name):
+    members = stage.gateways[name].members
+    return lambda: members.count() == len(stage.gateways)
+
+
+@when('the gateway that relayed it is gone')
+def end_gateway(context):
+    stage = context.gateway_stage
+    stage.run(stage.gateways.pop('g1').close())
+
+
+@when('the version of its stream becomes uncertain')
+def make_uncertain(context):
+    stage = context.gateway_stage
+    for name in stage.upstreams:
+        stage.get_context().stream_versions.forget_version(name, 0)
+
+
+@when('{count:d} streams break off, and each is resumed at any gateway')
+def resume_many(context, count):
+    stage = context.gateway_stage
+    rng = random.Random(_SEED)
+    names = sorted(stage.gateways)
+    context.resumed = []
+    for _ in range(count):
+        streams = [PartialStream(framing='chunked', stop=Stop.between)]
+        for upstream in stage.upstreams.values():
+            upstream.partial_streams = [*streams, *streams]
+        began = stage.run(stage.send(_PATH, gateway=rng.choice(names)))
+        headers = {'Last-Event-Id': '1', 'Resumes': began.request_id}
+        resumed = stage.run(
+            stage.send(_PATH, gateway=rng.choice(names), headers=headers)
+        )
+        context.resumed.append((began, resumed))
+
+
+@then('all of them go on at their software version')
+def check_all_go_on(context):
+    versions = {
+        fields['request_id']: fields['software_version']
+        for event, fields in context.log_lines
+        if event == 'stream_part' and fields['first_event_id']
+    }
+    statuses = Counter(resumed.status for _, resumed in context.resumed)
+    assert statuses == {200: len(context.resumed)}, statuses
+    for began, resumed in context.resumed:
+        assert versions[began.request_id] == versions[resumed.request_id]
+
+
 @then('all parts of the stream are of one software version')
 def check_parts(context):
     versions = {
--- a/tests/features/stream_versions.feature
+++ b/tests/features/stream_versions.feature
@@ -53,14 +53,46 @@
 
   Scenario: A caller resumes at another gateway while two versions serve
     # Guards against a gateway that takes the version of its own list for that
-    # of a stream which began elsewhere.
+    # of a stream which began elsewhere, and against a refusal although a peer
+    # knows the version.
     Given instance u2 has software version v2
     And another gateway that knows all instances
     And upstreams whose next responses hold events 1 2 broken
     When a caller posts to /resumable/partial
     And it resumes /resumable/partial after event 2 at the other gateway
+    Then it gets events 3 to 5 once, in order, and the end
+    And both attempts ran at one software version
+
+  Scenario: The gateway that relayed the beginning is gone
+    # Guards against a version that is guessed where no peer knows it.
+    Given instance u2 has software version v2
+    And another gateway that knows all instances
+    And upstreams whose next responses hold events 1 2 broken
+    When a caller posts to /resumable/partial
+    And the gateway that relayed it is gone
+    And it resumes /resumable/partial after event 2 at the other gateway
+    Then it gets status 503 and the request has run 0 times
+
+  Scenario: The gateway that relayed the beginning is not certain
+    # Guards against a peer that trusts a version which the one that relayed the
+    # beginning does not.
+    Given instance u2 has software version v2
+    And another gateway that knows all instances
+    And upstreams whose next responses hold events 1 2 broken
+    When a caller posts to /resumable/partial
+    And the version of its stream becomes uncertain
+    And it resumes /resumable/partial after event 2 at the other gateway
     Then it gets status 503 and the request has run 0 times
 
+  @fixture.log_lines
+  Scenario: Most resumptions go on while two versions serve
+    # Guards against callers whose streams are refused although their version is
+    # known to some gateway.
+    Given instances u1 and u3 have software version v1, and u2 and u4 v2
+    And 3 more gateways that know all instances
+    When 40 streams break off, and each is resumed at any gateway
+    Then all of them go on at their software version
+
   Scenario: A caller resumes at another gateway while one version serves
     # Guards against resumptions that are refused in a calm deployment.
     Given another gateway that knows all instances
