--- a/measure/faulty_fleet.py
+++ b/measure/faulty_fleet.py
@@ -85,6 +85,9 @@
             )
         )
 
-    def are_engines_idle(self) -> bool:
-        """Return whether no request can run any more."""
-        return all(engine.is_idle() for engine in self.upstreams.values())
+    async def stop_all(self) -> None:
+        """Stop all gateways, and wait until no request can run any more."""
+        await super().stop_all()
+        await self.wait_for(
+            lambda: all(engine.is_idle() for engine in self.upstreams.values())
+        )
--- a/measure/gateway_soak.py
+++ b/measure/gateway_soak.py
@@ -65,8 +65,6 @@
     for outcome in outcomes:
         if not isinstance(outcome, asyncio.CancelledError):
             raise outcome
-    if isinstance(fleet, FaultyFleet):
-        await fleet.wait_for(fleet.are_engines_idle)
     sent = [one for caller in callers for one in caller.sent]
     return _summarise(fleet, seed, sent, breakage.counts)
 
