Name the request of a peer gateway in the response to it

What could happen: pieces that a gateway requests from the host of a scheduler get the results of another request, if a response comes twice on a connection between them; nothing but the count of results was compared. Pings and updates would be answered with the state of a moment ago.

Gateways return the identifier that each request of a peer now carries.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_monitor.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_monitor.py
@@ -71,7 +71,7 @@
         attribute=attribute_report,
     )
     try:
-        response = await context.stage_exchange.send(message)
+        response = await context.exchanges.stages.send(message)
         return _read_report(context, instance, response, sent_ms)
     except (
         TimeoutError,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -15,7 +15,6 @@
 from ragworthollow.routes import RequestLimits, RouteTable
 from ragworthollow.throttling import Throttle
 from ragworthollow.transport.sessions import (
-    make_held_session,
     make_unauthenticated_session,
     make_upstream_session,
 )
@@ -26,13 +25,13 @@
 )
 from ragworthollow.utils import get_monotonic_ms, make_identifier
 from ragworthollow_daemon.drain import DrainState
+from ragworthollow_daemon.gateway.exchanges import Exchanges
 from ragworthollow_daemon.gateway.quarantine import Quarantine
 from ragworthollow_daemon.gateway.shutdown_state import (
     RequestShutdown,
     ShutdownState,
     send_sigterm,
 )
-from ragworthollow_daemon.gateway.stage_exchange import StageExchange
 
 
 class GatewayContext:
@@ -75,9 +74,7 @@
         self._has_route_table = asyncio.Event()
         self.directory = Directory()
         self.load_tracker = LoadTracker()
-        self._stage_session = make_held_session(REQUEST_ID_HEADER)
-        self._stage_exchange = StageExchange(
-            session=self._stage_session,
+        self._exchanges = Exchanges(
             load_tracker=self.load_tracker,
             metrics=self.metrics,
         )
@@ -103,9 +100,9 @@
         return self._members
 
     @property
-    def stage_exchange(self) -> StageExchange:
-        """Return the exchange of messages with stage instances."""
-        return self._stage_exchange
+    def exchanges(self) -> Exchanges:
+        """Return the exchanges with stage instances and peers."""
+        return self._exchanges
 
     @property
     def quarantine(self) -> Quarantine:
@@ -213,7 +210,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.session.close()
         await self.upstream_session.close()
-        await self._stage_session.close()
+        await self._exchanges.close()
 
     def _get_burst(self, pool: str) -> float:
         slack = self.settings.retry_slack * global_settings.RETRY_BUDGET_USE
--- /dev/null
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/exchanges.py
@@ -0,0 +1,46 @@
+"""Collect the exchanges whose responses are tied to their requests."""
+
+from ragworthollow.metrics import Metrics
+from ragworthollow.platform.request_wire import REQUEST_ID_HEADER
+from ragworthollow.transport.sessions import (
+    make_held_session,
+    make_peer_session,
+)
+from ragworthollow.upstreams import LoadTracker
+from ragworthollow_daemon.gateway.stage_exchange import StageExchange
+
+
+class Exchanges:
+    """
+    Own the sessions for messages to stage instances and to peer gateways.
+
+    Must be created inside the running event loop.
+
+    Parameters
+    ----------
+    load_tracker : LoadTracker
+        Remembers which instances return identifiers.
+    metrics : Metrics
+        Metrics of this process.
+
+    Attributes
+    ----------
+    peer_session : aiohttp.ClientSession
+        Session for requests to peer gateways.
+    stages : StageExchange
+        Sends messages to stage instances.
+    """
+
+    def __init__(self, *, load_tracker: LoadTracker, metrics: Metrics) -> None:
+        self._stage_session = make_held_session(REQUEST_ID_HEADER)
+        self.peer_session = make_peer_session()
+        self.stages = StageExchange(
+            session=self._stage_session,
+            load_tracker=load_tracker,
+            metrics=metrics,
+        )
+
+    async def close(self) -> None:
+        """Close the sessions."""
+        await self._stage_session.close()
+        await self.peer_session.close()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/host_pinger.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/host_pinger.py
@@ -19,6 +19,7 @@
     GatewayPing,
     HostState,
 )
+from ragworthollow.transport.peer_exchange import post_to_peer
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
@@ -123,18 +124,16 @@
         )
         sent_ms = get_boottime_ms()
         try:
-            async with self._context.session.post(
+            response = await post_to_peer(
+                self._context.exchanges.peer_session,
                 f'http://{host.peer_address}{PING_PATH}',
-                data=msgspec.json.encode(ping),
-                timeout=make_timeout(
+                msgspec.json.encode(ping),
+                make_timeout(
                     global_settings.HOST_PING_TIMEOUT_MS,
                     global_settings.PEER_CONNECT_TIMEOUT_MS,
                 ),
-            ) as response:
-                state = msgspec.json.decode(
-                    await response.read(),
-                    type=HostState,
-                )
+            )
+            state = msgspec.json.decode(response.body, type=HostState)
         except (
             TimeoutError,
             aiohttp.ClientError,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_notifications.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_notifications.py
@@ -5,6 +5,7 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.membership.gateway_member import GatewayMember
+from ragworthollow.transport.peer_exchange import post_to_peer
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow_daemon.gateway.context import GatewayContext
 
@@ -36,15 +37,15 @@
         counted.
     """
     try:
-        async with context.session.post(
+        await post_to_peer(
+            context.exchanges.peer_session,
             f'http://{peer.peer_address}{path}',
-            data=body,
-            timeout=make_timeout(
+            body,
+            make_timeout(
                 global_settings.HOST_PING_TIMEOUT_MS,
                 global_settings.PEER_CONNECT_TIMEOUT_MS,
             ),
-        ) as response:
-            await response.read()
+        )
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         context.metrics.count_event('peer_note_failed')
         log_event(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -23,7 +23,11 @@
     decode_pieces,
     encode_results,
 )
-from ragworthollow.transport.responses import Problem, respond
+from ragworthollow.transport.responses import (
+    Problem,
+    respond,
+    return_identifier,
+)
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.engine_exchange import (
@@ -85,6 +89,7 @@
         """Create the web application for the peer address."""
         application = web.Application(
             client_max_size=global_settings.MAX_BODY_BYTES,
+            middlewares=(return_identifier,),
         )
         application.router.add_post(PING_PATH, self.handle_ping)
         application.router.add_post(CHANGE_PATH, self.apply_member_change)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_call.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_call.py
@@ -68,7 +68,7 @@
         body=encode_run(pieces, now_ms),
     )
     try:
-        response = await context.stage_exchange.send(message)
+        response = await context.exchanges.stages.send(message)
     except (
         aiohttp.ClientConnectorError,
         aiohttp.ConnectionTimeoutError,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_exchange.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_exchange.py
@@ -9,6 +9,7 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.pieces import Piece, PieceResult
+from ragworthollow.transport.peer_exchange import post_to_peer
 from ragworthollow.transport.piece_messages import (
     ResultsRelease,
     decode_results,
@@ -59,18 +60,17 @@
         Results in the order of the pieces, or a description of the error.
     """
     try:
-        async with context.session.post(
+        response = await post_to_peer(
+            context.exchanges.peer_session,
             f'http://{host.peer_address}{RUN_PATH}',
-            data=encode_pieces(pool, pieces, get_monotonic_ms()),
-            timeout=aiohttp.ClientTimeout(
+            encode_pieces(pool, pieces, get_monotonic_ms()),
+            aiohttp.ClientTimeout(
                 total=None,
                 sock_connect=global_settings.PEER_CONNECT_TIMEOUT_MS / 1000,
             ),
-        ) as response:
-            body = await response.read()
-            status = response.status
-        if status == _OK:
-            return Ok(decode_results(body))
+        )
+        if response.status == _OK:
+            return Ok(decode_results(response.body))
     except (
         TimeoutError,
         aiohttp.ClientError,
@@ -78,7 +78,7 @@
         msgspec.DecodeError,
     ) as error:
         return Err(repr(error))
-    return Err(f'status {status}')
+    return Err(f'status {response.status}')
 
 
 async def notify_released(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/result_releases.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/result_releases.py
@@ -112,7 +112,7 @@
         body=encode_release(handles),
     )
     try:
-        response = await context.stage_exchange.send(message)
+        response = await context.exchanges.stages.send(message)
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         # The producer drops results by itself when they expire.
         context.metrics.count_event('free_failed')
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/update_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/update_client.py
@@ -13,6 +13,7 @@
 from ragworthollow.membership.gateway_members import GatewayMembers
 from ragworthollow.platform.store_position import StorePosition
 from ragworthollow.replica import UpdateRequest, decode_update
+from ragworthollow.transport.peer_exchange import post_to_peer
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.utils import get_boottime_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
@@ -84,15 +85,16 @@
     ) -> ReceivedUpdate | None:
         sent_ms = get_boottime_ms()
         try:
-            async with self._context.session.post(
+            response = await post_to_peer(
+                self._context.exchanges.peer_session,
                 f'http://{peer.peer_address}{UPDATE_PATH}',
-                data=body,
-                timeout=make_timeout(
+                body,
+                make_timeout(
                     global_settings.STORE_TIMEOUT_MS,
                     global_settings.PEER_CONNECT_TIMEOUT_MS,
                 ),
-            ) as response:
-                update = decode_update(await response.read())
+            )
+            update = decode_update(response.body)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             update = Err(repr(error))
         if isinstance(update, Err):
--- a/packages/ragworthollow/src/ragworthollow/transport/responses.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/responses.py
@@ -1,12 +1,17 @@
 """Build HTTP responses from typed messages."""
 
+from collections.abc import Awaitable, Callable
+
 import msgspec
 from aiohttp import web
 
 from ragworthollow.utils.message import Message
 
+EXCHANGE_HEADER = 'X-Ragworthollow-Exchange-Id'
 JSON_TYPE = 'application/json'
 
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
 
 def respond(message: object, *, status: int = 200) -> web.Response:
     """
@@ -42,3 +47,15 @@
     """
 
     error: str
+
+
+@web.middleware
+async def return_identifier(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
+    """Name the request of a peer in the response to it."""
+    response = await handler(request)
+    identifier = request.headers.get(EXCHANGE_HEADER)
+    if identifier is not None:
+        response.headers[EXCHANGE_HEADER] = identifier
+    return response
--- a/packages/ragworthollow/src/ragworthollow/transport/sessions.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/sessions.py
@@ -2,10 +2,12 @@
 
 from ragworthollow.transport.checked_connector import make_upstream_session
 from ragworthollow.transport.held_session import make_held_session
+from ragworthollow.transport.peer_exchange import make_peer_session
 from ragworthollow.transport.session import make_unauthenticated_session
 
 __all__ = (
     'make_held_session',
+    'make_peer_session',
     'make_unauthenticated_session',
     'make_upstream_session',
 )
