--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -21,6 +21,7 @@
 from ragworthollow.upstreams import (
     Directory,
     LoadTracker,
+    StreamVersions,
     UpstreamInstance,
 )
 from ragworthollow.utils import get_monotonic_ms, make_identifier
@@ -63,18 +64,21 @@
         self.drain = DrainState()
         self.stop = ShutdownState()
         self.rng = random.Random(self.incarnation)  # noqa: S311
-        self.session = make_unauthenticated_session()
+        self._session = make_unauthenticated_session()
         self.upstream_session = make_upstream_session(REQUEST_ID_HEADER)
         self.store = StoreClient(
-            session=self.session,
+            session=self._session,
             base_url=settings.store_url,
         )
         self.replica = Replica()
         self.route_table: RouteTable | None = None
         self._has_route_table = asyncio.Event()
         self.directory = Directory()
+        self._stream_versions = StreamVersions(
+            limit=global_settings.MAX_STREAM_VERSIONS
+        )
         self.load_tracker = LoadTracker()
-        self._exchanges = Exchanges(
+        self.exchanges = Exchanges(
             load_tracker=self.load_tracker,
             metrics=self.metrics,
         )
@@ -99,11 +103,6 @@
         """Return the number of gateways, including this one."""
         return self._members
 
-    @property
-    def exchanges(self) -> Exchanges:
-        """Return the exchanges with stage instances and peers."""
-        return self._exchanges
-
     @property
     def quarantine(self) -> Quarantine:
         """Return the quarantine of requests that crash instances."""
@@ -114,6 +113,11 @@
         """Return what is known of the engines."""
         return self._engine_view
 
+    @property
+    def stream_versions(self) -> StreamVersions:
+        """Return the software versions of streams relayed here."""
+        return self._stream_versions
+
     @property
     def throttle(self) -> Throttle:
         """Return the throttle for instances with reduced capacity."""
@@ -208,9 +212,9 @@
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.session.close()
+        await self._session.close()
         await self.upstream_session.close()
-        await self._exchanges.close()
+        await self.exchanges.close()
 
     def _get_burst(self, pool: str) -> float:
         slack = self.settings.retry_slack * global_settings.RETRY_BUDGET_USE
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/host_pinger.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/host_pinger.py
@@ -21,7 +21,7 @@
 )
 from ragworthollow.transport.peer_exchange import post_to_peer
 from ragworthollow.transport.timeouts import make_timeout
-from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
+from ragworthollow.utils import decode_json, get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.engine_exchange import (
     ENGINE_REPORTS,
@@ -133,7 +133,7 @@
                     global_settings.PEER_CONNECT_TIMEOUT_MS,
                 ),
             )
-            state = msgspec.json.decode(response.body, type=HostState)
+            state = decode_json(response.body, HostState)
         except (
             TimeoutError,
             aiohttp.ClientError,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
@@ -7,9 +7,12 @@
 
 from ragworthollow.platform.response_wire import make_caller_headers
 from ragworthollow.transport.body_framing import BodyFraming
+from ragworthollow.transport.paced_reading import iterate_paced
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.body_end import BodyEnd
 from ragworthollow_daemon.gateway.event_buffer import EventBuffer
+from ragworthollow_daemon.gateway.event_order_error import EventOrderError
+from ragworthollow_daemon.gateway.event_sequence import EventSequence
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.response_progress import ResponseProgress
 from ragworthollow_daemon.gateway.stream_timing import StreamTiming
@@ -54,6 +57,13 @@
         Returns whether the process is shutting down.
     progress : ResponseProgress
         Updated when the head of the response is sent.
+
+    Attributes
+    ----------
+    sequence : EventSequence
+        Ids of the events that were passed on.
+    timing : StreamTiming
+        When they arrived.
     """
 
     def __init__(
@@ -70,6 +80,9 @@
         self._event_buffer = EventBuffer()
         self._body_end: BodyEnd | None = None
         self.timing = StreamTiming()
+        self.sequence = EventSequence(
+            resumed_after=job.request_parameters.last_event_id,
+        )
 
     def is_started(self) -> bool:
         """Return whether the head of the response has been sent."""
@@ -77,10 +90,7 @@
 
     def get_last_event_id(self) -> str:
         """Return the id of the event after which to resume the stream."""
-        return (
-            self._event_buffer.last_event_id
-            or self._job.request_parameters.last_event_id
-        )
+        return self.sequence.last_event_id
 
     def describe_end(self) -> dict[str, object]:
         """Return log fields that tell how the last upstream ended its body."""
@@ -97,6 +107,7 @@
     async def start(self, upstream: ClientResponse) -> None:
         """Send the head, unless that of an earlier upstream has been sent."""
         self._body_end = BodyEnd(response=upstream)
+        self.sequence.begin_part()
         if self._response is not None:
             return
         response = web.StreamResponse(
@@ -131,18 +142,19 @@
         Raises
         ------
         ClientError
-            If the upstream disconnects or ends its stream inside an event;
+            If the upstream disconnects, ends its stream inside an event, or
+            sends an event that is too long or does not follow;
             `get_last_event_id` returns the event after which to resume.
         ConnectionError
             If the caller disconnects.
         """
         self._event_buffer.discard_incomplete()
-        async for chunk, _ in upstream.content.iter_chunks():
+        async for chunk in iterate_paced(upstream.content):
             complete = self._event_buffer.feed(chunk)
             if complete:
-                self.timing.record(get_monotonic_ms())
-                on_first_event()
-                await self._write(complete)
+                await self._pass_on(complete, on_first_event)
+            if self._event_buffer.is_event_too_long:
+                raise ClientPayloadError('an event of the stream is too long')
         self._check_end()
         rest = self._event_buffer.get_incomplete()
         if rest:
@@ -158,6 +170,20 @@
         """Return the exception to raise if the stream cannot go on."""
         return StreamAborted(response=self._response, failure=failure)
 
+    async def _pass_on(
+        self, complete: bytes, on_first_event: Callable[[], None]
+    ) -> None:
+        events = self.sequence.take(complete)
+        if events:
+            self.timing.record(get_monotonic_ms())
+            on_first_event()
+            await self._write(events)
+        if self.sequence.rejected_id is not None:
+            raise EventOrderError(
+                rejected_id=self.sequence.rejected_id,
+                last_id=self.sequence.last_event_id,
+            )
+
     def _check_end(self) -> None:
         """Raise ClientPayloadError if a regular end leaves events missing."""
         if self._event_buffer.has_partial_event():
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/upstream_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/upstream_client.py
@@ -10,6 +10,7 @@
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.transport import StageCall, StreamLine
 from ragworthollow.transport.tracked_body import TrackedBody
+from ragworthollow.utils import decode_json
 from ragworthollow_daemon.process_context import get_timeout
 from ragworthollow_daemon.sidecar.upstream_messages import (
     CompletionChunk,
@@ -101,7 +102,7 @@
             timeout=get_timeout(remaining_ms),
         ) as response:
             if response.status >= _BAD_REQUEST:
-                return await _classify_status(response)
+                return await _classify_status(call, response)
             if call.kind is StageKind.generate:
                 return await _read_stream(call, response, emit)
             return _decode_response(call, await response.read())
@@ -152,7 +153,7 @@
 
 
 def _decode_response(call: StageCall, body: bytes) -> UpstreamResult:
-    response = msgspec.json.decode(body, type=UpstreamResponse)
+    response = decode_json(body, UpstreamResponse)
     if response.request_id != call.request_id:
         # The response belongs to another request; it is unknown whether this
         # request has run.
@@ -164,11 +165,14 @@
     return UpstreamResult(outcome=Outcome.done, output=response.output)
 
 
-async def _classify_status(response: aiohttp.ClientResponse) -> UpstreamResult:
+async def _classify_status(
+    call: StageCall, response: aiohttp.ClientResponse
+) -> UpstreamResult:
     detail = (await response.text())[:200]
-    if response.status == _CONFLICT:
-        # The upstream protocol defines this status as: the model is not loaded
-        # and nothing has run.
+    is_engine = call.kind is StageKind.generate
+    if is_engine and response.status == _CONFLICT:
+        # The protocol of engines defines this status as: the model is not
+        # loaded and nothing has run.
         return UpstreamResult(
             outcome=Outcome.not_run,
             reason=Reason.model_not_loaded,
@@ -204,7 +208,7 @@
     texts: list[str] = []
     is_finished = False
     async for event in _iterate_events(response):
-        chunk = msgspec.json.decode(event, type=CompletionChunk)
+        chunk = decode_json(event, CompletionChunk)
         expected = call.resume_offset + len(texts)
         choice = chunk.choices[0]
         if chunk.id != call.request_id or choice.index != expected:
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -18,6 +18,19 @@
 # Body of a response that belongs to an earlier request.
 DISCARDED_BODY_BYTES = 1_000_000
 
+# Streams of upstreams.
+
+# Maximum length of one event, without the blank line at its end; a stream with
+# a longer one is broken off.
+MAX_EVENT_BYTES = 262_144
+# Number of bytes and of chunks of a stream that are processed before the event
+# loop continues with other work.
+STREAM_TURN_BYTES = 16_384
+STREAM_TURN_CHUNKS = 64
+# Received bytes of a response from which its connection is not read until
+# half of them have been processed.
+UPSTREAM_READ_BUFFER_BYTES = 32_768
+
 # Idempotency keys.
 KEY_MAX_AGE_MS = 300_000
 KEY_FUTURE_MARGIN_MS = 250
@@ -444,6 +457,9 @@
 
 # Gateway: attempts.
 
+# Maximum number of streams whose software version is remembered; several times
+# those that a gateway relays within the longest time limit of a route.
+MAX_STREAM_VERSIONS = 16_384
 # A live machine accepts within milliseconds on these networks.
 UPSTREAM_CONNECT_TIMEOUT_MS = 300
 # Engines close idle connections; a connection that was idle for longer than
