--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -15,7 +15,6 @@
 from ragworthollow.routes import RequestLimits, RouteTable
 from ragworthollow.throttling import Throttle
 from ragworthollow.transport.sessions import (
-    make_held_session,
     make_unauthenticated_session,
     make_upstream_session,
 )
@@ -26,13 +25,13 @@
 )
 from ragworthollow.utils import get_monotonic_ms, make_identifier
 from ragworthollow_daemon.drain import DrainState
+from ragworthollow_daemon.gateway.exchanges import Exchanges
 from ragworthollow_daemon.gateway.quarantine import Quarantine
 from ragworthollow_daemon.gateway.shutdown_state import (
     RequestShutdown,
     ShutdownState,
     send_sigterm,
 )
-from ragworthollow_daemon.gateway.stage_exchange import StageExchange
 
 
 class GatewayContext:
@@ -64,10 +63,10 @@
         self.drain = DrainState()
         self.stop = ShutdownState()
         self.rng = random.Random(self.incarnation)  # noqa: S311
-        self.session = make_unauthenticated_session()
+        self._session = make_unauthenticated_session()
         self.upstream_session = make_upstream_session(REQUEST_ID_HEADER)
         self.store = StoreClient(
-            session=self.session,
+            session=self._session,
             base_url=settings.store_url,
         )
         self.replica = Replica()
@@ -75,9 +74,7 @@
         self._has_route_table = asyncio.Event()
         self.directory = Directory()
         self.load_tracker = LoadTracker()
-        self._stage_session = make_held_session(REQUEST_ID_HEADER)
-        self._stage_exchange = StageExchange(
-            session=self._stage_session,
+        self.exchanges = Exchanges(
             load_tracker=self.load_tracker,
             metrics=self.metrics,
         )
@@ -102,11 +99,6 @@
         """Return the number of gateways, including this one."""
         return self._members
 
-    @property
-    def stage_exchange(self) -> StageExchange:
-        """Return the exchange of messages with stage instances."""
-        return self._stage_exchange
-
     @property
     def quarantine(self) -> Quarantine:
         """Return the quarantine of requests that crash instances."""
@@ -211,9 +203,9 @@
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.session.close()
+        await self._session.close()
         await self.upstream_session.close()
-        await self._stage_session.close()
+        await self.exchanges.close()
 
     def _get_burst(self, pool: str) -> float:
         slack = self.settings.retry_slack * global_settings.RETRY_BUDGET_USE
