Bound responses that do not end, in memory and in time

Callers would see: an upstream, peer or store that sends bytes without end, in a head or a body, fills the memory of a gateway and takes its processor until a time limit.

Cause: whole bodies were held in memory without a limit, except for pages of the store's changes. Blank lines and interim responses before a response had neither a limit of length nor of number, complete responses after it were parsed and queued until the connection was used again, and a read of a body whose bytes had arrived did not give way to other work.

Now each reader has a greatest length (MAX_RESPONSE_BYTES, MAX_MESSAGE_BYTES, MAX_PEER_STATE_BYTES, MAX_STORE_RESPONSE_BYTES), past which it fails as truncated and closes its connection. A connection on which MAX_RESPONSE_HEAD_BYTES or MAX_QUEUED_RESPONSES arrive before a response is taken, or anything while no request is sent, is closed. Received bytes are parsed 8 KiB at a time, so that these limits apply within one read of the socket. The gateway's connections to peers and the store have the read buffer of those to upstreams.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
@@ -21,11 +21,11 @@
     make_caller_headers,
     read_response_metadata,
 )
+from ragworthollow.transport import bounded_reading, target_url
 from ragworthollow.transport.exchange import Exchange
 from ragworthollow.transport.foreign_response_error import (
     ForeignResponseError,
 )
-from ragworthollow.transport.target_url import make_target_url
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
@@ -136,7 +136,7 @@
         async with asyncio.timeout(plan.timeout_ms / 1000):
             response = await context.upstream_session.request(
                 job.request.method,
-                make_target_url(address, job.request.raw_path),
+                target_url.make_target_url(address, job.request.raw_path),
                 headers=headers,
                 data=job.body or None,
                 allow_redirects=False,
@@ -172,7 +172,9 @@
     response = opened.ok_value
     try:
         async with asyncio.timeout((end_ms - get_monotonic_ms()) / 1000):
-            body = await response.read()
+            body = await bounded_reading.read_bounded(
+                response, global_settings.MAX_RESPONSE_BYTES
+            )
     except TimeoutError as error:
         return _make_error(plan, Reason.attempt_timeout, error, Outcome.unknown)
     except (ClientError, OSError) as error:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_monitor.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/call_monitor.py
@@ -11,6 +11,7 @@
 from ragworthollow.pieces import PieceCall
 from ragworthollow.platform.response_wire import read_response_metadata
 from ragworthollow.platform.stage_wire import REPORT_PATH, decode_is_busy
+from ragworthollow.transport.bounded_reading import read_bounded
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
@@ -68,7 +69,9 @@
                 read_response_metadata(response.status, response.headers),
                 sent_ms=sent_ms,
             )
-            return decode_is_busy(await response.read())
+            return decode_is_busy(
+                await read_bounded(response, global_settings.MAX_MESSAGE_BYTES)
+            )
     except (
         TimeoutError,
         aiohttp.ClientError,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -66,7 +66,9 @@
         self.drain = DrainState()
         self.stop = ShutdownState()
         self.rng = random.Random(self.incarnation)  # noqa: S311
-        self.session = make_unauthenticated_session()
+        self.session = make_unauthenticated_session(
+            global_settings.UPSTREAM_READ_BUFFER_BYTES
+        )
         self.upstream_session = make_upstream_session(REQUEST_ID_HEADER)
         self.store = StoreClient(
             session=self.session,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
@@ -8,6 +8,7 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.outcomes import Outcome, Reason
+from ragworthollow.transport.bounded_reading import read_bounded
 from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.attempt import (
@@ -252,7 +253,9 @@
         response = UpstreamResponse(
             status=upstream.status,
             headers=upstream.headers,
-            body=await upstream.read(),
+            body=await read_bounded(
+                upstream, global_settings.MAX_RESPONSE_BYTES
+            ),
             exchange=upstream.exchange,
         )
         if relay.is_started() or not series.is_final(response.status):
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/host_pinger.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/host_pinger.py
@@ -14,6 +14,7 @@
 from ragworthollow.membership.gateway_members import GatewayMembers
 from ragworthollow.pieces import AnnouncedWork
 from ragworthollow.replica import StoreUpdate
+from ragworthollow.transport.bounded_reading import read_bounded
 from ragworthollow.transport.host_messages import (
     PING_PATH,
     GatewayPing,
@@ -132,7 +133,9 @@
                 ),
             ) as response:
                 state = decode_json(
-                    await response.read(),
+                    await read_bounded(
+                        response, global_settings.MAX_PEER_STATE_BYTES
+                    ),
                     HostState,
                 )
         except (
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_notifications.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_notifications.py
@@ -5,6 +5,7 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.membership.gateway_member import GatewayMember
+from ragworthollow.transport.bounded_reading import read_bounded
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow_daemon.gateway.context import GatewayContext
 
@@ -44,7 +45,7 @@
                 global_settings.PEER_CONNECT_TIMEOUT_MS,
             ),
         ) as response:
-            await response.read()
+            await read_bounded(response, global_settings.MAX_MESSAGE_BYTES)
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         context.metrics.count_event('peer_note_failed')
         log_event(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_call.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_call.py
@@ -14,6 +14,7 @@
     decode_run,
     encode_run,
 )
+from ragworthollow.transport.bounded_reading import read_bounded
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
@@ -64,7 +65,9 @@
                 global_settings.UPSTREAM_CONNECT_TIMEOUT_MS,
             ),
         ) as response:
-            body = await response.read()
+            body = await read_bounded(
+                response, global_settings.MAX_MESSAGE_BYTES
+            )
             return _read_response(context, call, response, body, sent_ms)
     except (
         aiohttp.ClientConnectorError,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_exchange.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/piece_exchange.py
@@ -9,6 +9,7 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.pieces import Piece, PieceResult
+from ragworthollow.transport.bounded_reading import read_bounded
 from ragworthollow.transport.piece_messages import (
     ResultsRelease,
     decode_results,
@@ -67,7 +68,9 @@
                 sock_connect=global_settings.PEER_CONNECT_TIMEOUT_MS / 1000,
             ),
         ) as response:
-            body = await response.read()
+            body = await read_bounded(
+                response, global_settings.MAX_MESSAGE_BYTES
+            )
             status = response.status
         if status == _OK:
             return Ok(decode_results(body))
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/result_releases.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/result_releases.py
@@ -12,6 +12,7 @@
     RELEASE_RESULTS_PATH,
     encode_release,
 )
+from ragworthollow.transport.bounded_reading import read_bounded
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.upstreams import UpstreamInstance
 from ragworthollow.utils import get_boottime_ms
@@ -116,7 +117,7 @@
                 read_response_metadata(response.status, response.headers),
                 sent_ms=sent_ms,
             )
-            await response.read()
+            await read_bounded(response, global_settings.MAX_MESSAGE_BYTES)
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         # The producer drops results by itself when they expire.
         context.metrics.count_event('free_failed')
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/update_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/update_client.py
@@ -13,6 +13,7 @@
 from ragworthollow.membership.gateway_members import GatewayMembers
 from ragworthollow.platform.store_position import StorePosition
 from ragworthollow.replica import UpdateRequest, decode_update
+from ragworthollow.transport.bounded_reading import read_bounded
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.utils import get_boottime_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
@@ -92,7 +93,11 @@
                     global_settings.PEER_CONNECT_TIMEOUT_MS,
                 ),
             ) as response:
-                update = decode_update(await response.read())
+                update = decode_update(
+                    await read_bounded(
+                        response, global_settings.MAX_PEER_STATE_BYTES
+                    )
+                )
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             update = Err(repr(error))
         if isinstance(update, Err):
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -18,6 +18,23 @@
 # Body of a response that belongs to an earlier request.
 DISCARDED_BODY_BYTES = 1_000_000
 
+# Maximum length of what comes before a response: its head, and heads that only
+# announce it.
+MAX_RESPONSE_HEAD_BYTES = 65_536
+# Number of responses that may arrive on a connection before one is taken.
+MAX_QUEUED_RESPONSES = 16
+# Number of received bytes that are parsed at once, before their effect is
+# checked.
+PARSED_BYTES = 8_192
+# Maximum length of the body of a response that is passed on to a caller.
+MAX_RESPONSE_BYTES = 33_554_432
+# Maximum length of a message of an upstream or peer to this system.
+MAX_MESSAGE_BYTES = 1_048_576
+# Maximum length of a message in which a peer may send the state of the store.
+MAX_PEER_STATE_BYTES = 16_777_216
+# Maximum length of a response of the store.
+MAX_STORE_RESPONSE_BYTES = 16_777_216
+
 # Streams of upstreams.
 
 # Maximum length of one event, without the blank line at its end; a stream with
--- a/packages/ragworthollow/src/ragworthollow/platform/store_transport.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_transport.py
@@ -1,5 +1,6 @@
 """Exchange messages with the platform's store."""
 
+import asyncio
 from http import HTTPStatus
 
 import aiohttp
@@ -7,6 +8,7 @@
 from result import Err, Ok, Result
 from yarl import URL
 
+from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.platform.exceptions import PlatformError
 from ragworthollow.platform.store_response import StoreResponse
@@ -88,14 +90,15 @@
         extra_ms : float
             Milliseconds for which the store may wait before it responds.
         max_bytes : float
-            Maximum size of a response; the rest of a larger response is
-            discarded together with the connection.
+            Maximum size of a response, `MAX_STORE_RESPONSE_BYTES` by default;
+            the rest of a larger response is discarded together with the
+            connection.
 
         Returns
         -------
         Result
-            The response, without a body for `absent_status` or if it is too
-            large; or the failure.
+            The response, without a body for `absent_status` or if it is
+            larger than asked for; or the failure.
         """
         self.calls += 1
         received_body = _ResponseBody()
@@ -108,7 +111,10 @@
                 timeout=make_inactivity_timeout(self._timeout_ms, extra_ms),
             ) as response:
                 timeline = self._record_timeline(response)
-                is_complete = await received_body.read(response, max_bytes)
+                is_complete = await received_body.read(
+                    response,
+                    min(max_bytes, global_settings.MAX_STORE_RESPONSE_BYTES),
+                )
                 status = response.status
         except aiohttp.ClientConnectorError as error:
             return Err(self._explain(path, repr(error), applied=False))
@@ -119,15 +125,17 @@
             # The state that it reports was lost when the store was restored.
             detail = f'response predates restoration {self.timeline}'
             return Err(self._explain(path, detail, applied=True))
-        if status == absent_status or not is_complete:
+        is_too_long = not is_complete and max_bytes == UNLIMITED_BYTES
+        if status == absent_status or not (is_complete or is_too_long):
             return Ok(StoreResponse(body=None, timeline=timeline))
-        if status == HTTPStatus.OK:
+        if status == HTTPStatus.OK and is_complete:
             return self._decode(
                 path, received_body.join(), timeline, response_type
             )
         # Every other status means that the store has not applied the request.
-        detail = f'status {status}'
-        return Err(self._explain(path, detail, applied=False))
+        is_refused = status != HTTPStatus.OK
+        detail = f'status {status}, {received_body.describe()}'
+        return Err(self._explain(path, detail, applied=not is_refused))
 
     def _decode(
         self,
@@ -197,6 +205,9 @@
         if (response.content_length or 0) > max_bytes:
             return False
         async for chunk in response.content.iter_any():
+            if self._chunks:
+                # Lets other work run, as in `read_bounded`.
+                await asyncio.sleep(0)
             self._last_received_ms = get_monotonic_ms()
             self._chunks.append(chunk)
             self._size += len(chunk)
--- a/packages/ragworthollow/src/ragworthollow/transport/response_protocol.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/response_protocol.py
@@ -67,6 +67,9 @@
         self._request_id = ''
         self._sent_ids: set[str] = set()
         self._copy_count = 0
+        # Bytes received since the last request, until a response has begun.
+        self._head_bytes = 0
+        self._has_head = False
 
     def has_exchanges(self) -> bool:
         """Return whether the connection has carried a request."""
@@ -83,6 +86,8 @@
         self._exchange_count += 1
         self._began_ms = get_monotonic_ms()
         self._copy_count = 0
+        self._head_bytes = 0
+        self._has_head = False
         self._request_id = headers.get(self._identity_header, '')
         if self._request_id:
             self._sent_ids.add(self._request_id)
@@ -127,8 +132,43 @@
         """Process received bytes; give up a connection that was idle."""
         # The library passes no bytes when it resumes reading.
         if data and self._is_idle:
-            self.force_close()
-        super().data_received(data)
+            self._give_up()
+            return
+        for start in range(0, len(data) or 1, global_settings.PARSED_BYTES):
+            part = data[start : start + global_settings.PARSED_BYTES]
+            if not self._has_head:
+                self._head_bytes += len(part)
+            super().data_received(part)
+            if self._is_over_limits():
+                self._give_up()
+                self.set_exception(
+                    aiohttp.ClientPayloadError('no response among many bytes')
+                )
+            if self.exception() is not None:
+                return
+
+    def feed_data(  # noqa: WPS110
+        self,
+        data: tuple[RawResponseMessage, StreamReader],
+        size: int = 0,
+    ) -> None:
+        """Queue a response, unless there are too many already."""
+        message, _ = data
+        self._has_head = self._has_head or message.code >= _FIRST_STATUS
+        super().feed_data(data, size)
+
+    def _is_over_limits(self) -> bool:
+        """Return whether too much has arrived for the current request."""
+        if len(self._buffer) > global_settings.MAX_QUEUED_RESPONSES:
+            return True
+        limit = global_settings.MAX_RESPONSE_HEAD_BYTES
+        return self._head_bytes > limit and not self._has_head
+
+    def _give_up(self) -> None:
+        """Close the connection, so that nothing more is received on it."""
+        self.force_close()
+        if self.transport is not None:
+            self.transport.close()
 
     async def _discard(
         self, message: RawResponseMessage, body: StreamReader
@@ -148,6 +188,8 @@
                 raise ForeignResponseError(
                     'the response to an earlier request does not end'
                 )
+        self._head_bytes = 0
+        self._has_head = bool(self._buffer)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a body that is not complete, and record the end."""
--- a/packages/ragworthollow/src/ragworthollow/transport/session.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/session.py
@@ -36,10 +36,18 @@
     )
 
 
-def make_unauthenticated_session() -> aiohttp.ClientSession:
+def make_unauthenticated_session(
+    read_buffer_bytes: int = global_settings.STREAM_READ_LIMIT_BYTES,
+) -> aiohttp.ClientSession:
     """
     Create a session for the platform and upstreams, without the key.
 
+    Parameters
+    ----------
+    read_buffer_bytes : int
+        Received bytes of a response from which its connection is not read
+        until half of them have been processed.
+
     Returns
     -------
     ClientSession
@@ -47,6 +55,6 @@
     """
     return aiohttp.ClientSession(
         connector=Connector(limit=0, use_dns_cache=False),
-        read_bufsize=global_settings.STREAM_READ_LIMIT_BYTES,
+        read_bufsize=read_buffer_bytes,
         auto_decompress=False,
     )
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from tests.standins.endless import send_endlessly
 from tests.standins.partial_streams import (
     End,
     PartialStream,
@@ -23,6 +24,7 @@
 # More than the buffers of a connection hold.
 LARGE_BODY_BYTES = 32_000_000
 _LARGE_EVENT_CHARS = 100_000
+_REFUSAL = '503'
 LONG_EVENT_BYTES = 1_000_000
 
 
@@ -53,6 +55,10 @@
         self.cut_answers: list[tuple[str, End]] = []
         # Bodies that are sent instead of the next answers to calls.
         self.spoiled_bodies: list[bytes] = []
+        # Cases of answers to calls that do not end.
+        self.endless_answers: list[str] = []
+        # What has been sent without end, and on how many open connections.
+        self.endless = SimpleNamespace(size=0, open=0)
         self.active_calls = 0
         self.max_active_calls = 0
         # Paused streams and held responses continue once this is set.
@@ -153,6 +159,10 @@
         body = msgspec.json.encode(
             {'items': list(map(self._make_result, items))}
         )
+        if self.endless_answers:
+            return await self.send_endlessly(
+                writer, self.endless_answers.pop(), self.response_headers
+            )
         if self.spoiled_bodies:
             body = self.spoiled_bodies.pop()
         if self.cut_answers:
@@ -167,6 +177,14 @@
         _write_response(writer, '200 OK', self.response_headers, body)
         return True
 
+    async def send_endlessly(
+        self, writer, case, headers, status='200 OK'
+    ) -> bool:
+        await send_endlessly(
+            writer, case, status=status, headers=headers, sent=self.endless
+        )
+        return False
+
     def _make_result(self, item: dict) -> dict[str, str]:
         if any(
             handle in self.released_handles for handle in item.get('inputs', ())
@@ -425,6 +443,17 @@
     return True
 
 
+async def _respond_endlessly(standin, request, _reader, writer):
+    """Respond as in `endless?200-small-chunks`."""
+    status, _, case = request.path.partition('?')[2].partition('-')
+    headers = standin.record_run(request)
+    if status == _REFUSAL:
+        headers['X-Ragworthollow-Not-Executed'] = '1'
+    return await standin.send_endlessly(
+        writer, case.replace('-', ' '), headers, f'{status} Status'
+    )
+
+
 async def _fail_unframed(standin, request, _reader, writer):
     _write_unframed(
         writer, standin.record_run(request), '500 Internal Server Error'
@@ -500,6 +529,7 @@
     'spoiled': _spoil_stream,
     'held': _hold_stream,
     'flood': _flood,
+    'endless': _respond_endlessly,
     'long': _stream_long_event,
     'error': _fail_unframed,
     'pause': _pause_stream,
