--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -1,11 +1,13 @@
 """Stand in for one upstream instance, with faults chosen by path."""
 
 import asyncio
+import random
 from types import SimpleNamespace
 
 import msgspec
 
 from tests.standins.endless import send_endlessly
+from tests.standins.garbled import make_answer
 from tests.standins.partial_streams import (
     End,
     PartialStream,
@@ -55,6 +57,8 @@
         self.cut_answers: list[tuple[str, End]] = []
         # Bodies that are sent instead of the next answers to calls.
         self.spoiled_bodies: list[bytes] = []
+        # Makes answers to calls garbled, if set.
+        self.garbling_rng: random.Random | None = None
         # Cases of answers to calls that do not end.
         self.endless_answers: list[str] = []
         # What has been sent without end, and on how many open connections.
@@ -159,6 +163,10 @@
         body = msgspec.json.encode(
             {'items': list(map(self._make_result, items))}
         )
+        if self.garbling_rng is not None:
+            return self.write_garbled(
+                writer, self.garbling_rng, self.response_headers
+            )
         if self.endless_answers:
             return await self.send_endlessly(
                 writer, self.endless_answers.pop(), self.response_headers
@@ -177,6 +185,13 @@
         _write_response(writer, '200 OK', self.response_headers, body)
         return True
 
+    def write_garbled(self, writer, rng, headers) -> bool:
+        answer, is_open = make_answer(
+            rng=rng, headers=headers, address=self.address
+        )
+        writer.write(answer)
+        return is_open
+
     async def send_endlessly(
         self, writer, case, headers, status='200 OK'
     ) -> bool:
@@ -443,6 +458,13 @@
     return True
 
 
+async def _garble(standin, request, _reader, writer):
+    """Respond as a seed decides, as in `garbled?17`."""
+    seed = request.path.partition('?')[2]
+    rng = random.Random(f'{seed}-{len(standin.runs)}')
+    return standin.write_garbled(writer, rng, standin.record_run(request))
+
+
 async def _respond_endlessly(standin, request, _reader, writer):
     """Respond as in `endless?200-small-chunks`."""
     status, _, case = request.path.partition('?')[2].partition('-')
@@ -530,6 +552,7 @@
     'held': _hold_stream,
     'flood': _flood,
     'endless': _respond_endlessly,
+    'garbled': _garble,
     'long': _stream_long_event,
     'error': _fail_unframed,
     'pause': _pause_stream,
