--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/loss_cause.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/loss_cause.py
@@ -67,6 +67,7 @@
     Reason.not_configured: LossCause.process_unready,
     Reason.draining: LossCause.process_unready,
     Reason.no_instance: LossCause.process_unready,
+    Reason.version_unknown: LossCause.process_unready,
     Reason.domain_drained: LossCause.domain_drained,
     Reason.warming_up: LossCause.warming_up,
     Reason.rate_limited: LossCause.rate_limited,
@@ -78,6 +79,7 @@
     Reason.connect_failed: LossCause.connection_broken,
     Reason.connection_lost: LossCause.connection_broken,
     Reason.truncated: LossCause.connection_broken,
+    Reason.events_out_of_order: LossCause.upstream_error,
     Reason.mismatched_answer: LossCause.connection_broken,
 }
 _CALLER_ERRORS = (
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -3,8 +3,7 @@
 import asyncio
 import contextlib
 import random
-import signal
-from collections.abc import Callable, Collection, Coroutine
+from collections.abc import Collection, Coroutine
 
 from ragworthollow.balancing import EngineView
 from ragworthollow.conf import GatewaySettings, global_settings
@@ -16,25 +15,25 @@
 from ragworthollow.routes import RequestLimits, RouteTable
 from ragworthollow.throttling import Throttle
 from ragworthollow.transport.sessions import (
+    make_held_session,
     make_unauthenticated_session,
     make_upstream_session,
 )
 from ragworthollow.upstreams import (
     Directory,
     LoadTracker,
+    StreamVersions,
     UpstreamInstance,
 )
 from ragworthollow.utils import get_monotonic_ms, make_identifier
 from ragworthollow_daemon.drain import DrainState
 from ragworthollow_daemon.gateway.quarantine import Quarantine
-from ragworthollow_daemon.gateway.shutdown_state import ShutdownState
-
-RequestShutdown = Callable[[], None]
-
-
-def send_sigterm() -> None:
-    """Send SIGTERM to this process, as the platform does."""
-    signal.raise_signal(signal.SIGTERM)
+from ragworthollow_daemon.gateway.shutdown_state import (
+    RequestShutdown,
+    ShutdownState,
+    send_sigterm,
+)
+from ragworthollow_daemon.gateway.stage_exchange import StageExchange
 
 
 class GatewayContext:
@@ -78,7 +77,16 @@
         self.route_table: RouteTable | None = None
         self._has_route_table = asyncio.Event()
         self.directory = Directory()
+        self._stream_versions = StreamVersions(
+            limit=global_settings.MAX_STREAM_VERSIONS
+        )
         self.load_tracker = LoadTracker()
+        self._stage_session = make_held_session(REQUEST_ID_HEADER)
+        self._stage_exchange = StageExchange(
+            session=self._stage_session,
+            load_tracker=self.load_tracker,
+            metrics=self.metrics,
+        )
         self._engine_view = EngineView(load_tracker=self.load_tracker)
         self._throttle = Throttle(
             gateway=settings.instance,
@@ -100,6 +108,11 @@
         """Return the number of gateways, including this one."""
         return self._members
 
+    @property
+    def stage_exchange(self) -> StageExchange:
+        """Return the exchange of messages with stage instances."""
+        return self._stage_exchange
+
     @property
     def quarantine(self) -> Quarantine:
         """Return the quarantine of requests that crash instances."""
@@ -110,6 +123,11 @@
         """Return what is known of the engines."""
         return self._engine_view
 
+    @property
+    def stream_versions(self) -> StreamVersions:
+        """Return the software versions of streams relayed here."""
+        return self._stream_versions
+
     @property
     def throttle(self) -> Throttle:
         """Return the throttle for instances with reduced capacity."""
@@ -206,6 +224,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.session.close()
         await self.upstream_session.close()
+        await self._stage_session.close()
 
     def _get_burst(self, pool: str) -> float:
         slack = self.settings.retry_slack * global_settings.RETRY_BUDGET_USE
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
@@ -24,8 +24,10 @@
     ForwardResult,
 )
 from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.event_order_error import EventOrderError
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.response_progress import ResponseProgress
+from ragworthollow_daemon.gateway.stream_part_log import log_stream_part
 from ragworthollow_daemon.gateway.stream_relay import StreamRelay
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
@@ -158,7 +160,9 @@
         relay: StreamRelay,
         on_inputs_read: Callable[[], None],
     ) -> web.StreamResponse | None:
-        on_first_event = self._make_first_event_callback(series, on_inputs_read)
+        on_first_event = self._make_first_event_callback(
+            series, plan, on_inputs_read
+        )
         opened = await self._open_and_release_inputs(
             series, plan, on_inputs_read
         )
@@ -176,12 +180,13 @@
         except (TimeoutError, ClientError) as error:
             series.record_failure(
                 plan,
-                _make_truncation_failure(plan, upstream, error),
+                _make_stream_failure(plan, upstream, error),
                 relay.describe_end(),
             )
             return None
         finally:
             upstream.close()
+            self._log_part(series, plan, relay, upstream)
         series.record_response(
             plan,
             upstream.status,
@@ -190,12 +195,29 @@
         )
         return await relay.finish()
 
+    def _log_part(
+        self,
+        series: AttemptSeries,
+        plan: AttemptPlan,
+        relay: StreamRelay,
+        upstream: ClientResponse,
+    ) -> None:
+        if upstream.status in _SUCCESS_STATUSES:
+            log_stream_part(
+                self._context,
+                series.job,
+                plan,
+                relay.sequence,
+                upstream.exchange.response_id,
+            )
+
     def _make_first_event_callback(
         self,
         series: AttemptSeries,
+        plan: AttemptPlan,
         on_inputs_read: Callable[[], None],
     ) -> Callable[[], None]:
-        """Make a callback that records the latency of the first event."""
+        """Make a callback that records the first event of an attempt."""
         job = series.job
         sent_ms = get_monotonic_ms()
         is_recorded = False
@@ -204,6 +226,7 @@
             nonlocal is_recorded
             if not is_recorded:
                 is_recorded = True
+                series.selection.binding.bind(plan.instance)
                 series.selection.record_prompt_read()
                 self._context.engine_view.get_first_event_latency(
                     job.pool
@@ -267,14 +290,17 @@
         return render_response(response)
 
 
-def _make_truncation_failure(
+def _make_stream_failure(
     plan: AttemptPlan,
     upstream: ClientResponse,
     error: Exception,
 ) -> UpstreamFailure:
+    is_out_of_order = isinstance(error, EventOrderError)
     return UpstreamFailure(
         outcome=Outcome.unknown,
-        reason=Reason.truncated,
+        reason=(
+            Reason.events_out_of_order if is_out_of_order else Reason.truncated
+        ),
         step=_STEP,
         peer=plan.instance.instance,
         detail=repr(error),
