--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_exchange.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stage_exchange.py
@@ -4,10 +4,12 @@
 
 import aiohttp
 
+from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.metrics import Metrics
 from ragworthollow.platform.request_wire import REQUEST_ID_HEADER
 from ragworthollow.platform.stage_wire import EXPECT_INSTANCE, RUN_PATH
+from ragworthollow.transport.bounded_reading import read_bounded
 from ragworthollow.upstreams import LoadTracker
 from ragworthollow.utils import make_identifier
 from ragworthollow_daemon.gateway.attribution import Attribution
@@ -90,7 +92,9 @@
         history = self._find_history(response)
         attribution = Attribution.foreign
         try:
-            body = await response.content.read()
+            body = await read_bounded(
+                response, global_settings.MAX_MESSAGE_BYTES
+            )
             attribution = self._attribute(
                 message, identifier, response, body, history
             )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_origin_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_origin_client.py
@@ -72,7 +72,7 @@
         for asking in asyncio.as_completed(asked):
             origin = await asking
             if origin is not None:
-                return self._context.stream_versions.record(
+                return self._context.directory.stream_versions.record(
                     request_id, origin, get_monotonic_ms()
                 )
         return False
--- a/packages/ragworthollow/src/ragworthollow/transport/peer_exchange.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/peer_exchange.py
@@ -3,6 +3,7 @@
 import aiohttp
 
 from ragworthollow.conf import global_settings
+from ragworthollow.transport.bounded_reading import read_bounded
 from ragworthollow.transport.connector import Connector
 from ragworthollow.transport.exchange_response import ExchangeResponse
 from ragworthollow.transport.foreign_response_error import ForeignResponseError
@@ -30,7 +31,7 @@
             may_omit_identity=True,
         ),
         response_class=ExchangeResponse,
-        read_bufsize=global_settings.STREAM_READ_LIMIT_BYTES,
+        read_bufsize=global_settings.UPSTREAM_READ_BUFFER_BYTES,
         auto_decompress=False,
     )
 
@@ -69,7 +70,9 @@
         headers={EXCHANGE_HEADER: identifier},
         timeout=timeout,
     ) as response:
-        received = await response.read()
+        received = await read_bounded(
+            response, global_settings.MAX_PEER_STATE_BYTES
+        )
         named = response.headers.get(EXCHANGE_HEADER, identifier)
         if named != identifier:
             raise ForeignResponseError(f'the response names {named}')
--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -84,7 +84,7 @@
 def make_uncertain(context):
     stage = context.gateway_stage
     for name in stage.upstreams:
-        stage.get_context().stream_versions.forget_version(name, 0)
+        stage.get_context().directory.stream_versions.forget_version(name, 0)
 
 
 @when('{count:d} streams break off, and each is resumed at any gateway')
