--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/peer_routes.py
@@ -5,8 +5,7 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
-from ragworthollow.membership.gateway_member import GatewayMember
-from ragworthollow.membership.gateway_members import GatewayMembers
+from ragworthollow.membership import GatewayMember, GatewayMembers
 from ragworthollow.platform.store_position import StorePosition
 from ragworthollow.replica import UpdateRequest, encode_update
 from ragworthollow.transport.host_messages import (
@@ -51,6 +50,7 @@
     TRANSFER_PATH,
     SchedulerHandover,
 )
+from ragworthollow_daemon.gateway.stream_origin_route import add_origin_route
 from ragworthollow_daemon.gateway.update_client import UPDATE_PATH
 
 _BAD_REQUEST = 400
@@ -94,6 +94,7 @@
         application.router.add_post(PING_PATH, self.handle_ping)
         application.router.add_post(CHANGE_PATH, self.apply_member_change)
         application.router.add_post(UPDATE_PATH, self.send_update)
+        add_origin_route(application, self._context)
         application.router.add_post(RUN_PATH, self.run_pieces)
         application.router.add_post(FREE_PATH, self.release_results)
         application.router.add_post(TRANSFER_PATH, self.apply_transfer)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_origin_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_origin_client.py
@@ -14,9 +14,10 @@
     StreamOriginAnswer,
     StreamOriginQuery,
 )
+from ragworthollow.transport.peer_exchange import post_to_peer
 from ragworthollow.transport.timeouts import make_timeout
 from ragworthollow.upstreams import StreamOrigin
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.utils import decode_json, get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 
 _STEP = 'resume'
@@ -92,17 +93,16 @@
     ) -> StreamOrigin | None:
         query = StreamOriginQuery(request_id=request_id)
         try:
-            async with self._context.session.post(
+            response = await post_to_peer(
+                self._context.exchanges.peer_session,
                 f'http://{peer.peer_address}{STREAM_ORIGIN_PATH}',
-                data=msgspec.json.encode(query),
-                timeout=make_timeout(
+                msgspec.json.encode(query),
+                make_timeout(
                     global_settings.HOST_PING_TIMEOUT_MS,
                     global_settings.PEER_CONNECT_TIMEOUT_MS,
                 ),
-            ) as response:
-                answer = msgspec.json.decode(
-                    await response.read(), type=StreamOriginAnswer
-                )
+            )
+            answer = decode_json(response.body, StreamOriginAnswer)
         except (
             TimeoutError,
             aiohttp.ClientError,
--- a/packages/ragworthollow/src/ragworthollow/membership/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/membership/__init__.py
@@ -1,5 +1,7 @@
 """Track which processes exist and which of them watch the platform."""
 
+from ragworthollow.membership.gateway_member import GatewayMember
+from ragworthollow.membership.gateway_members import GatewayMembers
 from ragworthollow.membership.peer_directory import PeerDirectory
 
-__all__ = ('PeerDirectory',)
+__all__ = ('GatewayMember', 'GatewayMembers', 'PeerDirectory')
