Answer a caller whose response has a header that cannot be passed on

What callers saw: an upstream answered with a control character in a header, and the caller's connection was closed without a response. The HTTP library refuses to send such a header, after the response had been taken. A response with such a header now ends the attempt as upstream_error, outcome unknown.

The review of the fix asked for scenarios where guards could be taken out unnoticed: many copies before the response of a running request, rejections and misdirections that name another request or none, and the limit of requests of a connection. The steps end after 20 s where they could wait without end.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
@@ -247,7 +247,8 @@
         return _make_status_failure(
             plan, Reason.upstream_full, status, Outcome.not_run
         )
-    if status in _NOT_RUN_STATUSES or not metadata.is_signed:
+    is_usable = metadata.is_signed and metadata.is_valid
+    if status in _NOT_RUN_STATUSES or not is_usable:
         return _make_status_failure(
             plan, Reason.upstream_error, status, Outcome.unknown
         )
--- a/packages/ragworthollow/src/ragworthollow/exchange/response_metadata.py
+++ b/packages/ragworthollow/src/ragworthollow/exchange/response_metadata.py
@@ -22,6 +22,8 @@
     is_misdirected : bool
         Whether an incarnation other than the intended one listens at the
         address.
+    is_valid : bool
+        Whether all headers are valid, so that they can be passed on.
     load : InstanceLoad or None
         Load that the upstream reports; None if it reports none.
     is_leaving : bool
@@ -41,6 +43,7 @@
     is_signed: bool
     is_not_run: bool
     is_misdirected: bool = False
+    is_valid: bool = True
     load: InstanceLoad | None = None
     is_leaving: bool = False
     pause_ms: float | None = None
--- a/packages/ragworthollow/src/ragworthollow/platform/response_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/response_wire.py
@@ -1,6 +1,7 @@
 """Decode the headers of an upstream's response."""
 
 import math
+import re
 from collections.abc import Mapping
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -23,6 +24,8 @@
 _LOAD_FIELDS = 4
 _MAX_COUNT_DIGITS = 9
 _PERCENT = 100
+# Not allowed in the values of headers (RFC 9110, 5.5).
+_CONTROL_CHARACTERS = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
 
 _NOT_FORWARDED = frozenset(
     (
@@ -62,6 +65,7 @@
         is_signed=_RESPONSE_SIGNATURE in headers,
         is_not_run=_NOT_EXECUTED in headers or status == _MISDIRECTED,
         is_misdirected=status == _MISDIRECTED,
+        is_valid=not any(map(_CONTROL_CHARACTERS.search, headers.values())),
         load=read_load(headers),
         is_leaving=headers.get(_LEAVING, '').strip() == '1',
         pause_ms=_read_pause_ms(status, headers),
--- a/tests/features/response_identity.feature
+++ b/tests/features/response_identity.feature
@@ -17,6 +17,44 @@
       | misdirection | an unsafe request     | /unsafe/misdirect | /unsafe/answer   |
       | misdirection | a stream              | /stream/misdirect | /stream/stream   |
 
+  @each.gateway
+  Scenario Outline: Many late copies of a rejection do not refuse <kind>
+    # Guards against a promise "not run" where the search for the response of a
+    # running request is given up.
+    Given instances that repeat each response 6 times while the next request runs
+    When 5 callers post one after the other to <rejected> and then to <path>
+    Then none of those refused has run
+
+    Examples:
+      | kind              | rejected       | path           |
+      | an unsafe request | /unsafe/refuse | /unsafe/answer |
+      | a stream          | /stream/refuse | /stream/stream |
+
+  @each.gateway
+  Scenario Outline: A request that runs gets the response <response>
+    # Guards against a promise "not run" that rests on a status or a mark alone.
+    When a caller posts to /unsafe/<response>
+    Then it gets status 502 and the request has run 1 times
+
+    Examples:
+      | response          |
+      | refuse-other      |
+      | misdirect-other   |
+      | misdirect-unnamed |
+
+  @each.gateway
+  Scenario: A response has a header that cannot be passed on
+    # Guards against a caller whose connection is closed without an answer, since
+    # the HTTP library refuses to send a control character.
+    When a caller posts to /unsafe/control
+    Then it gets status 502 and the request has run 1 times
+
+  Scenario: A connection carries a limited number of requests
+    # Guards against identifiers that are remembered without end.
+    Given an upstream that rejects every request
+    When 257 requests are sent to it
+    Then it came on 2 connections
+
   @each.gateway
   Scenario Outline: A rejection that names no request proves nothing: <prefix>
     # Guards against a promise "not run" that rests on a response which may belong
--- a/tests/features/steps/response_identity.py
+++ b/tests/features/steps/response_identity.py
@@ -17,6 +17,7 @@
     ForeignResponseError,
 )
 
+_TEST_TIMEOUT_S = 20
 _PROMISES = frozenset((408, 421, 429, 503))
 _UNFINISHED_HEAD = b'HTTP/1.1 503 Service Unav'
 _HEAD_END = b'\r\n\r\n'
@@ -40,8 +41,20 @@
 
 @given('instances that repeat each response while the next request runs')
 def repeat_responses(context):
+    _repeat_responses(context, 1)
+
+
+@given(
+    'instances that repeat each response {count:d} times while the next '
+    'request runs'
+)
+def repeat_responses_often(context, count):
+    _repeat_responses(context, count)
+
+
+def _repeat_responses(context, count):
     for upstream in context.gateway_stage.upstreams.values():
-        upstream.is_repeating = True
+        upstream.repeat_count = count
 
 
 @when(
@@ -129,7 +142,7 @@
 @when('a request is sent to it')
 def send_after_greeting(context):
     assert context.has_greeting
-    context.has_failed = uvloop.run(_connect_to_greeting())
+    context.has_failed = _run(_connect_to_greeting())
 
 
 @then('the session reports that no connection could be made')
@@ -150,18 +163,20 @@
 @when('the same request is sent to it {count:d} times')
 def send_same_request(context, count):
     ids = ['request-1' for _ in range(count)]
-    context.connections = uvloop.run(_send(ids, context.trailing_bytes))
+    context.connections = _run(_send(ids, context.trailing_bytes))
 
 
 @when('{count:d} requests are sent to it')
 def send_requests(context, count):
     ids = [f'request-{number}' for number in range(count)]
     if 'copies' in context:
-        context.has_failed = uvloop.run(
-            _send_before_copies(ids, context.copies)
-        )
+        context.has_failed = _run(_send_before_copies(ids, context.copies))
     else:
-        context.connections = uvloop.run(_send(ids, context.trailing_bytes))
+        context.connections = _run(_send(ids, context.trailing_bytes))
+
+
+def _run(coroutine):
+    return uvloop.run(asyncio.wait_for(coroutine, _TEST_TIMEOUT_S))
 
 
 async def _send(request_ids, trailing_bytes) -> int:
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -74,9 +74,9 @@
         # Headers added to the responses.
         self.response_headers: dict[str, str] = {}
         self.is_refusing = False
-        # Sends each response once more while the next request on its connection
-        # runs.
-        self.is_repeating = False
+        # How often each response is sent again while the next request on its
+        # connection runs.
+        self.repeat_count = 0
         self._open_writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, port: int) -> None:
@@ -113,8 +113,9 @@
     async def _serve_request(self, reader, writer) -> bool:
         request = await _read_request(reader)
         self.arrivals.append(request)
-        if self.is_repeating:
-            writer.write(getattr(writer, 'last_response', b''))
+        last_response = getattr(writer, 'last_response', b'')
+        for _ in range(self.repeat_count):
+            writer.write(last_response)
         return await self._receive(request, reader, writer)
 
     async def _receive(self, request, reader, writer) -> bool:
@@ -288,6 +289,32 @@
     return True
 
 
+async def _refuse_other(standin, request, _reader, writer):
+    standin.record_run(request)
+    other = SimpleNamespace(request_id='of-another-request')
+    write_rejection(writer, other, {})
+    return True
+
+
+async def _misdirect_other(standin, request, _reader, writer):
+    standin.record_run(request)
+    headers = {_ECHOED_HEADER: 'of-another-request'}
+    _write_response(writer, '421 Misdirected Request', headers, b'')
+    return True
+
+
+async def _misdirect_unnamed(standin, request, _reader, writer):
+    standin.record_run(request)
+    _write_response(writer, '421 Misdirected Request', {}, b'')
+    return True
+
+
+async def _respond_with_control_character(standin, request, _reader, writer):
+    headers = {**standin.record_run(request), 'X-Other': 'a\x01b'}
+    _write_response(writer, '200 OK', headers, b'whole answer')
+    return True
+
+
 async def _misdirect(_standin, request, _reader, writer):
     headers = {_ECHOED_HEADER: request.request_id}
     _write_response(writer, '421 Misdirected Request', headers, b'')
@@ -561,6 +588,10 @@
     'refuse': _refuse,
     'unnamed': _refuse_unnamed,
     'misdirect': _misdirect,
+    'refuse-other': _refuse_other,
+    'misdirect-other': _misdirect_other,
+    'misdirect-unnamed': _misdirect_unnamed,
+    'control': _respond_with_control_character,
     'busy': _respond_unavailable,
     'fail': _fail,
     'other': _respond_for_other_request,
