--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
@@ -60,7 +60,7 @@
     """Return whether a caller already has events of a stream."""
     caller = job.request_parameters
     has_events = caller.last_event_id or caller.resumes_request_id
-    return job.route.is_stream() and bool(has_events)
+    return bool(has_events) and job.route.is_stream()
 
 
 def decide_resume(context: GatewayContext, job: RequestJob) -> ResumeDecision:
--- a/tests/features/steps/engine_choice.py
+++ b/tests/features/steps/engine_choice.py
@@ -17,6 +17,7 @@
     nominate_engines,
 )
 from ragworthollow.balancing.choice import ChoiceReason
+from ragworthollow.exchange import RequestParameters
 from ragworthollow.routes import UpstreamPool
 from ragworthollow.upstreams import LoadTracker
 from ragworthollow_daemon.gateway.instance_selection import InstanceSelection
@@ -307,5 +308,6 @@
     pool = UpstreamPool(name='engines', max_connections=10, is_engine=True)
     return SimpleNamespace(
         pool='engines',
+        request_parameters=RequestParameters(request_id='r'),
         route_table=SimpleNamespace(pools={'engines': pool}),
     )
