Reject instance records whose port has thousands of digits

Cause: the address check called `int` on any decimal text. Python refuses to convert more than 4,300 digits with a ValueError, which is not among the errors of the decoder: it left the subscriber and ended the loop of the store poller, upon which the gateway shuts down. The traceback of the new scenario on the code before shows this call.

Fix: text of other processes becomes a count only through `parse_count`, which knows ASCII digits and a greatest length, and never raises. Digits of other scripts, which `int` accepts and an address may not hold, are rejected with it. The log line has the first 100 characters of such an address only.

Before the fix two scenarios of instance_entries.feature failed (27 passed, 2 failed), the record with a port of 5,000 digits and the property test, whose records now also have long ports; with it 29 passed.

--- a/packages/ragworthollow/src/ragworthollow/platform/instances_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/instances_wire.py
@@ -8,12 +8,13 @@
 
 from ragworthollow.logs.events import log_error
 from ragworthollow.upstreams import UpstreamInstance
-from ragworthollow.utils import decode_json
+from ragworthollow.utils import decode_json, parse_count
 from ragworthollow.utils.message import Message
 
 INSTANCES_PREFIX = 'servers/'
 
 _PORTS = range(1, 2**16)
+_MAX_LOGGED_CHARS = 100
 
 
 class _State(enum.StrEnum):
@@ -68,10 +69,11 @@
     name = key.removeprefix(INSTANCES_PREFIX)
     try:
         entry = decode_json(text, _Entry)
-    except (msgspec.DecodeError, RecursionError) as error:
+    except msgspec.DecodeError as error:
         return _reject(key, repr(error))
     if not name or not _is_address(entry.addr):
-        return _reject(key, f'invalid instance name or address {entry.addr!r}')
+        shown = entry.addr[:_MAX_LOGGED_CHARS]
+        return _reject(key, f'invalid instance name or address {shown!r}')
     return UpstreamInstance(
         instance=name,
         pool=entry.backend,
@@ -100,4 +102,4 @@
         ipaddress.IPv4Address(host)
     except ValueError:
         return False
-    return port.isascii() and port.isdecimal() and int(port) in _PORTS
+    return parse_count(port) in _PORTS
--- a/packages/ragworthollow/src/ragworthollow/utils/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/utils/__init__.py
@@ -10,6 +10,7 @@
 from ragworthollow.utils.identifiers import get_creation_ms, make_identifier
 from ragworthollow.utils.json_decoding import decode_json
 from ragworthollow.utils.message import Message, StrictMessage
+from ragworthollow.utils.number_parsing import parse_count, parse_decimal
 
 __all__ = (
     'Message',
@@ -23,4 +24,6 @@
     'hash_secret',
     'make_identifier',
     'override_clocks',
+    'parse_count',
+    'parse_decimal',
 )
--- a/tests/features/instance_entries.feature
+++ b/tests/features/instance_entries.feature
@@ -24,6 +24,8 @@
       | with an unknown state          |
       | with a name as its address     |
       | with port 0                    |
+      | with a port of 5000 digits     |
+      | with a port of other digits    |
       | with a broken start            |
       | as bytes that are no text      |
       | as an endless list             |
--- a/tests/features/steps/instance_entries.py
+++ b/tests/features/steps/instance_entries.py
@@ -50,6 +50,9 @@
     'with an unknown state': {'state': 'resting'},
     'with a name as its address': {'addr': 'host:80'},
     'with port 0': {'addr': '10.0.0.1:0'},
+    'with a port of 5000 digits': {'addr': f'10.0.0.1:{"9" * 5000}'},
+    # Unicode digits that `int` would accept.
+    'with a port of other digits': {'addr': '10.0.0.1:\u0668\u0660'},
     'with a broken start': {'born': 1.5},
 }
 _INVALID_BYTES = {
@@ -133,6 +136,12 @@
     st.dictionaries(st.sampled_from(sorted(_ENTRY)), _JSON_VALUES).map(
         lambda changes: msgspec.json.encode({**_ENTRY, **changes}),
     ),
+    # Python converts at most 4,300 digits.
+    st.integers(0, 10_000).map(
+        lambda digits: msgspec.json.encode(
+            {**_ENTRY, 'addr': f'10.0.0.1:{"9" * digits}'}
+        ),
+    ),
 )
 
 
