--- a/packages/ragworthollow/src/ragworthollow/platform/instances_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/instances_wire.py
@@ -14,6 +14,8 @@
 INSTANCES_PREFIX = 'servers/'
 
 _PORTS = range(1, 2**16)
+# More than any instance has.
+_MAX_SLOTS = 1_000_000
 _MAX_LOGGED_CHARS = 100
 
 
@@ -38,7 +40,7 @@
     addr: str
     zone: str
     version: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
     state: _State
     cold_left_ms: float
     seq: int
--- a/tests/features/instance_entries.feature
+++ b/tests/features/instance_entries.feature
@@ -21,6 +21,11 @@
       | with 0 slots                   |
       | with slots as text             |
       | with slots as a truth value    |
+      | with slots beyond any float    |
+      | with slots beyond 64 bits      |
+      | with a start beyond any float  |
+      | with a count beyond any float  |
+      | with a warmth beyond 64 bits   |
       | with an unknown state          |
       | with a name as its address     |
       | with port 0                    |
@@ -58,3 +63,17 @@
     When its record shows a new incarnation
     Then the call ends at once, its pieces are made by the new incarnation
     And its result space is free
+
+  @fixture.gateway
+  Scenario Outline: A record with <change> in a pool that serves
+    # Guards against a number in one record that makes the choice of an instance
+    # fail for the requests of the whole pool.
+    Given a record of another writer in the pool plain, <change>
+    Then 40 requests to /safe/answer are answered by its instances
+
+    Examples:
+      | change                        |
+      | with slots beyond any float   |
+      | with slots beyond 64 bits     |
+      | with a start beyond any float |
+      | with a warmth beyond 64 bits  |
--- a/tests/features/json_decoding.feature
+++ b/tests/features/json_decoding.feature
@@ -15,3 +15,14 @@
       | a configuration           | deeply nested values |
       | a page of the store       | deeply nested values |
       | a page of the store       | a value not Base64   |
+      | a report                  | an integer too large |
+      | an update of a peer       | an integer too large |
+      | a configuration           | an integer too large |
+      | a page of the store       | an integer too large |
+      | results of a peer         | a float too large    |
+
+  Scenario: Numbers of any size in any text
+    # Guards against numbers that are valid JSON and overflow arithmetic, and
+    # against messages that are rejected for digits inside a string.
+    Then a number that does not fit into 64 bits is unreadable, others are not
+    And strings of digits and exponents are read as they are
--- a/tests/features/steps/instance_entries.py
+++ b/tests/features/steps/instance_entries.py
@@ -47,6 +47,11 @@
     'with 0 slots': {'slots': 0},
     'with slots as text': {'slots': '4'},
     'with slots as a truth value': {'slots': True},
+    'with slots beyond any float': {'slots': 10**400},
+    'with slots beyond 64 bits': {'slots': 2**64},
+    'with a start beyond any float': {'born': 10**400},
+    'with a count beyond any float': {'seq': 10**400},
+    'with a warmth beyond 64 bits': {'cold_left_ms': 1e30},
     'with an unknown state': {'state': 'resting'},
     'with a name as its address': {'addr': 'host:80'},
     'with port 0': {'addr': '10.0.0.1:0'},
@@ -114,6 +119,24 @@
         subscriber.apply_entries(entries, confirmed_ms)
 
 
+@given('a record of another writer in the pool plain, {change}')
+def write_foreign_record(context, change):
+    stage = context.gateway_stage
+    addresses = {'addr': stage.upstreams['u1'].address, 'backend': 'plain'}
+    entry = {**_ENTRY, **addresses, **_INVALID_FIELDS[change]}
+    text = msgspec.json.encode(entry).decode()
+    stage.run(stage.write({'servers/foreign': text}))
+    stage.run(stage.wait_for_reads(1))
+
+
+@then('{count:d} requests to {path:S} are answered by its instances')
+def check_all_served(context, count, path):
+    stage = context.gateway_stage
+    responses = [stage.run(stage.send(path)) for _ in range(count)]
+    statuses = {response.status for response in responses}
+    assert statuses == {200}, statuses
+
+
 @then('it names no instance, and this is logged once')
 def check_no_instance(context):
     (listed,) = context.directory.get_pool('p')
--- a/tests/features/steps/json_decoding.py
+++ b/tests/features/steps/json_decoding.py
@@ -1,9 +1,13 @@
 """Steps for the decoders of what other processes send."""
 
+import json
 import zlib
 
 import msgspec
 from behave import then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
 from result import Err
 
 from ragworthollow.platform.configuration_wire import decode_configuration
@@ -12,6 +16,7 @@
 from ragworthollow.replica.update_codec import decode_update
 from ragworthollow.transport.piece_messages import decode_results
 from ragworthollow.utils import decode_json
+from ragworthollow.utils.message import Message
 
 _LEVELS = 5000
 _NESTED = b'[' * _LEVELS + b']' * _LEVELS
@@ -20,6 +25,24 @@
     'deeply nested values': b'{"unknown":' + _NESTED + b'}',
     'a value not Base64': b'{"items":[{"key":"a","value":"?"}]}',
 }
+_TOO_LARGE = b'1' + b'0' * 400
+_TEXTS_BY_MESSAGE = {
+    ('a report', 'an integer too large'): (
+        b'{"busy":' + _TOO_LARGE + b',"waiting":0}'
+    ),
+    ('an update of a peer', 'an integer too large'): (
+        b'{"age_ms":1,"revision": ' + _TOO_LARGE + b'}'
+    ),
+    ('a configuration', 'an integer too large'): (
+        b'{"version":\n' + _TOO_LARGE + b'}'
+    ),
+    ('a page of the store', 'an integer too large'): (
+        b'{"as_of":-' + _TOO_LARGE + b'}'
+    ),
+    ('results of a peer', 'a float too large'): (
+        b'{"results":[{"outcome":"done","wait_ms":1e300}]}'
+    ),
+}
 _DECODERS = {
     'a run of pieces': decode_run,
     'a report': decode_is_busy,
@@ -33,7 +56,8 @@
 @when('the decoder of {message} is given {text}')
 def decode(context, message, text):
     try:
-        context.decoded = _DECODERS[message](_TEXTS[text])
+        given_text = _TEXTS.get(text) or _TEXTS_BY_MESSAGE[message, text]
+        context.decoded = _DECODERS[message](given_text)
     except msgspec.DecodeError as error:
         context.decoded = Err(str(error))
 
@@ -41,3 +65,63 @@
 @then('it reports the text as unreadable')
 def check_unreadable(context):
     assert isinstance(context.decoded, Err), context.decoded
+
+
+class _Sample(Message):
+    label: str = ''
+    count: int = 0
+    ratio: float = 0
+    by_name: dict[str, int] = {}
+    rows: tuple[tuple[str, float], ...] = ()
+
+
+_INTEGERS = st.integers(-(2**80), 2**80) | st.integers(-(10**400), 10**400)
+_FLOATS = st.floats(allow_nan=False, allow_infinity=False)
+_EDGES = st.sampled_from((2**63 - 1, 2**63, -(2**63), 1 - 2**63, 10**18))
+
+
+@then('a number that does not fit into 64 bits is unreadable, others are not')
+def check_numbers(context):
+    @settings(max_examples=500, deadline=None, derandomize=True)
+    @for_all(
+        count=_EDGES | _INTEGERS,
+        ratio=_FLOATS,
+        named=_EDGES | _INTEGERS,
+        indent=st.sampled_from((0, 1)),
+    )
+    def check(count, ratio, named, indent):
+        fields = {
+            'count': count,
+            'ratio': ratio,
+            'by_name': {'a': named},
+            'rows': [['b', ratio]],
+        }
+        text = json.dumps(fields, indent=indent)
+        is_bounded = all(
+            abs(number) < 2**63 for number in (count, ratio, named)
+        )
+        try:
+            decoded = decode_json(text, _Sample)
+        except msgspec.DecodeError:
+            assert not is_bounded, fields
+            return
+        assert is_bounded, fields
+        assert decoded.count == count
+        assert decoded.ratio == ratio
+
+    check()
+
+
+@then('strings of digits and exponents are read as they are')
+def check_strings(context):
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @for_all(
+        label=st.text(alphabet='0123456789eE+-., :[{"') | st.text(),
+        is_bytes=st.booleans(),
+    )
+    def check(label, is_bytes):
+        text = json.dumps({'label': label})
+        decoded = decode_json(text.encode() if is_bytes else text, _Sample)
+        assert decoded.label == label
+
+    check()
