Read numbers in headers and queries with a greatest length

`int` raises for more than 4,300 digits, `float` reads infinity, and a count was used as the length of a range.

Fix: the headers of callers and instances, the restore count of the store and the queries of the entry and the sidecar are read by `parse_count` and `parse_decimal`, which never raise and know a greatest value; a header that cannot be read counts as absent, as before.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/once_routes.py
@@ -12,7 +12,11 @@
 from ragworthollow.once.promises import make_reply
 from ragworthollow.transport import OnceKey
 from ragworthollow.transport.responses import Problem, respond
-from ragworthollow.utils import decode_json, get_monotonic_ms
+from ragworthollow.utils import (
+    decode_json,
+    get_monotonic_ms,
+    parse_decimal,
+)
 from ragworthollow_daemon.sidecar.once_agent import OnceAgent
 from ragworthollow_daemon.sidecar.once_executor import OnceExecutor
 
@@ -65,9 +69,11 @@
         """Return the state of a key, waiting while its call runs."""
         try:
             once = decode_json(await request.read(), OnceKey)
-            wait_ms = float(request.query.get('wait_ms', 0))
-        except (msgspec.DecodeError, ValueError) as error:
+        except msgspec.DecodeError as error:
             return respond(Problem(error=str(error)), status=400)
+        wait_ms = parse_decimal(request.query.get('wait_ms', '0'))
+        if wait_ms is None:
+            return respond(Problem(error='wait_ms is no number'), status=400)
         answer = await self._executor.look_up(
             once,
             min(wait_ms, _MAX_WAIT_MS),
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/configuration_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/configuration_routes.py
@@ -7,7 +7,7 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.transport.responses import Problem, respond
-from ragworthollow.utils import decode_json
+from ragworthollow.utils import decode_json, parse_count
 from ragworthollow.utils.message import Message
 from ragworthollow_daemon.process_context import ProcessContext
 
@@ -57,10 +57,9 @@
 
     async def get_newer(self, request: web.Request) -> web.Response:
         """Return a newer generation, or status 204 after a long poll."""
-        try:
-            have = int(request.query['have'])
-            wait_ms = int(request.query['wait_ms'])
-        except (KeyError, ValueError):
+        have = parse_count(request.query.get('have', ''))
+        wait_ms = parse_count(request.query.get('wait_ms', ''))
+        if have is None or wait_ms is None:
             return respond(Problem(error='have and wait_ms'), status=400)
         store = self._context.store
         if store.generation <= have and not self._is_closing:
--- a/packages/ragworthollow/src/ragworthollow/platform/request_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/request_wire.py
@@ -4,11 +4,13 @@
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from ragworthollow.conf import global_settings
 from ragworthollow.exchange import (
     AttemptMetadata,
     PromptPart,
     RequestParameters,
 )
+from ragworthollow.utils import parse_count, parse_decimal
 
 READY_PATH = '/api/ready'
 REQUEST_ID_HEADER = 'X-Ragworthollow-Request-Id'
@@ -85,7 +87,7 @@
     return RequestParameters(
         request_id=read_request_id(headers),
         key=_read_key(headers.get('Authorization', '')),
-        time_limit_ms=_read_number(headers.get(_DEADLINE, '')),
+        time_limit_ms=parse_decimal(headers.get(_DEADLINE, '')),
         prompt_parts=_read_parts(headers.get(_PREFIX, '')),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
@@ -142,34 +144,27 @@
     return ''
 
 
-def _read_number(text: str) -> float | None:
-    try:
-        return float(text)
-    except ValueError:
-        return None
-
-
 def _read_pair(text: str) -> tuple[int, int]:
     """Return the first two counts of a list; later ones are ignored."""
-    counts = [field.strip() for field in text.split(',')[:_PAIR]]
-    if len(counts) == _PAIR and all(count.isdecimal() for count in counts):
-        first, second = counts
-        return int(first), int(second)
-    return 0, 0
+    counts = [parse_count(field) for field in text.split(',')[:_PAIR]]
+    if len(counts) < _PAIR or None in counts:
+        return 0, 0
+    first, second = counts
+    return first, second
 
 
 def _read_counts(text: str) -> tuple[int, ...]:
-    fields = [field.strip() for field in text.split(',')]
-    if all(field.isdecimal() for field in fields):
-        return tuple(int(field) for field in fields)
-    return ()
+    counts = tuple(map(parse_count, text.split(',')))
+    if None in counts or sum(counts) > global_settings.MAX_REQUEST_PIECES:
+        return ()
+    return counts
 
 
 def _read_parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for field in text.split(','):
         name, _, figures = field.strip().partition(':')
-        tokens = figures.partition(':')[0]
-        if tokens.isdecimal():
-            parts.append(PromptPart(part=name, tokens=int(tokens)))
+        tokens = parse_count(figures.partition(':')[0])
+        if tokens is not None:
+            parts.append(PromptPart(part=name, tokens=tokens))
     return tuple(parts)
--- a/packages/ragworthollow/src/ragworthollow/platform/response_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/response_wire.py
@@ -1,6 +1,5 @@
 """Decode the headers of an upstream's response."""
 
-import math
 import re
 from collections.abc import Mapping
 
@@ -9,6 +8,7 @@
 from ragworthollow.exchange import ResponseMetadata
 from ragworthollow.platform.request_wire import REQUEST_ID_HEADER
 from ragworthollow.upstreams import InstanceLoad
+from ragworthollow.utils import parse_count, parse_decimal
 
 _RESPONSE_SIGNATURE = 'X-Ragworthollow-Response-Signature'
 _NOT_EXECUTED = 'X-Ragworthollow-Not-Executed'
@@ -22,7 +22,6 @@
 _UNAVAILABLE = 503
 _MILLISECONDS = 1000
 _LOAD_FIELDS = 4
-_MAX_COUNT_DIGITS = 9
 _PERCENT = 100
 # Not allowed in the values of headers (RFC 9110, 5.5).
 _CONTROL_CHARACTERS = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
@@ -89,7 +88,7 @@
     """
     texts = headers.get(_LOAD, '').split(',')[:_LOAD_FIELDS]
     missing = [None for _ in range(_LOAD_FIELDS - len(texts))]
-    running, waiting, slots, percent = [*map(_parse_count, texts), *missing]
+    running, waiting, slots, percent = [*map(parse_count, texts), *missing]
     load = InstanceLoad(
         running=running,
         waiting=waiting,
@@ -99,32 +98,19 @@
     return None if load == InstanceLoad() else load
 
 
-def _parse_count(text: str) -> int | None:
-    digits = text.strip()
-    is_count = digits.isascii() and digits.isdecimal()
-    if not is_count or len(digits) > _MAX_COUNT_DIGITS:
-        return None
-    return int(digits)
-
-
 def _read_pause_ms(status: int, headers: Mapping[str, str]) -> float | None:
     """Decode the back-off time of a refusal; None if it has none."""
     if status != _UNAVAILABLE:
         return None
-    try:
-        pause_ms = float(headers.get(_RETRY_AFTER, '')) * _MILLISECONDS
-    except ValueError:
+    pause_s = parse_decimal(headers.get(_RETRY_AFTER, ''))
+    if pause_s is None or pause_s <= 0:
         return None
-    return pause_ms if math.isfinite(pause_ms) and pause_ms > 0 else None
+    return pause_s * _MILLISECONDS
 
 
 def _read_warm_up_ms(headers: Mapping[str, str]) -> float:
     """Decode the remaining warm-up time; 0 if the header is absent."""
-    try:
-        warm_up_ms = float(headers.get(_WARM_UP_MS, ''))
-    except ValueError:
-        return 0
-    return warm_up_ms if math.isfinite(warm_up_ms) and warm_up_ms > 0 else 0
+    return max(0, parse_decimal(headers.get(_WARM_UP_MS, '')) or 0)
 
 
 def _read_limit(headers: Mapping[str, str]) -> tuple[float | None, str]:
@@ -153,11 +139,8 @@
 
 
 def _parse_limit(text: str) -> float | None:
-    try:
-        limit_per_s = float(text)
-    except ValueError:
-        return None
-    is_rate = math.isfinite(limit_per_s) and limit_per_s >= 0
+    limit_per_s = parse_decimal(text)
+    is_rate = limit_per_s is not None and limit_per_s >= 0
     return limit_per_s if is_rate else None
 
 
--- a/packages/ragworthollow/src/ragworthollow/platform/store_transport.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/store_transport.py
@@ -13,7 +13,11 @@
 from ragworthollow.platform.exceptions import PlatformError
 from ragworthollow.platform.store_response import StoreResponse
 from ragworthollow.transport.timeouts import make_inactivity_timeout
-from ragworthollow.utils import decode_json, get_monotonic_ms
+from ragworthollow.utils import (
+    decode_json,
+    get_monotonic_ms,
+    parse_count,
+)
 
 UNLIMITED_BYTES = float('inf')
 _HEADERS = {'Content-Type': 'application/json'}
@@ -156,10 +160,9 @@
 
     def _record_timeline(self, response: aiohttp.ClientResponse) -> int:
         """Return the timeline of a response, by default the known timeline."""
-        text = response.headers.get(_TIMELINE, '').strip()
-        if not (text.isascii() and text.isdecimal()):
+        timeline = parse_count(response.headers.get(_TIMELINE, ''))
+        if timeline is None:
             return self.timeline
-        timeline = int(text)
         if timeline > self.timeline:
             log_event(
                 'store_timeline',
