Choose among instances although the load of one cannot be computed

Cause: the load of each candidate is computed in one expression, and an error for one of them fails the request that needs an instance.

Fix: an instance whose load cannot be computed counts as fully loaded and is named in the log (`instance_load_invalid`); it is still used if it is the only one. If the choice among engines of uneven speed fails, the request is served by the general one (`engine_choice_failed`).

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instance_selection.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instance_selection.py
@@ -11,6 +11,7 @@
     choose_engine,
     nominate_engines,
 )
+from ragworthollow.logs.events import log_error
 from ragworthollow.upstreams import (
     UpstreamCriteria,
     UpstreamInstance,
@@ -66,7 +67,18 @@
         available: Sequence[UpstreamInstance],
     ) -> UpstreamInstance | None:
         """Choose one of the available instances; None if none is left."""
-        self._choice = self.choose_uneven_engine(available)
+        try:
+            self._choice = self.choose_uneven_engine(available)
+        except (ArithmeticError, ValueError) as error:
+            # What one engine has reported must not fail the request.
+            self._choice = None
+            log_error(
+                'engine_choice_failed',
+                step='choice',
+                peer=self._job.pool,
+                request_id=self._job.request_parameters.request_id,
+                error=repr(error),
+            )
         if self._choice is not None:
             return self._choice.state.instance
         return choose_upstream(
--- a/packages/ragworthollow/src/ragworthollow/upstreams/choice.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/choice.py
@@ -1,10 +1,12 @@
 """Select the upstream instance for an attempt."""
 
+import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
 
 from ragworthollow.conf import global_settings
+from ragworthollow.logs.events import log_error
 from ragworthollow.upstreams.load_tracker import LoadTracker
 from ragworthollow.upstreams.upstream_instance import UpstreamInstance
 from ragworthollow.utils.hashing import get_rank
@@ -80,7 +82,7 @@
     if not candidates:
         return None
     depths = {
-        candidate.instance: _get_depth(candidate, load_tracker, now_ms)
+        candidate.instance: _rate(candidate, load_tracker, now_ms)
         for candidate in candidates
     }
     if not criteria.affinity_key:
@@ -102,6 +104,24 @@
     return ranked[0]
 
 
+def _rate(
+    candidate: UpstreamInstance,
+    load_tracker: LoadTracker,
+    now_ms: float,
+) -> float:
+    """Return the load, infinite if it cannot be computed for this instance."""
+    try:
+        return _get_depth(candidate, load_tracker, now_ms)
+    except (ArithmeticError, ValueError) as error:
+        log_error(
+            'instance_load_invalid',
+            step='choice',
+            peer=candidate.instance,
+            error=repr(error),
+        )
+    return math.inf
+
+
 def _get_depth(
     candidate: UpstreamInstance,
     load_tracker: LoadTracker,
@@ -116,7 +136,8 @@
 
 
 def _get_limit(depths: dict[str, float]) -> float:
-    mean = sum(depths.values()) / len(depths)
+    finite = [depth for depth in depths.values() if math.isfinite(depth)]
+    mean = sum(finite) / len(finite) if finite else math.inf
     return (
         mean * global_settings.AFFINITY_LOAD_FACTOR
         + global_settings.AFFINITY_LOAD_SLACK
--- a/tests/features/steps/upstreams.py
+++ b/tests/features/steps/upstreams.py
@@ -1,7 +1,9 @@
 """Behave steps for the directory, the choice of upstreams and the routes."""
 
+import dataclasses
 import random
 from collections import defaultdict
+from unittest import mock
 
 import msgspec
 from behave import given, then, when
@@ -25,6 +27,7 @@
     UpstreamInstance,
     choose_upstream,
 )
+from ragworthollow_daemon.gateway.instance_selection import InstanceSelection
 
 
 def _make_instance(number: int, *, is_leaving=False) -> UpstreamInstance:
@@ -138,6 +141,70 @@
     )
 
 
+def _make_incomputable_instance() -> UpstreamInstance:
+    return dataclasses.replace(_make_instance(9), slots=10**400)
+
+
+@given(
+    'three idle instances, one of them with more slots than a float holds',
+)
+def add_incomputable_instance(context):
+    context.instances = [
+        _make_instance(0),
+        _make_incomputable_instance(),
+        _make_instance(1),
+    ]
+
+
+@given('only an instance with more slots than a float holds')
+def set_incomputable_instance(context):
+    context.instances = [_make_incomputable_instance()]
+
+
+@when('{count:d} requests are sent one after the other, {affinity}')
+def choose_in_turn(context, count, affinity):
+    tracker = LoadTracker()
+    context.chosen = []
+    for number in range(count):
+        key = f'prompt-{number}' if affinity == 'with shared prompts' else ''
+        chosen = _choose(context.instances, tracker, key)
+        tracker.get(chosen.instance).in_flight += 1
+        context.chosen.append(chosen.instance)
+
+
+@then(
+    'each goes to one of the two other instances, and the log names the one',
+)
+def check_computable_chosen(context):
+    assert set(context.chosen) == {'i0', 'i1'}, context.chosen
+    named = {
+        fields['peer']
+        for event, fields in context.last_log_lines
+        if event == 'instance_load_invalid'
+    }
+    assert named == {'i9'}, named
+
+
+@then('each goes to that instance')
+def check_only_instance(context):
+    assert context.chosen == ['i9'], context.chosen
+
+
+@when('the choice among engines fails for {count:d} requests to {path:S}')
+def fail_engine_choice(context, count, path):
+    stage = context.gateway_stage
+    with mock.patch.object(
+        InstanceSelection, 'choose_uneven_engine', side_effect=OverflowError
+    ):
+        context.responses = [stage.run(stage.send(path)) for _ in range(count)]
+
+
+@then('all of them are answered by instances')
+def check_answered(context):
+    statuses = [response.status for response in context.responses]
+    assert set(statuses) == {200}, statuses
+
+
 @when('{count:d} requests of {prompts:d} prompts find idle instances')
 def choose_for_prompts(context, count, prompts):
     instances = [_make_instance(number) for number in range(4)]
--- a/tests/features/upstreams.feature
+++ b/tests/features/upstreams.feature
@@ -59,6 +59,29 @@
     When all instances fail
     Then one of them is still chosen
 
+  Scenario Outline: The load of one instance cannot be computed <affinity>
+    # Guards against figures of one instance that fail the requests of its pool.
+    Given three idle instances, one of them with more slots than a float holds
+    When 30 requests are sent one after the other, <affinity>
+    Then each goes to one of the two other instances, and the log names the one
+
+    Examples:
+      | affinity            |
+      | with shared prompts |
+      | without prompts     |
+
+  Scenario: The load of no instance can be computed
+    # Guards against a pool that refuses all requests for want of a figure.
+    Given only an instance with more slots than a float holds
+    When 1 requests are sent one after the other, without prompts
+    Then each goes to that instance
+
+  @fixture.gateway
+  Scenario: What engines report makes the choice among them fail
+    # Guards against reports of one engine that fail the requests of its pool.
+    When the choice among engines fails for 5 requests to /safe/answer
+    Then all of them are answered by instances
+
   Scenario: The longest prefix wins, whatever routes there are
     Then for any routes the match is the longest prefix that begins the path
 
