Pass on streams whose events increase, with any numbers left out

Cause: an event was passed on only if its id was the one before plus one, and a first event only with id 0 or 1. The pages of the platform promise increasing ids and no more. The check came with the incident of streams out of order, whose events came twice or belonged to two runs; no disruption of the pages leaves out an event inside of one response, so that this strictness answered nothing and could only hit sound streams.

Fix: inside of one response ids have to increase, as numbers of up to 100 digits (more than 18 digits were not compared at all before). An id that does not increase is cut as before: an event that comes again, a lower id, a run that starts over, also in numberings with gaps, which the old check never let through that far. Where a stream goes on, at another instance or for a caller who comes back, a gap can be a missing event: it is cut if the software is known to number without gaps, by this stream or by earlier ones of its route and software version that this gateway relayed (`EventNumberings`), and no stream of it has left a number out. The log line `stream_part` has the numbering.

Tests: the rows that demanded that `1 2 4 5` and `2 3 4 5` are cut asked for more than the pages do, and stand with those that pass whole now. In their place stand repetitions and restarts in numberings with gaps, and gaps where a stream goes on. The rows with a gap there stay; earlier streams of the same upstreams are relayed in them first, since without any the numbering is not known. The property test checks increasing ids, and the next number where a part begins after consecutive ones.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/forwarder.py
@@ -10,6 +10,7 @@
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.transport.bounded_reading import read_bounded
 from ragworthollow.upstreams import UpstreamInstance
+from ragworthollow.upstreams.event_numbering import EventNumbering
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.attempt import (
     AttemptPlan,
@@ -175,7 +176,7 @@
                 return await self._pass_error_response(
                     series, plan, relay, upstream
                 )
-            await relay.start(upstream)
+            await relay.start(upstream, self._find_numbering(series, plan))
             await relay.relay_events(upstream, on_first_event)
         except (TimeoutError, ClientError) as error:
             series.record_failure(
@@ -186,7 +187,7 @@
             return None
         finally:
             upstream.close()
-            self._log_part(series, plan, relay, upstream)
+            self._record_part(series, plan, relay, upstream)
         series.record_response(
             plan,
             upstream.status,
@@ -195,7 +196,14 @@
         )
         return await relay.finish()
 
-    def _log_part(
+    def _find_numbering(
+        self, series: AttemptSeries, plan: AttemptPlan
+    ) -> EventNumbering | None:
+        return self._context.directory.event_numberings.find(
+            series.job.route.name, plan.instance.software_version
+        )
+
+    def _record_part(
         self,
         series: AttemptSeries,
         plan: AttemptPlan,
@@ -203,6 +211,11 @@
         upstream: ClientResponse,
     ) -> None:
         if upstream.status in _SUCCESS_STATUSES:
+            self._context.directory.event_numberings.record(
+                series.job.route.name,
+                plan.instance.software_version,
+                relay.sequence.numbering,
+            )
             log_stream_part(
                 self._context,
                 series.job,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_part_log.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_part_log.py
@@ -52,4 +52,5 @@
         resumed_after=sequence.part_resumed_after,
         first_event_id=sequence.part_first_id,
         last_event_id=sequence.last_event_id,
+        numbering=sequence.numbering,
     )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
@@ -8,6 +8,7 @@
 from ragworthollow.platform.response_wire import make_caller_headers
 from ragworthollow.transport.body_framing import BodyFraming
 from ragworthollow.transport.paced_reading import iterate_paced
+from ragworthollow.upstreams.event_numbering import EventNumbering
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.body_end import BodyEnd
 from ragworthollow_daemon.gateway.event_buffer import EventBuffer
@@ -104,10 +105,23 @@
             'longest_pause_ms': round(self.timing.longest_pause_ms),
         }
 
-    async def start(self, upstream: ClientResponse) -> None:
-        """Send the head, unless that of an earlier upstream has been sent."""
+    async def start(
+        self,
+        upstream: ClientResponse,
+        numbering: EventNumbering | None,
+    ) -> None:
+        """
+        Send the head, unless that of an earlier upstream has been sent.
+
+        Parameters
+        ----------
+        upstream : ClientResponse
+            Open response of the upstream.
+        numbering : EventNumbering or None
+            What other streams of its software have shown.
+        """
         self._body_end = BodyEnd(response=upstream)
-        self.sequence.begin_part()
+        self.sequence.begin_part(numbering)
         if self._response is not None:
             return
         response = web.StreamResponse(
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -42,6 +42,9 @@
 # Maximum length of one event, without the blank line at its end; a stream with
 # a longer one is broken off.
 MAX_EVENT_BYTES = 262_144
+# Number of pairs of a route and a software version of which it is remembered
+# how the events of their streams are numbered.
+MAX_EVENT_NUMBERINGS = 1_000
 # Number of bytes and of chunks of a stream that are processed before the event
 # loop continues with other work.
 STREAM_TURN_BYTES = 16_384
--- a/packages/ragworthollow/src/ragworthollow/upstreams/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/__init__.py
@@ -2,6 +2,8 @@
 
 from ragworthollow.upstreams.choice import UpstreamCriteria, choose_upstream
 from ragworthollow.upstreams.directory import Directory
+from ragworthollow.upstreams.event_numbering import EventNumbering
+from ragworthollow.upstreams.event_numberings import EventNumberings
 from ragworthollow.upstreams.first_event_latency import FirstEventLatency
 from ragworthollow.upstreams.instance_load import InstanceLoad
 from ragworthollow.upstreams.load_tracker import LoadTracker
@@ -11,6 +13,8 @@
 
 __all__ = (
     'Directory',
+    'EventNumbering',
+    'EventNumberings',
     'FirstEventLatency',
     'InstanceLoad',
     'LoadTracker',
--- a/packages/ragworthollow/src/ragworthollow/upstreams/directory.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/directory.py
@@ -6,6 +6,7 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.upstreams.domain_drains import DomainDrains
+from ragworthollow.upstreams.event_numberings import EventNumberings
 from ragworthollow.upstreams.instance_signals import InstanceSignals
 from ragworthollow.upstreams.stream_versions import StreamVersions
 from ragworthollow.upstreams.upstream_instance import UpstreamInstance
@@ -69,6 +70,8 @@
         Software versions that the instances of each pool have had.
     stream_versions : StreamVersions
         Software versions of the streams that this process has relayed.
+    event_numberings : EventNumberings
+        Numbering of the events of these streams.
     updated_ms : float
         Time at which the current list was requested, on the monotonic clock.
     """
@@ -86,6 +89,7 @@
         self.stream_versions = StreamVersions(
             limit=global_settings.MAX_STREAM_VERSIONS
         )
+        self.event_numberings = EventNumberings()
         self.updated_ms = float('-inf')
 
     def record_outage(self) -> None:
