Log when and in which step the event loop stands still, and which build runs

Nothing in a gateway's log could tell which of these it was: a gateway that computes, one that waits for a file or its processor, requests late for another reason, or another build.

`loop_blocked` names the innermost calls of the step while the loop stands still, since the process may be ended before it runs again; `loop_stalled` tells afterwards for how long, and how much of that was processor time. `started` has the digest of the build, the version of Python, the event loop, whether the HTTP parser is the compiled one, and the libraries. The summary `loop_delay` has the delays.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/service.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/service.py
@@ -8,8 +8,10 @@
 
 from ragworthollow.conf import GatewaySettings
 from ragworthollow.logs.events import log_error, log_event
+from ragworthollow_daemon.build_info import describe_build
 from ragworthollow_daemon.gateway.features import find_features
 from ragworthollow_daemon.gateway.role import GatewayRole
+from ragworthollow_daemon.loop_monitor import LoopMonitor
 
 _FORCED_EXIT_CODE = 1
 
@@ -38,6 +40,9 @@
             settings=self.settings,
             request_shutdown=self._begin_shutdown,
         )
+        loop_monitor = LoopMonitor(metrics=self._role.context.metrics)
+        loop_monitor.start_sampling()
+        self._role.context.spawn(loop_monitor.run())
         await self._role.start()
         log_event(
             'started',
@@ -47,6 +52,7 @@
             incarnation=self._role.context.incarnation,
             features=sorted(find_features(self.settings)),
             platform_contracts=self.settings.platform_contracts,
+            **describe_build(),
         )
 
     async def stop(self, exception: Exception | None = None) -> None:
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -588,3 +588,13 @@
 # Allocations between two collections of the youngest generation; most objects
 # are freed by reference counting.
 COLLECTION_THRESHOLD = 20_000
+
+# The event loop.
+
+# Time between two checks that the loop runs, delay from which it is logged, and
+# processor time between two samples of what is running.
+LOOP_BEAT_MS = 200
+LOOP_STALL_MS = 250
+LOOP_SAMPLE_MS = 100
+# Number of calls in the log line of a stall.
+LOOP_STALL_CALLS = 5
