Bound the memory that the bodies of requests take together

Cause: a body is held until its response, and nothing compared the sum of the bodies with the memory of the instance.

Fix: bodies reserve memory as they arrive, at most 0.4 of `memory_mb`, which the template passes on now; what has no room is refused at once, 503 and not run, reason `memory_full`, with a time to come back. Large bodies may take nine tenths, so that small ones still get in. Whole responses to slow callers are bounded one by one as before, not in sum.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
@@ -17,6 +17,8 @@
 from ragworthollow.routes import KeyHolder, Route, RouteTable
 from ragworthollow.utils import get_boottime_ms
 from ragworthollow.utils.hashing import hash_secret
+from ragworthollow_daemon.gateway.body_budget import BodyReservation
+from ragworthollow_daemon.gateway.body_reader import BodyReader
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.request_job import RequestJob
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
@@ -44,6 +46,7 @@
         self,
         request: web.BaseRequest,
         received_ms: float,
+        reservation: BodyReservation,
     ) -> Result[RequestJob, UpstreamFailure]:
         """
         Admit or refuse a request, reading its body.
@@ -55,6 +58,8 @@
         received_ms : float
             Time on the monotonic clock, in milliseconds, at which the
             request headers had arrived.
+        reservation : BodyReservation
+            Takes the memory of the body, until the caller gives it back.
 
         Returns
         -------
@@ -75,9 +80,12 @@
         limit_ms = route.timeout_ms
         if request_parameters.time_limit_ms is not None:
             limit_ms = min(limit_ms, request_parameters.time_limit_ms)
-        body_result = await self._read_body(
-            request, table.limits.body_bytes, limit_ms, route.name
+        body_reader = BodyReader(
+            request=request,
+            limit_bytes=table.limits.body_bytes,
+            reservation=reservation,
         )
+        body_result = await self._read_body(body_reader, limit_ms, route.name)
         if isinstance(body_result, Err):
             return body_result
         if not self._context.stop.accepts(route, limit_ms, get_boottime_ms()):
@@ -137,14 +145,13 @@
 
     async def _read_body(
         self,
-        request: web.BaseRequest,
-        limit_bytes: int,
+        body_reader: BodyReader,
         limit_ms: float,
         route_name: str,
     ) -> Result[bytes, UpstreamFailure]:
         """Read the full body, unless the process aborts it first."""
-        reading = _read_body(request, limit_bytes, limit_ms, route_name)
-        if request.content.is_eof():
+        reading = _read_in_time(body_reader, limit_ms, route_name)
+        if body_reader.has_arrived():
             return await reading
         body_result = await self._context.stop.run(reading)
         if body_result is None:
@@ -240,9 +247,8 @@
     )
 
 
-async def _read_body(
-    request: web.BaseRequest,
-    limit_bytes: int,
+async def _read_in_time(
+    body_reader: BodyReader,
     limit_ms: float,
     route_name: str,
 ) -> Result[bytes, UpstreamFailure]:
@@ -254,26 +260,19 @@
     """
     try:
         async with asyncio.timeout(limit_ms / 1000):
-            body = await _collect_body(request, limit_bytes)
+            body_result = await body_reader.read()
     except TimeoutError:
         return _refuse(Reason.body_too_slow, route_name)
-    if body is None:
-        return _refuse(Reason.body_too_large, route_name)
-    return Ok(body)
-
-
-async def _collect_body(
-    request: web.BaseRequest,
-    limit_bytes: int,
-) -> bytes | None:
-    """Return the full body, or None if it exceeds the size limit."""
-    if not request.body_exists:
-        return b''
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in request.content.iter_any():
-        size += len(chunk)
-        if size > limit_bytes:
-            return None
-        chunks.append(chunk)
-    return b''.join(chunks)
+    if isinstance(body_result, Ok):
+        return body_result
+    reason = body_result.err_value
+    if reason is Reason.memory_full:
+        return Err(
+            make_refusal(
+                reason,
+                route_name,
+                body_reader.describe(),
+                global_settings.BODY_MEMORY_RETRY_MS,
+            )
+        )
+    return _refuse(reason, route_name)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_handler.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_handler.py
@@ -14,6 +14,7 @@
 )
 from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
 from ragworthollow_daemon.gateway.admission import Admission
+from ragworthollow_daemon.gateway.body_budget import BodyBudget
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.ended_request import EndedRequest
 from ragworthollow_daemon.gateway.piece_client import PieceClient
@@ -53,6 +54,9 @@
     ) -> None:
         self._context = context
         self._admission = Admission(context=context)
+        self._body_budget = BodyBudget(
+            memory_mb=context.settings.memory_mb, metrics=context.metrics
+        )
         self._runner = RequestRunner(
             context=context,
             pieces=pieces,
@@ -65,8 +69,13 @@
         """Handle one request and return its response."""
         received_ms = get_monotonic_ms()
         request_id = read_request_id(request.headers)
-        with self._context.drain.serving(request_id, request.remote or ''):
-            admitted = await self._admission.admit(request, received_ms)
+        with (
+            self._context.drain.serving(request_id, request.remote or ''),
+            self._body_budget.reserve() as reservation,
+        ):
+            admitted = await self._admission.admit(
+                request, received_ms, reservation
+            )
             if isinstance(admitted, Err):
                 ended = self._refuse(admitted.err_value)
                 job = None
--- a/packages/ragworthollow/src/ragworthollow/conf/gateway_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/gateway_settings.py
@@ -41,6 +41,8 @@
         Fraction of a core that this process may use.
     cores : float
         Speed of that core relative to a standard core.
+    memory_mb : float
+        Memory of the instance in megabytes, beyond which it is killed.
     link_mbps : float
         Bandwidth of the instance's link in Mbit/s.
     configuration_bound_ms, leaving_bound_ms : float
@@ -86,6 +88,7 @@
     retry_slack: float = global_settings.GATEWAY_RETRY_SLACK
     cpu_share: float = 1.0
     cores: float = 1.0
+    memory_mb: Annotated[float, Meta(gt=0)] = global_settings.GATEWAY_MEMORY_MB
     link_mbps: float = global_settings.LINK_MBPS
     configuration_bound_ms: float = global_settings.CONFIGURATION_BOUND_MS
     leaving_bound_ms: float = global_settings.LEAVING_BOUND_MS
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -166,6 +166,16 @@
 # at once would reset the connection before the caller has read the refusal.
 GATEWAY_LINGER_MS = 1_000
 
+# Gateway: memory for the bodies of requests, as a share of that of the process.
+# A body exists twice for a moment, and the process itself takes up to 90 MB.
+GATEWAY_MEMORY_MB = 256
+BODY_MEMORY_SHARE = 0.4
+# Bodies above this size may take only a share of that memory.
+LARGE_BODY_BYTES = 65_536
+LARGE_BODIES_SHARE = 0.9
+# Delay after which a caller may retry that was refused for want of memory.
+BODY_MEMORY_RETRY_MS = 1_000
+
 # Upstream instances of a gateway.
 
 # How long after the first list that can be read again instances are kept whose
--- a/packages/ragworthollow/src/ragworthollow/outcomes/reason.py
+++ b/packages/ragworthollow/src/ragworthollow/outcomes/reason.py
@@ -9,6 +9,7 @@
     bad_request = 'bad_request'
     body_too_large = 'body_too_large'
     body_too_slow = 'body_too_slow'
+    memory_full = 'memory_full'
     unauthorized = 'unauthorized'
     unknown_pipeline = 'unknown_pipeline'
     bad_deadline = 'bad_deadline'
--- a/tests/features/steps/late_service.py
+++ b/tests/features/steps/late_service.py
@@ -17,6 +17,7 @@
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.deferral_queue import DeferralQueue
 from ragworthollow_daemon.gateway.shutdown_state import ShutdownState
+from tests.fixtures.body_budgets import make_body_budget
 
 _SEEDS = (1, 2, 3)
 _PATTERNS = ('bursts', 'lost-gin-sync')
@@ -300,7 +301,8 @@
             loop.call_later(
                 after_ms / 1000, context.owner.set_route_table, table
             )
-        return await admission.admit(request, 0)
+        with make_body_budget().reserve() as reservation:
+            return await admission.admit(request, 0, reservation)
 
     context.response = context.stage.run(admit())
 
