--- a/tests/standins/garbled.py
+++ b/tests/standins/garbled.py
@@ -21,6 +21,10 @@
     b'Retry-After: nan\r\n',
     b'X-Ragworthollow-Server-Load: -1,,9e9\r\n',
     b'Set-Cookie: \x00\r\n',
+    b'9' * 5000,
+    b'1' + b'0' * 400,
+    b'Store-Era: ' + b'9' * 5000 + b'\r\n',
+    b'1e999',
     b'Connection: close\r\n',
     b'A' * 9000,
 )
@@ -33,6 +37,7 @@
     rng: random.Random,
     headers: dict[str, str],
     address: str,
+    bodies: tuple[bytes, ...] = (),
 ) -> tuple[bytes, bool]:
     """
     Make a sound or garbled answer.
@@ -45,6 +50,8 @@
         Headers of a sound answer.
     address : str
         Address of the engine.
+    bodies : tuple of bytes
+        Sound bodies, in place of those of engines.
 
     Returns
     -------
@@ -58,7 +65,9 @@
         fields = fields[rng.randrange(len(fields) + 1) :]
     if rng.random() < 0.2:
         fields.append(b'X-Ragworthollow-Not-Executed: 1\r\n')
-    body = rng.choice((_BODY, _make_items(rng, address), _make_events(rng)))
+    body = rng.choice(
+        bodies or (_BODY, _make_items(rng, address), _make_events(rng))
+    )
     framing, body = _frame(rng, body)
     answer = b'HTTP/1.1 %d Status\r\n' % status + b''.join(
         [*fields, framing, b'\r\n', body]
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -127,6 +127,10 @@
             return await _misdirect(self, request, reader, writer)
         if request.path == '/api/stage-run':
             return await self._run_pieces(request, writer)
+        if request.path == '/api/report' and self.garbling_rng is not None:
+            return self.write_garbled(
+                writer, self.garbling_rng, self.response_headers
+            )
         if request.path == '/api/stage-free':
             self.released_handles += msgspec.json.decode(request.body)[
                 'handles'
