Judge only the numbers that a message decodes

Cause: the decoded message was converted as a whole, and a payload that is passed on undecoded cannot be converted.

Fix: the fields of messages and the items of collections are looked at; JSON that is passed on as it came is not.

The new step of json_decoding.feature failed before, and passes now.

--- a/packages/ragworthollow/src/ragworthollow/utils/json_decoding.py
+++ b/packages/ragworthollow/src/ragworthollow/utils/json_decoding.py
@@ -40,7 +40,7 @@
         encoded = text.encode() if isinstance(text, str) else text
         decoded = msgspec.json.decode(encoded, type=kind)
         if _may_have_large_number(encoded):
-            _check_numbers(msgspec.to_builtins(decoded))
+            _check_numbers(decoded)
     except msgspec.DecodeError:
         raise
     except Exception as error:
@@ -66,7 +66,10 @@
 
 
 def _list_parts(node: object) -> Iterable[object]:
-    """Return the keys and values of a mapping, or the items of a list."""
+    """Return what a message or a collection consists of; not decoded JSON."""
+    if isinstance(node, msgspec.Struct):
+        return [getattr(node, name) for name in node.__struct_fields__]
     if isinstance(node, dict):
         return (*node.keys(), *node.values())
-    return node if isinstance(node, list | tuple) else ()
+    is_collection = isinstance(node, list | tuple | set | frozenset)
+    return node if is_collection else ()
--- a/tests/features/json_decoding.feature
+++ b/tests/features/json_decoding.feature
@@ -26,3 +26,4 @@
     # against messages that are rejected for digits inside a string.
     Then a number that does not fit into 64 bits is unreadable, others are not
     And strings of digits and exponents are read as they are
+    And any JSON that is passed on as it came is not judged
--- a/tests/features/steps/json_decoding.py
+++ b/tests/features/steps/json_decoding.py
@@ -125,3 +125,37 @@
         assert decoded.label == label
 
     check()
+
+
+class _Envelope(Message):
+    payload: msgspec.Raw
+    by_name: dict[str, msgspec.Raw] = {}
+    parts: tuple[_Sample, ...] = ()
+
+
+@then('any JSON that is passed on as it came is not judged')
+def check_raw(context):
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @for_all(
+        passed=st.recursive(
+            _EDGES | _INTEGERS | _FLOATS | st.text(max_size=30),
+            lambda inner: st.lists(inner, max_size=4),
+            max_leaves=8,
+        ),
+        count=_EDGES,
+    )
+    def check(passed, count):
+        raw = json.dumps(passed)
+        text = (
+            f'{{"payload":{raw},"by_name":{{"a":{raw}}},'
+            f'"parts":[{{"count":{count}}}]}}'
+        )
+        try:
+            decoded = decode_json(text, _Envelope)
+        except msgspec.DecodeError:
+            assert abs(count) >= 2**63, text
+            return
+        assert abs(count) < 2**63, text
+        assert bytes(decoded.payload) == raw.encode()
+
+    check()
