--- a/tests/features/steps/garbled_answers.py
+++ b/tests/features/steps/garbled_answers.py
@@ -47,10 +47,7 @@
 }
 
 
-@then('any garbled answers give no wrong answer, no error and no lost call')
-def check_garbled(context):
-    stage = context.gateway_stage
-
+def _check_any_seed(stage, check_seed):
     @settings(
         max_examples=_EXAMPLES,
         derandomize=True,
@@ -59,10 +56,15 @@
         suppress_health_check=list(HealthCheck),
     )
     @given_any(seed=st.integers(0, 2**32))
-    def check_seed(seed):
-        stage.run(_check_seed(stage, _FIRST_SEED + seed))
+    def check(seed):
+        stage.run(check_seed(stage, _FIRST_SEED + seed))
+
+    check()
 
-    check_seed()
+
+@then('any garbled answers give no wrong answer, no error and no lost call')
+def check_garbled(context):
+    _check_any_seed(context.gateway_stage, _check_seed)
 
 
 async def _check_seed(stage, seed):
@@ -121,20 +123,7 @@
 
 @then('any garbled answers of a store are results or failures of their calls')
 def check_store(context):
-    stage = context.gateway_stage
-
-    @settings(
-        max_examples=_EXAMPLES,
-        derandomize=True,
-        deadline=None,
-        database=None,
-        suppress_health_check=list(HealthCheck),
-    )
-    @given_any(seed=st.integers(0, 2**32))
-    def check_seed(seed):
-        stage.run(_check_store_seed(stage, _FIRST_SEED + seed))
-
-    check_seed()
+    _check_any_seed(context.gateway_stage, _check_store_seed)
 
 
 async def _check_store_seed(stage, seed):
