Give other work its turn while lines of a body are read

The library's `readline` gathers a line of up to 8 MB from whatever has arrived, here chunks of one byte, and gives other work no turn meanwhile, so that time limits come late too. That this was the delay is inferred from what the step does, not measured. Lines are read with `iterate_paced` now, as events are, and have a greatest length of their own (`MAX_LINE_BYTES`, as before in effect).

--- a/packages/ragworthollow/src/ragworthollow/transport/bounded_reading.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/bounded_reading.py
@@ -4,11 +4,13 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
-from aiohttp.http_exceptions import LineTooLong
 
 from ragworthollow.conf import global_settings
+from ragworthollow.transport.paced_reading import iterate_paced
 from ragworthollow.transport.response_protocol import ResponseProtocol
 
+_LINE_FEED = b'\n'
+
 
 def exceeds_wire_limit(
     response: aiohttp.ClientResponse,
@@ -73,10 +75,10 @@
 
 async def iterate_lines(body: aiohttp.StreamReader) -> AsyncIterator[bytes]:
     """
-    Iterate over the lines of a body.
+    Iterate over the lines of a body, with their line feeds.
 
-    The event loop gets a turn after each line: lines that have arrived already
-    are read without a pause.
+    Each byte is processed once, however the body is cut, and other work gets
+    its turn.
 
     Parameters
     ----------
@@ -86,16 +88,16 @@
     Raises
     ------
     ClientPayloadError
-        If a line is longer than the buffer of the session, or incomplete.
+        If a line is longer than `MAX_LINE_BYTES`, or the body is incomplete.
     """
-    while True:
-        try:
-            line = await body.readline()
-        except (LineTooLong, ValueError) as error:
-            raise aiohttp.ClientPayloadError(
-                f'a line is too long: {error}'
-            ) from error
-        if not line:
-            return
-        yield line
-        await asyncio.sleep(0)
+    incomplete = bytearray()
+    async for part in iterate_paced(body):
+        *lines, rest = part.split(_LINE_FEED)
+        for line in lines:
+            yield bytes(incomplete) + line + _LINE_FEED
+            incomplete.clear()
+        incomplete += rest
+        if len(incomplete) > global_settings.MAX_LINE_BYTES:
+            raise aiohttp.ClientPayloadError('a line is too long')
+    if incomplete:
+        yield bytes(incomplete)
--- a/tests/features/endless_responses.feature
+++ b/tests/features/endless_responses.feature
@@ -148,3 +148,8 @@
       | an event without choice | truncated       |
       | an index beyond 64 bits | truncated       |
       | bytes that are no text  | truncated       |
+
+  Scenario: Lines do not depend on how a body is cut
+    # Guards against tokens that are lost, joined or delayed where a chunk ends
+    # inside a line.
+    Then any bytes in any chunks are read as the lines that they have
--- a/tests/features/steps/endless_responses.py
+++ b/tests/features/steps/endless_responses.py
@@ -8,6 +8,9 @@
 import msgspec
 import uvloop
 from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
 from result import Err, Ok
 
 from ragworthollow.conf import global_settings
@@ -16,7 +19,10 @@
 from ragworthollow.outcomes import Outcome, Reason
 from ragworthollow.platform import InstancePoller
 from ragworthollow.platform.store_transport import StoreTransport
-from ragworthollow.transport.bounded_reading import read_bounded
+from ragworthollow.transport.bounded_reading import (
+    iterate_lines,
+    read_bounded,
+)
 from ragworthollow.transport.checked_connector import make_upstream_session
 from ragworthollow.transport.session import make_unauthenticated_session
 from ragworthollow.transport.stage_call import StageCall
@@ -261,3 +267,30 @@
     result = context.received.err_value
     assert result.outcome is Outcome(outcome), result
     assert result.reason is Reason(reason), result
+
+
+@then('any bytes in any chunks are read as the lines that they have')
+def check_lines(context):
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @for_all(chunks=st.lists(st.binary(min_size=1, max_size=6), max_size=12))
+    def check(chunks):
+        lines = asyncio.run(_read_lines(chunks))
+        # Only line feeds end lines.
+        parts = b''.join(chunks).split(b'\n')
+        expected = [part + b'\n' for part in parts[:-1]] + parts[-1:]
+        assert lines == [line for line in expected if line], lines
+
+    check()
+
+
+async def _read_lines(chunks):
+    loop = asyncio.get_running_loop()
+    body = aiohttp.StreamReader(
+        aiohttp.base_protocol.BaseProtocol(loop), 2**16, loop=loop
+    )
+    for chunk in chunks:
+        body.begin_http_chunk_receiving()
+        body.feed_data(chunk)
+        body.end_http_chunk_receiving()
+    body.feed_eof()
+    return [line async for line in iterate_lines(body)]
