--- a/tests/features/steps/event_sequence.py
+++ b/tests/features/steps/event_sequence.py
@@ -3,12 +3,14 @@
 import itertools
 import re
 
-from behave import then
+from behave import given, then, when
 from hypothesis import given as given_any
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from ragworthollow.conf import global_settings
 from ragworthollow.upstreams.event_numbering import EventNumbering
+from ragworthollow.upstreams.event_numberings import EventNumberings
 from ragworthollow_daemon.gateway.event_buffer import EventBuffer
 from ragworthollow_daemon.gateway.event_sequence import EventSequence
 
@@ -160,3 +162,31 @@
     sequence = EventSequence(resumed_after=known)
     passed = _pass_on(sequence, chunks)
     assert passed == b''.join(chunks)
+
+
+@given('a stream with gaps and then one without were recorded of one version')
+def record_streams(context):
+    context.numberings = EventNumberings()
+    for numbering in (
+        EventNumbering.consecutive,
+        EventNumbering.with_gaps,
+        EventNumbering.consecutive,
+        None,
+    ):
+        context.numberings.record('r', 'v', numbering)
+    context.known = context.numberings.find('r', 'v')
+
+
+@when('more versions are recorded than are remembered')
+def record_versions(context):
+    for number in range(global_settings.MAX_EVENT_NUMBERINGS):
+        context.numberings.record('r', f'v{number}', EventNumbering.consecutive)
+
+
+@then('the first was known to number with gaps until it was forgotten')
+def check_known(context):
+    assert context.known is EventNumbering.with_gaps, context.known
+    assert context.numberings.find('r', 'v') is None
+    last = f'v{global_settings.MAX_EVENT_NUMBERINGS - 1}'
+    found = context.numberings.find('r', last)
+    assert found is EventNumbering.consecutive, found
--- a/tests/features/stream_order.feature
+++ b/tests/features/stream_order.feature
@@ -176,3 +176,10 @@
     Then the passed events of any stream follow each other
     And any stream whose events increase is passed on unchanged
     And any stream without numbered events is passed on unchanged
+
+  Scenario: Gaps that were seen once stay known
+    # Guards against software whose streams are broken off again, since later
+    # ones of them happened to have no gap, and against records without limit.
+    Given a stream with gaps and then one without were recorded of one version
+    When more versions are recorded than are remembered
+    Then the first was known to number with gaps until it was forgotten
