Log since when a gateway has seen lists where it decides on a resumption

A decision from the list could not be told from one by a gateway that had just started: resume_decided had the age of the list, but not since when lists had been seen, nor which versions had been listed and when.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
@@ -1,9 +1,11 @@
 """Decide at which software version a caller's stream may go on."""
 
+import math
 from dataclasses import dataclass
 
 from ragworthollow.logs.events import log_event
 from ragworthollow.outcomes import Outcome, Reason
+from ragworthollow.upstreams import Directory
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.request_job import RequestJob
@@ -124,6 +126,8 @@
     outcome = 'allowed' if may_go_on else 'refused'
     context.metrics.count_event(f'resume_{outcome}_{decision.source}')
     caller = job.request_parameters
+    directory = context.directory
+    now_ms = get_monotonic_ms()
     log_event(
         'resume_decided',
         step=_STEP,
@@ -136,6 +140,19 @@
         source=decision.source,
         software_version=decision.software_version,
         age_ms=decision.age_ms,
-        list_age_ms=round(get_monotonic_ms() - context.directory.updated_ms),
+        list_age_ms=round(now_ms - directory.updated_ms),
+        observed_ms=round(now_ms - directory.first_updated_ms),
+        listed_ms_ago=_get_listed_ms_ago(directory, job.pool, now_ms),
         retry_after_ms=decision.retry_after_ms,
     )
+
+
+def _get_listed_ms_ago(
+    directory: Directory, pool: str, now_ms: float
+) -> dict[str, int]:
+    """Return how long ago each version of a pool was listed last."""
+    last_listed_ms = directory.versions.get_last_listed_ms(pool, -math.inf)
+    return {
+        version: round(now_ms - listed_ms)
+        for version, listed_ms in last_listed_ms.items()
+    }
--- a/packages/ragworthollow/src/ragworthollow/upstreams/directory.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/directory.py
@@ -74,6 +74,8 @@
         Numbering of the events of these streams.
     updated_ms : float
         Time at which the current list was requested, on the monotonic clock.
+    first_updated_ms : float
+        The same of the first list, before which nothing was seen.
     """
 
     def __init__(self) -> None:
@@ -91,6 +93,7 @@
         )
         self.event_numberings = EventNumberings()
         self.updated_ms = float('-inf')
+        self.first_updated_ms = float('inf')
 
     def record_outage(self) -> None:
         """Record that the list could not be read."""
@@ -146,6 +149,7 @@
         self._by_id = eligible
         self._by_pool = _group_by_pool(eligible.values())
         self.updated_ms = now_ms
+        self.first_updated_ms = min(self.first_updated_ms, now_ms)
         return change
 
     def is_known(self) -> bool:
--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -234,6 +234,8 @@
     ]
     assert fields['outcome'] == 'refused', fields
     assert fields['source'] == source, fields
+    assert fields['listed_ms_ago'].keys() == {'v1', 'v2'}, fields
+    assert fields['observed_ms'] >= max(fields['listed_ms_ago'].values())
     rendered = stage.get_context().metrics.render()
     assert f'resume_refused_{source}'.encode() in rendered, rendered
 
