Show streams that are joined or given up after gateways were replaced

Four scenarios fail on this code: streams that broke off are resumed at gateways that started after a version had left (all replaced, and one of three), while two versions serve (all refused), and at a gateway that was suspended and takes its list for new. With one version all go on, before and after.

--- /dev/null
+++ b/tests/features/steps/stream_restarts.py
@@ -0,0 +1,175 @@
+"""Steps for streams that are resumed after gateways were replaced."""
+
+import random
+import time
+from collections import Counter
+from functools import partial
+
+from behave import given, then, when
+
+from ragworthollow.utils import (
+    get_boottime_ms,
+    get_monotonic_ms,
+    override_clocks,
+)
+from tests.standins.partial_streams import PartialStream, Stop
+
+_PATH = '/resumable/partial'
+_SEED = 1
+_OK = 200
+
+
+@given('instances of software versions {versions}')
+def add_versions(context, versions):
+    stage = context.gateway_stage
+    context.versions = {
+        f'u{number}': version
+        for number, version in enumerate(versions.split(', '), start=1)
+    }
+    for name, version in context.versions.items():
+        if name not in stage.upstreams:
+            stage.run(stage.add_upstream(name, 'plain'))
+        stage.run(stage.publish_instance(name, 'plain', version=version))
+    directory = stage.get_context().directory
+    stage.run(
+        stage.wait_for(
+            lambda: (
+                {
+                    instance.instance: instance.software_version
+                    for instance in directory.get_pool('plain')
+                }
+                == context.versions
+            )
+        )
+    )
+
+
+@when('{count:d} streams break off')
+def break_streams(context, count):
+    stage = context.gateway_stage
+    context.rng = random.Random(_SEED)
+    context.began = []
+    for name in stage.gateways:
+        stage.run(_wait_for_versions(stage, name))
+    for _ in range(count):
+        for upstream in stage.upstreams.values():
+            upstream.partial_streams = [
+                PartialStream(framing='chunked', stop=Stop.between)
+                for _ in stage.upstreams
+            ]
+        gateway = context.rng.choice(sorted(stage.gateways))
+        context.began.append(stage.run(stage.send(_PATH, gateway=gateway)))
+    for upstream in stage.upstreams.values():
+        upstream.partial_streams = []
+
+
+@when('the instances of version {version:w} leave')
+def remove_version(context, version):
+    stage = context.gateway_stage
+    for name, own_version in context.versions.items():
+        if own_version == version:
+            stage.run(stage.remove_instance(name))
+    directory = stage.get_context().directory
+    stage.run(stage.wait_for(lambda: len(directory.get_pool('plain')) == 2))
+
+
+@when('gateways {names} are replaced')
+def replace_gateways(context, names):
+    stage = context.gateway_stage
+    replaced = names.split(', ')
+    for name in replaced:
+        stage.run(stage.gateways.pop(name).close())
+    context.new_gateways = [f'new-{name}' for name in replaced]
+    for name in context.new_gateways:
+        stage.run(stage.add_gateway(name))
+    for name in context.new_gateways:
+        stage.run(stage.wait_for_configuration(name))
+        directory = stage.get_context(name).directory
+        stage.run(stage.wait_for(partial(directory.get_pool, 'plain')))
+
+
+@when('each of the streams is resumed at a new gateway')
+def resume_streams(context):
+    stage = context.gateway_stage
+    context.resumed = [
+        stage.run(
+            stage.send(
+                _PATH,
+                gateway=context.rng.choice(context.new_gateways),
+                headers={'Last-Event-Id': '1', 'Resumes': began.request_id},
+            )
+        )
+        for began in context.began
+    ]
+
+
+@when('gateway g1 is suspended for {seconds:d} s and keeps the list of before')
+def suspend_gateway(context, seconds):
+    """Advance CLOCK_BOOTTIME alone, and apply no list after it."""
+    stage = context.gateway_stage
+    gateway = stage.get_context()
+    gateway.directory.replace = lambda *_: None
+    stage.run(stage.gateways.pop('g2').close())
+    boottime_ms = get_boottime_ms() - get_monotonic_ms() + seconds * 1000
+    context.clocks = override_clocks(
+        lambda: time.monotonic() * 1000,
+        lambda: time.monotonic() * 1000 + boottime_ms,
+    )
+
+
+@when('a caller resumes a stream of an unknown gateway there')
+def resume_unknown(context):
+    stage = context.gateway_stage
+    headers = {'Last-Event-Id': '1', 'Resumes': 'of-another-gateway'}
+    with context.clocks:
+        context.response = stage.run(stage.send(_PATH, headers=headers))
+
+
+@then('no stream is joined from two software versions')
+def check_not_joined(context):
+    joined = [
+        (began.request_id, resumed.request_id)
+        for began, resumed in zip(context.began, context.resumed, strict=True)
+        if len(_find_versions(context, began, resumed)) > 1
+    ]
+    statuses = Counter(resumed.status for resumed in context.resumed)
+    assert not joined, (len(joined), statuses, joined)
+
+
+@then('all streams of version {version:w} go on')
+def check_go_on(context, version):
+    of_version = [
+        resumed
+        for began, resumed in zip(context.began, context.resumed, strict=True)
+        if _find_versions(context, began) == {version}
+    ]
+    statuses = Counter(resumed.status for resumed in of_version)
+    assert statuses == {_OK: len(of_version)}, statuses
+    assert of_version, 'no stream began at this version'
+
+
+def _find_versions(context, *responses) -> set[str]:
+    """Return the versions of the instances that ran any of the requests."""
+    names = [response.request_id for response in responses]
+    return {
+        context.versions[name]
+        for name, upstream in context.gateway_stage.upstreams.items()
+        for run in upstream.runs
+        if run.request_id in names
+    }
+
+
+async def _wait_for_versions(stage, name):
+    """Wait until a gateway lets streams begin at every version."""
+    gateway = stage.get_context(name)
+    pool = gateway.directory.get_pool('plain')
+    listed = {instance.software_version for instance in pool}
+    spread_ms = gateway.settings.leaving_bound_ms
+    await stage.wait_for(
+        lambda: (
+            gateway.directory.versions.list_settled(
+                'plain', get_monotonic_ms() - spread_ms
+            )
+            >= listed
+        )
+    )
--- /dev/null
+++ b/tests/features/stream_restarts.feature
@@ -0,0 +1,63 @@
+@each.gateway
+Feature: Streams are resumed at gateways that have not seen them begin
+  A gateway keeps nothing.  One that has just started has never seen the
+  software versions that left the list before.
+
+  @fixture.log_lines
+  Scenario: All gateways are replaced after a version has left
+    # Guards against streams joined from two versions by gateways that know
+    # only one of them.
+    Given instances of software versions v1, v1, v2, v2
+    And 2 more gateways that know all instances
+    When 24 streams break off
+    And the instances of version v1 leave
+    And gateways g1, g2, g3 are replaced
+    And each of the streams is resumed at a new gateway
+    Then no stream is joined from two software versions
+    And all streams of version v2 go on
+
+  @fixture.log_lines
+  Scenario: One of three gateways is replaced after a version has left
+    # Guards against streams joined by a gateway that is restarted alone while
+    # its peers remember both versions.
+    Given instances of software versions v1, v1, v2, v2
+    And 2 more gateways that know all instances
+    When 24 streams break off
+    And the instances of version v1 leave
+    And gateways g1 are replaced
+    And each of the streams is resumed at a new gateway
+    Then no stream is joined from two software versions
+    And all streams of version v2 go on
+
+  @fixture.log_lines
+  Scenario: All gateways are replaced while two versions serve
+    # Guards against streams that are given up since nobody remembers what
+    # began them.
+    Given instances of software versions v1, v1, v2, v2
+    And 2 more gateways that know all instances
+    When 24 streams break off
+    And gateways g1, g2, g3 are replaced
+    And each of the streams is resumed at a new gateway
+    Then no stream is joined from two software versions
+    And all streams of version v1 go on
+    And all streams of version v2 go on
+
+  @fixture.log_lines
+  Scenario: All gateways are replaced while one version serves
+    # Guards against resumptions that are refused after every restart.
+    Given instances of software versions v1, v1, v1, v1
+    And 2 more gateways that know all instances
+    When 24 streams break off
+    And gateways g1, g2, g3 are replaced
+    And each of the streams is resumed at a new gateway
+    Then no stream is joined from two software versions
+    And all streams of version v1 go on
+
+  @fixture.log_lines
+  Scenario: A gateway was suspended while a version came
+    # Guards against a list that seems new by a clock which stops in suspend.
+    Given another gateway that knows all instances
+    When 24 streams break off
+    And gateway g1 is suspended for 30 s and keeps the list of before
+    And a caller resumes a stream of an unknown gateway there
+    Then it gets status 503 and the request has run 0 times
