Count time in suspend in the age of the list that a resumption follows

What callers saw: a gateway that had been suspended resumed a stream at the version of its last list, however old, before it had read another one. Cause: the age of the list was taken from the monotonic clock, which stops while a machine is suspended. The age is taken from CLOCK_BOOTTIME now, and so is a break between lists (Observation).

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -74,7 +74,7 @@
         self.replica = Replica()
         self.route_table: RouteTable | None = None
         self._has_route_table = asyncio.Event()
-        self.directory = Directory()
+        self.directory = Directory(propagation_ms=settings.leaving_bound_ms)
         self.load_tracker = LoadTracker()
         self.exchanges = Exchanges(
             load_tracker=self.load_tracker,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
@@ -100,7 +100,7 @@
 ) -> ResumeDecision:
     """Decide for a stream that may have begun at any version of its time."""
     spread_ms = context.settings.leaving_bound_ms
-    if now_ms - context.directory.updated_ms > spread_ms:
+    if context.directory.observation.get_age_ms() > spread_ms:
         return ResumeDecision(source='stale')
     window_ms = job.route.timeout_ms + spread_ms
     last_listed_ms = context.directory.versions.get_last_listed_ms(
@@ -140,8 +140,8 @@
         source=decision.source,
         software_version=decision.software_version,
         age_ms=decision.age_ms,
-        list_age_ms=round(now_ms - directory.updated_ms),
-        observed_ms=round(now_ms - directory.first_updated_ms),
+        list_age_ms=round(directory.observation.get_age_ms()),
+        observed_ms=round(now_ms - directory.observation.since_ms),
         listed_ms_ago=_get_listed_ms_ago(directory, job.pool, now_ms),
         retry_after_ms=decision.retry_after_ms,
     )
--- a/packages/ragworthollow/src/ragworthollow/upstreams/directory.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/directory.py
@@ -8,6 +8,7 @@
 from ragworthollow.upstreams.domain_drains import DomainDrains
 from ragworthollow.upstreams.event_numberings import EventNumberings
 from ragworthollow.upstreams.instance_signals import InstanceSignals
+from ragworthollow.upstreams.observation import Observation
 from ragworthollow.upstreams.stream_versions import StreamVersions
 from ragworthollow.upstreams.upstream_instance import UpstreamInstance
 from ragworthollow.upstreams.version_history import VersionHistory
@@ -62,6 +63,11 @@
     ends.  If no other instances are left, their pool is empty, since operators
     have ruled that no requests may go there.
 
+    Parameters
+    ----------
+    propagation_ms : float
+        Time in which all gateways learn of a change of the store.
+
     Attributes
     ----------
     drains : DomainDrains
@@ -74,11 +80,12 @@
         Numbering of the events of these streams.
     updated_ms : float
         Time at which the current list was requested, on the monotonic clock.
-    first_updated_ms : float
-        The same of the first list, before which nothing was seen.
+    observation : Observation
+        Since when and how recently lists were applied.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, propagation_ms: float = math.inf) -> None:
+        self.observation = Observation(propagation_ms=propagation_ms)
         self._by_id: dict[str, UpstreamInstance] = {}
         self._by_pool: dict[str, tuple[UpstreamInstance, ...]] = {}
         self._missing_since_ms: dict[str, float] = {}
@@ -93,7 +100,6 @@
         )
         self.event_numberings = EventNumberings()
         self.updated_ms = float('-inf')
-        self.first_updated_ms = float('inf')
 
     def record_outage(self) -> None:
         """Record that the list could not be read."""
@@ -149,7 +155,7 @@
         self._by_id = eligible
         self._by_pool = _group_by_pool(eligible.values())
         self.updated_ms = now_ms
-        self.first_updated_ms = min(self.first_updated_ms, now_ms)
+        self.observation.record(now_ms)
         return change
 
     def is_known(self) -> bool:
