Refuse a response head that was joined from two

A peer that stops inside a head and then sends another response on the same connection makes one head of both. The parser of the HTTP library takes the second status line for a part of the reason phrase or of a field's value. The response then had the status, the promise "not executed" and the length of the first, and the identifier and the body of the second, so that comparing identifiers did not help. Callers got 503 for a request that was run, 200 for an error answer, and 200 with an empty or short body framed as whole. By reading, a joined 412 of the store said "not applied" for what was applied.

Such a head now fails the exchange as a foreign response: its outcome is unknown, its connection is closed. A status line in the name of a field, or after a whole field, is refused by the parser already.

--- a/packages/ragworthollow/src/ragworthollow/transport/foreign_response_error.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/foreign_response_error.py
@@ -8,5 +8,5 @@
     Report that the response to a request cannot be found.
 
     Responses to earlier requests came on the connection instead, more than may
-    be discarded or without an end.
+    be discarded, without an end, or as a part that its own one was joined to.
     """
--- a/packages/ragworthollow/src/ragworthollow/transport/response_protocol.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/response_protocol.py
@@ -15,6 +15,7 @@
 from ragworthollow.transport.foreign_response_error import (
     ForeignResponseError,
 )
+from ragworthollow.transport.joined_head import is_joined_head
 from ragworthollow.utils import get_monotonic_ms
 
 # Heads with a lower status announce a response.
@@ -123,10 +124,12 @@
         Raises
         ------
         ForeignResponseError
-            If there are too many copies, or one whose end cannot be found.
+            If there are too many copies, or one whose end cannot be found, or
+            a head that was joined from two.
         """
         while True:
             message, body = await super().read()
+            _check_head(message)
             response_id = message.headers.get(self._identity_header, '')
             if response_id == self._request_id or message.code < _FIRST_STATUS:
                 return message, body
@@ -221,3 +224,8 @@
                 ),
                 error,
             )
+
+
+def _check_head(message: RawResponseMessage) -> None:
+    if is_joined_head(message):
+        raise ForeignResponseError('a head with another one inside')
--- a/tests/standins/garbled_server.py
+++ b/tests/standins/garbled_server.py
@@ -48,7 +48,7 @@
         try:
             is_open = True
             while is_open:
-                await _read_request(reader)
+                await read_request(reader)
                 self.answers += 1
                 answer, is_open = make_answer(
                     rng=self.rng,
@@ -64,9 +64,11 @@
             writer.close()
 
 
-async def _read_request(reader) -> None:
+async def read_request(reader) -> str:
+    """Read a request to its end; return its head."""
     head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
     for line in head.split('\r\n'):
         name, _, text = line.partition(': ')
         if name.lower() == 'content-length':
             await reader.readexactly(int(text))
+    return head
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -77,6 +77,8 @@
         # How often each response is sent again while the next request on its
         # connection runs.
         self.repeat_count = 0
+        # Sent before each response, on its connection.
+        self.unfinished_head = b''
         self._open_writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, port: int) -> None:
@@ -116,6 +118,7 @@
         last_response = getattr(writer, 'last_response', b'')
         for _ in range(self.repeat_count):
             writer.write(last_response)
+        writer.write(self.unfinished_head)
         return await self._receive(request, reader, writer)
 
     async def _receive(self, request, reader, writer) -> bool:
