Refuse a head that may begin with a trailer of a copy

A copy of an earlier response is discarded, and the next response on the connection is read by the same parser. The parser of the HTTP library keeps the last trailer of a response in chunks and puts it before the fields of the next one. A trailer with the promise "not executed" in the copy so became a field of the request's own response, with its identifier.

Behind a copy in chunks a response now has to begin with the same field as the copy, as those of one peer do; otherwise the exchange fails, with outcome unknown. A trailer with the name of that first field is still taken for a field.

No engine is known to send trailers.

--- a/packages/ragworthollow/src/ragworthollow/transport/response_protocol.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/response_protocol.py
@@ -76,6 +76,7 @@
         self._request_id = ''
         self._sent_ids: set[str] = set()
         self._copy_count = 0
+        self._chunked_copy: RawResponseMessage | None = None
         # Bytes received since the last request, until a response has begun.
         self._head_bytes = 0
         self._has_head = False
@@ -95,6 +96,7 @@
         self._exchange_count += 1
         self._began_ms = get_monotonic_ms()
         self._copy_count = 0
+        self._chunked_copy = None
         self.wire_bytes = 0
         self._head_bytes = 0
         self._has_head = False
@@ -129,7 +131,7 @@
         """
         while True:
             message, body = await super().read()
-            _check_head(message)
+            _check_head(message, self._chunked_copy)
             response_id = message.headers.get(self._identity_header, '')
             if response_id == self._request_id or message.code < _FIRST_STATUS:
                 return message, body
@@ -190,7 +192,10 @@
     ) -> None:
         """Read a response to its end without using it."""
         self._copy_count += 1
-        is_framed = get_body_framing(message.headers) != BodyFraming.connection
+        framing = get_body_framing(message.headers)
+        if framing is BodyFraming.chunked:
+            self._chunked_copy = message
+        is_framed = framing is not BodyFraming.connection
         may_continue = is_framed and not message.should_close
         if self._copy_count > _MAX_COPIES or not may_continue:
             raise ForeignResponseError(
@@ -226,6 +231,18 @@
             )
 
 
-def _check_head(message: RawResponseMessage) -> None:
+def _check_head(
+    message: RawResponseMessage, chunked_copy: RawResponseMessage | None
+) -> None:
     if is_joined_head(message):
         raise ForeignResponseError('a head with another one inside')
+    # The library's parser puts the last trailer of a response before the
+    # fields of the next one.
+    if chunked_copy is not None and (
+        _get_first_name(message) != _get_first_name(chunked_copy)
+    ):
+        raise ForeignResponseError('a head that may begin with a trailer')
+
+
+def _get_first_name(message: RawResponseMessage) -> str:
+    return next(iter(message.headers), '').lower()
--- a/tests/features/cut_heads.feature
+++ b/tests/features/cut_heads.feature
@@ -88,3 +88,16 @@
       | an upstream            | close | length   |
       | an upstream            | close | trailers |
       | an upstream            | reset | length   |
+
+  Scenario Outline: A copy in chunks with <trailers> precedes the response
+    # Guards against a trailer of one response that is taken for a field of the
+    # next one, such as the promise "not run".
+    Given a peer that sends a copy in chunks with <trailers> before its second response
+    When 2 requests are sent to it on one connection
+    Then the second response is <response>
+
+    Examples:
+      | trailers   | response  |
+      | no trailer | the whole |
+      | a promise  | a failure |
+      | 2 trailers | a failure |
--- a/tests/features/steps/cut_heads.py
+++ b/tests/features/steps/cut_heads.py
@@ -24,9 +24,14 @@
 from tests.standins.garbled_server import read_request
 from tests.standins.upstream import render_success_head
 
+
+def _make_upstream_session():
+    return make_upstream_session(REQUEST_ID_HEADER)
+
+
 _SESSION_FACTORIES = MappingProxyType(
     {
-        'upstreams': lambda: make_upstream_session(REQUEST_ID_HEADER),
+        'upstreams': _make_upstream_session,
         'stages': lambda: make_held_session(REQUEST_ID_HEADER),
         'gateways': make_peer_session,
         'other daemons': lambda: make_session('cluster-key-of-a-test'),
@@ -66,6 +71,13 @@
     }
 )
 _READ_AT_ONCE = 64
+_TRAILERS = MappingProxyType(
+    {
+        'no trailer': b'',
+        'a promise': b'X-Ragworthollow-Not-Executed: 1\r\n',
+        '2 trailers': b'X-A: b\r\nX-Ragworthollow-Not-Executed: 1\r\n',
+    }
+)
 _FRAMINGS = MappingProxyType(
     {'length': f'Content-Length: {len(_BODY)}\r\n', 'connection': ''}
 )
@@ -105,9 +117,9 @@
         )
 
 
-async def _post(session, url):
+async def _post(session, url, name='own'):
     """Return status, headers and body, or None after a failure."""
-    names = {REQUEST_ID_HEADER: 'own', EXCHANGE_HEADER: 'own'}
+    names = {REQUEST_ID_HEADER: name, EXCHANGE_HEADER: name}
     try:
         async with session.post(
             url, headers=names, timeout=_TIMEOUT
@@ -209,3 +221,48 @@
     assert isinstance(whole, Ok), whole
     for length, outcome in enumerate(cuts):
         assert isinstance(outcome, Err), (length, outcome)
+
+
+@given(
+    'a peer that sends a copy in chunks with {trailers} before its second '
+    'response'
+)
+def choose_trailers(context, trailers):
+    context.trailers = _TRAILERS[trailers]
+
+
+@when('2 requests are sent to it on one connection')
+def send_after_chunks(context):
+    context.received = uvloop.run(_send_after_chunks(context.trailers))
+
+
+async def _send_after_chunks(trailers):
+    names = [REQUEST_ID_HEADER, EXCHANGE_HEADER]
+    chunks = b'2\r\nok\r\n0\r\n' + trailers + b'\r\n'
+
+    def render(name, rest):
+        fields = ''.join(f'{header}: {name}\r\n' for header in names)
+        return f'HTTP/1.1 {_OWN_STATUS} Own\r\n{fields}'.encode() + rest
+
+    first = render('first', b'Transfer-Encoding: chunked\r\n\r\n' + chunks)
+    own = render('own', b'Content-Length: 14\r\n\r\n' + _BODY)
+
+    async def respond(reader, writer):
+        await read_request(reader)
+        writer.write(first)
+        await read_request(reader)
+        writer.write(first + own)
+
+    async with serve(respond) as url, _make_upstream_session() as session:
+        await _post(session, url, 'first')
+        return await _post(session, url)
+
+
+@then('the second response is {response}')
+def check_second(context, response):
+    received = context.received
+    if response == 'a failure':
+        assert received is None, received
+    else:
+        assert received[0] == _OWN_STATUS, received
+        assert received[2] == _BODY, received
