Follow the list of instances past entries that cannot be read

Entries and sidecars decoded the list of instances as one message. One entry of another writer (wrong types, a number beyond 64 bits, deep nesting) made all of it unreadable: they stopped following the list for as long as the entry was there, and a process that started then knew no instance. An address was any text: port 0, 65536 or none was listed like any other, and host names such as `..` raise UnicodeError when a request is sent, which no caller of the session catches (seen with a session alone).

Each entry is now decoded by itself, and its address has to be a host name or an IPv4 address with a port. Unreadable entries are counted in one log line for each list, and other work gets its turn.

--- a/packages/ragworthollow/src/ragworthollow/platform/instance_list.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/instance_list.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from ragworthollow.utils import HostAddress
 from ragworthollow.utils.message import Message
 
 ENTRY_POOL = 'entry'
@@ -26,7 +27,7 @@
         Pool of the upstream, or `entry` for a process with the role `entry`.
     failure_domain : str
         Failure domain that it runs in.
-    address : str
+    address : HostAddress
         `IP:PORT` of this system's process at the instance.
     state : InstanceState
         Last state known to the platform, which may be out of date.
@@ -35,7 +36,7 @@
     instance: str
     pool: str
     failure_domain: str
-    address: str
+    address: HostAddress
     state: InstanceState = InstanceState.live
 
 
--- a/packages/ragworthollow/src/ragworthollow/platform/instance_poller.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/instance_poller.py
@@ -9,9 +9,9 @@
 from ragworthollow.conf import global_settings
 from ragworthollow.logs.events import log_event
 from ragworthollow.platform.instance_list import InstanceList
+from ragworthollow.platform.instance_list_decoding import decode_instance_list
 from ragworthollow.transport.bounded_reading import read_bounded
 from ragworthollow.transport.timeouts import make_inactivity_timeout
-from ragworthollow.utils import decode_json
 
 _MILLISECONDS = 1000
 _NOT_MODIFIED = 304
@@ -95,11 +95,10 @@
         ) as response:
             if response.status == _NOT_MODIFIED:
                 return None
-            fetched = decode_json(
+            fetched = await decode_instance_list(
                 await read_bounded(
                     response, global_settings.MAX_INSTANCE_LIST_BYTES
                 ),
-                InstanceList,
             )
             # Kept only with its list: it makes the service leave that out.
             self._entity_tag = response.headers.get('ETag', '')
--- a/packages/ragworthollow/src/ragworthollow/utils/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/utils/__init__.py
@@ -1,6 +1,6 @@
 """Provide general helpers: clocks, hashes, identifiers, messages, YAML."""
 
-from ragworthollow.utils.addresses import SocketAddress
+from ragworthollow.utils.addresses import HostAddress, SocketAddress
 from ragworthollow.utils.clock import (
     get_boottime_ms,
     get_monotonic_ms,
@@ -14,6 +14,7 @@
 from ragworthollow.utils.number_parsing import parse_count, parse_decimal
 
 __all__ = (
+    'HostAddress',
     'Message',
     'SocketAddress',
     'StrictMessage',
--- a/packages/ragworthollow/src/ragworthollow/utils/addresses.py
+++ b/packages/ragworthollow/src/ragworthollow/utils/addresses.py
@@ -17,3 +17,13 @@
     str,
     msgspec.Meta(pattern=rf'\A{_OCTET}(?:\.{_OCTET}){{3}}:{_PORT}\Z'),
 ]
+
+_LABEL = '[A-Za-z0-9_][A-Za-z0-9_-]{0,62}'
+
+# An IPv4 address or a host name, and a port, checked when it is decoded.
+HostAddress = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=rf'\A(?=.{{1,253}}:){_LABEL}(?:\.{_LABEL})*:{_PORT}\Z'
+    ),
+]
--- /dev/null
+++ b/tests/features/foreign_entries.feature
@@ -0,0 +1,43 @@
+@each.daemon_service
+@each.log_lines
+Feature: Records of other writers end no entry and no sidecar
+
+  Scenario Outline: The list of instances has <change>
+    # Guards against one entry that ends the processes that read the list, or
+    # keeps them from following it.
+    Given an entry and a sidecar that own the keys of a pool
+    When another writer lists <change>, and instances come and leave
+    Then both list the new instance, and not the odd one
+    And both apply the next configuration, and no loop has failed
+    And a sidecar that starts now lists the new instance as well
+
+    Examples:
+      | change                               |
+      | 100 levels as a whole                |
+      | 1,000 levels as a whole              |
+      | 100,000 levels as a whole            |
+      | 100 levels as address                |
+      | 1,000 levels as address              |
+      | 100,000 levels as unknown            |
+      | 1e400 as a whole                     |
+      | 5,000 digits as failure_domain       |
+      | null as pool                         |
+      | {} as a whole                        |
+      | "resting" as state                   |
+      | "127.0.0.1:0" as address             |
+      | "127.0.0.1:65536" as address         |
+      | "127.0.0.1:-1" as address            |
+      | "127.0.0.1:" as address              |
+      | "127.0.0.1:5,000 digits" as address  |
+      | "" as address                        |
+      | "..:80" as address                   |
+      | "70 digits:80" as address            |
+
+  Scenario: Thousands of entries cannot be read
+    # Guards against a list whose reading keeps other work waiting, and against
+    # logs that grow with the number of entries.
+    Given an entry and a sidecar that own the keys of a pool
+    When another writer lists 20000 odd entries, and instances come and leave
+    Then both list the new instance, and not the odd one
+    And they are logged in one line for each process and list
+    And other work got its turn while such a list was decoded
--- /dev/null
+++ b/tests/features/steps/foreign_entries.py
@@ -0,0 +1,163 @@
+"""Steps for odd records that entries and sidecars read."""
+
+import asyncio
+import itertools
+
+import msgspec
+from behave import given, then, when
+
+from measure.large import Size, make_files
+from ragworthollow.platform.instance_list_decoding import decode_instance_list
+from tests.fixtures.odd_records import make_odd_record
+
+_POOL = 'ledger-api'
+_SIZE = Size(organisations=10, pipelines=1, models=1, instances=0, entries=0)
+_ODD_ADDRESS = '127.0.0.1:9'
+_ODD_ENTRY = {
+    'instance': 'odd',
+    'pool': _POOL,
+    'failure_domain': 'domain-0',
+    'address': _ODD_ADDRESS,
+}
+
+
+@given('an entry and a sidecar that own the keys of a pool')
+def start_both(context):
+    harness = context.daemon_service
+    harness.run(_start_both(harness))
+
+
+async def _start_both(harness):
+    await harness.start_entry()
+    harness.running.append(harness.service)
+    await harness.publish(make_files(_SIZE))
+    harness.running.append(await harness.start_sidecar(_POOL))
+    harness.instances.publish(_list_sound(harness, 'leaving'))
+    await _wait_for_listed(harness, 'leaving')
+    ownership = harness.running[1]._role._ownership
+    await harness.wait_until(ownership.owns_any)
+
+
+def _list_sound(harness, *more):
+    """List the daemons, and instances at the address of the sidecar."""
+    entries = [
+        {
+            'instance': service.settings.instance,
+            'pool': _POOL if service.settings.sidecar else 'entry',
+            'failure_domain': service.settings.failure_domain,
+            'address': service.settings.listen.get_address(),
+        }
+        for service in harness.running
+    ]
+    return [*entries, *({**entries[-1], 'instance': name} for name in more)]
+
+
+def _get_listed(service):
+    listed = service._context.peers.listed.instances
+    return {entry.instance for entry in listed}
+
+
+async def _wait_for_listed(harness, name):
+    await harness.wait_until(
+        lambda: all(name in _get_listed(one) for one in harness.running)
+    )
+
+
+@when(
+    'another writer lists {count:d} odd entries, and instances come and leave'
+)
+def list_many(context, count):
+    odd = msgspec.Raw(b'{"instance":1e400}')
+    _list_odd(context, list(itertools.repeat(odd, count)))
+
+
+@when('another writer lists {change}, and instances come and leave')
+def list_odd(context, change):
+    odd = make_odd_record(_ODD_ENTRY, change)
+    _list_odd(context, [msgspec.Raw(odd)])
+
+
+def _list_odd(context, odd):
+    harness = context.daemon_service
+    context.odd_entries = odd
+    sound = _list_sound(harness, 'new')
+    # The odd ones come first and last, and nobody lists the one that leaves.
+    harness.instances.publish([*odd, *sound, *odd])
+
+
+@then('both list the new instance, and not the odd one')
+def check_followed(context):
+    harness = context.daemon_service
+    harness.run(_wait_for_listed(harness, 'new'))
+    expected = {'entry-own', f'{_POOL}-own', 'new'}
+    for service in harness.running:
+        assert _get_listed(service) == expected, _get_listed(service)
+
+
+@then('both apply the next configuration, and no loop has failed')
+def check_configuration(context):
+    harness = context.daemon_service
+    harness.run(_change_configuration(harness))
+    _check_loops(context)
+
+
+async def _change_configuration(harness):
+    await harness.publish({'30-more.yaml': 'owner: consortium\n'})
+    newest = harness.service._context.store.generation
+    await harness.wait_until(
+        lambda: all(
+            one._context.store.generation == newest for one in harness.running
+        )
+    )
+
+
+def _check_loops(context):
+    failures = [
+        fields for event, fields in context.log_lines if event == 'loop_failed'
+    ]
+    assert not failures, failures
+
+
+@then('a sidecar that starts now lists the new instance as well')
+def check_start(context):
+    harness = context.daemon_service
+    late = harness.run(harness.start_sidecar('late'))
+    harness.running.append(late)
+    assert 'new' in _get_listed(late), _get_listed(late)
+    _check_loops(context)
+
+
+@then('they are logged in one line for each process and list')
+def check_log(context):
+    counts = [
+        fields['count']
+        for event, fields in context.log_lines
+        if event == 'listed_instances_unreadable'
+    ]
+    readers = len(context.daemon_service.running)
+    assert counts == list(
+        itertools.repeat(2 * len(context.odd_entries), readers)
+    ), counts
+
+
+@then('other work got its turn while such a list was decoded')
+def check_turns(context):
+    nested = msgspec.Raw(make_odd_record({}, '100,000 levels as a whole'))
+    for odd in (context.odd_entries, [nested]):
+        turns = context.daemon_service.run(_count_turns(odd))
+        assert turns >= 2, turns
+
+
+async def _count_turns(odd):
+    turns = 0
+
+    async def count():
+        nonlocal turns
+        while True:
+            turns += 1
+            await asyncio.sleep(0)
+
+    counting = asyncio.ensure_future(count())
+    await decode_instance_list(msgspec.json.encode({'instances': odd}))
+    counting.cancel()
+    return turns
--- a/tests/standins/instances.py
+++ b/tests/standins/instances.py
@@ -40,10 +40,11 @@
     async def _put_instances(self, request: web.Request) -> web.Response:
         instances = msgspec.json.decode(await request.read())
         delay = self._lag_ms / 1000 if self._revision else 0
-        asyncio.get_running_loop().call_later(delay, self._publish, instances)
+        asyncio.get_running_loop().call_later(delay, self.publish, instances)
         return web.Response()
 
-    def _publish(self, instances: list) -> None:
+    def publish(self, instances: list) -> None:
+        """Replace the list at once."""
         self._revision += 1
         self._visible = msgspec.json.encode(
             {'revision': self._revision, 'instances': instances},
