Keep renewing ownership past member records that cannot be read

A sidecar decoded the assignment and the keys of members outside of any guard. One record of another writer under the pool's prefix ended the loop that renews its lease and reads the assignment (loop_failed); the process went on without it, and its ownership lapsed for good.

A member key that cannot be read is passed over: nobody takes over from its member while the key exists. An assignment that cannot be read counts as a platform that does not answer. Addresses have the form of those in the list of instances. A lease key that cannot be read belongs to another process.

Not shown by a test: the guard of the lease key (MemberLease).

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/assignment_reader.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/assignment_reader.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Mapping
 
+import msgspec
 from result import Err, Ok
 
-from ragworthollow.logs.events import log_event
+from ragworthollow.logs.events import log_error, log_event
 from ragworthollow.once import Ownership
 from ragworthollow.once.assignment import decode_assignment
 from ragworthollow.once.member_key import MemberKey
@@ -15,6 +16,7 @@
 from ragworthollow_daemon.sidecar.member_lease import MemberLease
 
 _ABSENT = Stored()
+_MAX_ERROR_CHARACTERS = 200
 
 Members = Mapping[str, MemberKey]
 
@@ -92,8 +94,14 @@
             self._ownership.takeover_target = ''
             self._ownership.moving = frozenset()
         if stored.get_position() >= self._stored_assignment.get_position():
+            try:
+                assignment = decode_assignment(stored.text)
+            except msgspec.DecodeError as error:
+                # Nobody knows the owners now, as without the platform.
+                _log_unreadable(self.assignment_key, error)
+                return None
             self._stored_assignment = stored
-            self._ownership.apply_assignment(decode_assignment(stored.text))
+            self._ownership.apply_assignment(assignment)
         return entries
 
     def compare_assignment(self) -> Compare:
@@ -126,11 +134,31 @@
     def _decode_members(self, entries: Mapping[str, Stored]) -> Members:
         prefix = self.get_member_key('')
         members = {
-            key.removeprefix(prefix): decode_json(
-                stored.text,
-                MemberKey,
-            )
+            key.removeprefix(prefix): _decode_member(key, stored.text)
             for key, stored in entries.items()
             if key.startswith(prefix)
         }
-        return {**members, self._name: self._make_member()}
+        readable = {
+            name: member
+            for name, member in members.items()
+            if member is not None
+        }
+        return {**readable, self._name: self._make_member()}
+
+
+def _decode_member(key: str, text: str) -> MemberKey | None:
+    try:
+        return decode_json(text, MemberKey)
+    except msgspec.DecodeError as error:
+        # Nobody takes over from it while its key exists.
+        _log_unreadable(key, error)
+        return None
+
+
+def _log_unreadable(key: str, error: msgspec.DecodeError) -> None:
+    log_error(
+        'once_record_unreadable',
+        step='once',
+        peer=key,
+        error=str(error)[:_MAX_ERROR_CHARACTERS],
+    )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/member_lease.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/member_lease.py
@@ -4,11 +4,14 @@
 from result import Err, Ok, Result
 
 from ragworthollow.conf import global_settings
+from ragworthollow.logs.events import log_error
 from ragworthollow.once.member_key import MemberKey
 from ragworthollow.platform import PlatformError, StoreClient, Stored
 from ragworthollow.platform.transaction import Compare, Put, compare_with
 from ragworthollow.utils import decode_json, get_monotonic_ms
 
+_MAX_ERROR_CHARACTERS = 200
+
 
 class MemberLease:
     """
@@ -87,10 +90,8 @@
         Result
             Whether this process holds the key now.
         """
-        if current.text:
-            previous = decode_json(current.text, MemberKey)
-            if previous.address != member.address:
-                return Ok(False)
+        if current.text and not self._is_own(current.text, member):
+            return Ok(False)
         sent_ms = get_monotonic_ms()
         granted = await self._key_value.grant_lease(self._ttl_ms)
         if isinstance(granted, Err):
@@ -122,6 +123,20 @@
             await self._key_value.revoke_lease(self.lease)
             self.lease = 0
 
+    def _is_own(self, text: str, member: MemberKey) -> bool:
+        """Return whether an earlier process at the same address wrote a key."""
+        try:
+            previous = decode_json(text, MemberKey)
+        except msgspec.DecodeError as error:
+            log_error(
+                'lease_key_unreadable',
+                step='once',
+                peer=self._key,
+                error=str(error)[:_MAX_ERROR_CHARACTERS],
+            )
+            return False
+        return previous.address == member.address
+
     async def _put(
         self,
         member: MemberKey,
--- a/packages/ragworthollow/src/ragworthollow/once/assignment.py
+++ b/packages/ragworthollow/src/ragworthollow/once/assignment.py
@@ -3,7 +3,7 @@
 import xxhash
 
 from ragworthollow.conf import global_settings
-from ragworthollow.utils import decode_json
+from ragworthollow.utils import HostAddress, decode_json
 from ragworthollow.utils.hashing import get_rank
 from ragworthollow.utils.message import Message
 
@@ -19,7 +19,7 @@
     incarnation : str
         Id of the process; a restarted process has lost its promises and joins
         again.
-    address : str
+    address : HostAddress
         `IP:PORT`.
     joined_ms : int
         When the process became a member, in milliseconds of Unix time.
@@ -27,7 +27,7 @@
 
     instance: str
     incarnation: str
-    address: str
+    address: HostAddress
     joined_ms: int
 
 
--- a/packages/ragworthollow/src/ragworthollow/once/member_key.py
+++ b/packages/ragworthollow/src/ragworthollow/once/member_key.py
@@ -1,5 +1,6 @@
 """Define the key with a lease that announces a live sidecar."""
 
+from ragworthollow.utils.addresses import HostAddress
 from ragworthollow.utils.message import Message
 
 
@@ -11,7 +12,7 @@
     ----------
     incarnation : str
         Id of the process.
-    address : str
+    address : HostAddress
         `IP:PORT`.
     leaving : bool
         Whether the sidecar is shutting down: it transfers its ranges and
@@ -19,5 +20,5 @@
     """
 
     incarnation: str
-    address: str
+    address: HostAddress
     leaving: bool = False
--- a/tests/features/foreign_entries.feature
+++ b/tests/features/foreign_entries.feature
@@ -41,3 +41,19 @@
     Then both list the new instance, and not the odd one
     And they are logged in one line for each process and list
     And other work got its turn while such a list was decoded
+
+  Scenario Outline: The store has <change> of a member at <key>
+    # Guards against a record of another writer that ends the renewal of a
+    # sidecar's ownership for good.
+    Given an entry and a sidecar that own the keys of a pool
+    When another writer stores <change> of a member at <key> for 3 reads
+    Then no loop has failed, and the sidecar is sure of its keys once it is gone
+
+    Examples:
+      | change                     | key         |
+      | 1,000 levels as a whole    | members/odd |
+      | 100,000 levels as unknown  | members/odd |
+      | 1e400 as unknown           | members/odd |
+      | "..:80" as address         | members/odd |
+      | 1,000 levels as a whole    | assignment  |
+      | 1e400 as epoch             | assignment  |
--- a/tests/features/steps/foreign_entries.py
+++ b/tests/features/steps/foreign_entries.py
@@ -1,13 +1,16 @@
 """Steps for odd records that entries and sidecars read."""
 
 import asyncio
+import base64
 import itertools
 
 import msgspec
 from behave import given, then, when
 
 from measure.large import Size, make_files
+from ragworthollow.conf import global_settings
 from ragworthollow.platform.instance_list_decoding import decode_instance_list
+from ragworthollow.utils import get_monotonic_ms
 from tests.fixtures.odd_records import make_odd_record
 
 _POOL = 'ledger-api'
@@ -19,6 +22,8 @@
     'failure_domain': 'domain-0',
     'address': _ODD_ADDRESS,
 }
+_ODD_MEMBER = {'incarnation': 'odd-1', 'address': _ODD_ADDRESS}
+_RANGE_PATH = '/api/kv-range'
 
 
 @given('an entry and a sidecar that own the keys of a pool')
@@ -161,3 +166,41 @@
     await decode_instance_list(msgspec.json.encode({'instances': odd}))
     counting.cancel()
     return turns
+
+
+@when(
+    'another writer stores {change} of a member at {key:S} for {count:d} reads'
+)
+def store_odd(context, change, key, count):
+    harness = context.daemon_service
+    suffix = f'once/{_POOL}/assignment'
+    (assignment_key,) = (
+        name for name in harness.store.entries if name.endswith(suffix)
+    )
+    odd_key = f'{assignment_key.removesuffix("assignment")}{key}'
+    harness.run(_store_odd(harness, change, odd_key, count))
+
+
+async def _store_odd(harness, change, key, count):
+    odd = make_odd_record(_ODD_MEMBER, change)
+    previous = harness.store.entries.get(key)
+    harness.store.put_bytes(key, odd)
+    target = harness.store.counts[_RANGE_PATH] + count
+    await harness.wait_until(
+        lambda: harness.store.counts[_RANGE_PATH] >= target
+    )
+    if previous:
+        harness.store.put_bytes(key, base64.b64decode(previous.value))
+
+
+@then('no loop has failed, and the sidecar is sure of its keys once it is gone')
+def check_ownership(context):
+    harness = context.daemon_service
+    ownership = harness.running[1]._role._ownership
+    # Later than any confirmation that it has now.
+    later_ms = get_monotonic_ms() + global_settings.LEASE_TTL_MS
+    harness.run(
+        harness.wait_until(lambda: ownership.get_certain_until_ms() > later_ms)
+    )
+    assert ownership.owns_any()
+    _check_loops(context)
