Release versions, resume streams and lose all gateways in the soak

The soak of gateways had engines of one software version, and no caller that resumes a stream, so that streams joined from two versions could not occur in it. Events name the engine that made them; the judge counts streams of several versions (joined). The summary tells which share of new streams began, and of resumptions went on while two engines of their version served.

--- a/measure/engine_breakage.py
+++ b/measure/engine_breakage.py
@@ -69,11 +69,18 @@
                 for fault in ratios:
                     engine.fault_ratios.pop(fault, None)
 
+    def _get_serving(self) -> list[str]:
+        return [
+            name
+            for name, engine in self._fleet.upstreams.items()
+            if not engine.has_crashed
+        ]
+
     async def _replace(self, rng: random.Random) -> None:
         """Give the address of an engine to another, again and again."""
         while True:
             await asyncio.sleep(rng.uniform(*_REPLACEMENT_PAUSE_S))
             await self._fleet.replace_engine(
-                rng.choice(tuple(self._fleet.upstreams)),
+                rng.choice(self._get_serving()),
                 rng.uniform(*_REPLACEMENT_OVERLAP_S),
             )
--- a/measure/faulty_fleet.py
+++ b/measure/faulty_fleet.py
@@ -63,12 +63,13 @@
     async def replace_engine(self, name: str, overlap_s: float) -> None:
         """Let an engine with another name take the address of one."""
         self._replaced += 1
-        new_name = f'e{self._replaced}'
+        version = name.partition('-')[0]
+        new_name = f'{version}-e{self._replaced}'
         engine = self.upstreams.pop(name)
         engine.name = new_name
         self.upstreams[new_name] = engine
         self.failure_domains[new_name] = self.failure_domains[name]
-        await self.publish_instance(new_name, _POOL)
+        await self.publish_instance(new_name, _POOL, version=version)
         await asyncio.sleep(overlap_s)
         await self.remove_instance(name)
 
--- a/measure/gateway_caller.py
+++ b/measure/gateway_caller.py
@@ -77,6 +77,10 @@
         """Return the event after which the next response begins."""
         return 0
 
+    def _get_resumed_request(self) -> str:
+        """Return the attempt that began the stream which is resumed."""
+        return ''
+
     def _choose_limit_ms(self, path: str) -> int:
         # A stopping gateway refuses requests that may outlast its stop.
         if path.startswith(_STREAM_PREFIX):
@@ -112,6 +116,7 @@
             is_first=self._is_first,
             started_s=time.monotonic(),
             last_event_id=self._get_last_event_id(),
+            resumes_request_id=self._get_resumed_request(),
         )
         self._is_first = False
         self.sent.append(sent)
@@ -132,4 +137,5 @@
             sent.ended_s = time.monotonic()
             sent.body = connection.received.decode('latin-1')
         sent.status = response.status
+        sent.retry_after_s = response.retry_after_s
         return response.is_last or response.status is None
--- a/measure/gateway_fleet.py
+++ b/measure/gateway_fleet.py
@@ -1,6 +1,7 @@
 """Run gateways as processes, and stop, kill and freeze them at random."""
 
 import asyncio
+import math
 import random
 import signal
 import sys
@@ -16,6 +17,7 @@
 
 from measure.processes import Processes
 from tests.fixtures.gateways import HOST, GatewayHarness, make_configuration
+from tests.standins.upstream import UpstreamStandin
 
 _POLL_S = 0.02
 _MIN_UPSTREAMS = 3
@@ -27,7 +29,7 @@
 _END_LIMIT_S = 10
 _STORE_FAULTS = ('slow_ms', 'slow_ms', 'down', 'mute')
 
-_Series = Callable[[random.Random], Awaitable[None]]
+Series = Callable[[random.Random], Awaitable[None]]
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -62,6 +64,11 @@
         self.starts: dict[str, list[float]] = defaultdict(list)
         self.stops: dict[str, list[float]] = defaultdict(list)
         self.exit_codes: Counter[int | None] = Counter()
+        self.total_losses_s: list[float] = []
+        # Since when engines were ready, left, and did not serve any more.
+        self._ready_s: dict[str, float] = {}
+        self._left_s: dict[str, float] = {}
+        self.crashes_s: dict[str, float] = {}
         self._ready_urls: dict[str, str] = {}
         self._stopping: set[str] = set()
         # Gateways that are stopping, have ended or are not yet ready.
@@ -72,9 +79,10 @@
         size = len(self.front_ports)
         count = max(_MIN_UPSTREAMS, size // _GATEWAYS_PER_UPSTREAM)
         for number in range(1, count + 1):
-            await self.add_upstream(f'u{number}', 'plain')
+            name = f'v1-u{number}'
+            await self.add_upstream(name, 'plain')
             work_time = _WORK_TIMES[(number - 1) % len(_WORK_TIMES)]
-            self.upstreams[f'u{number}'].response_headers = {
+            self.upstreams[name].response_headers = {
                 _LOAD_HEADER: f'1,0,4,{work_time}'
             }
         self.configuration = self.make_configuration(
@@ -86,6 +94,37 @@
             self._write_settings(name, port)
         await asyncio.gather(*map(self.start, self.front_ports))
 
+    async def add_upstream(self, name: str, pool: str, **options) -> None:
+        version = options.pop('version', 'v1')
+        self.failure_domains[name] = 'one'
+        upstream = self.make_upstream(name, **options)
+        await upstream.start(self.ports.take())
+        self.upstreams[name] = upstream
+        await self.publish_instance(name, pool, version=version)
+
+    async def publish_instance(
+        self, name: str, pool: str, state: str = 'ready', **options
+    ) -> None:
+        times_s = self._ready_s if state == 'ready' else self._left_s
+        times_s.setdefault(name, time.monotonic())
+        await super().publish_instance(name, pool, state, **options)
+
+    async def remove_instance(self, name: str) -> None:
+        self._left_s.setdefault(name, time.monotonic())
+        await super().remove_instance(name)
+
+    def crash_engine(self, engine: UpstreamStandin) -> None:
+        self.crashes_s[engine.name] = time.monotonic()
+        engine.crash()
+
+    def count_engines(self, version: str, moment_s: float) -> int:
+        """Return how many engines of a version were ready at a moment."""
+        return sum(
+            name.startswith(f'{version}-')
+            and ready_s <= moment_s < self._left_s.get(name, math.inf)
+            for name, ready_s in self._ready_s.items()
+        )
+
     def make_configuration(self, version: int) -> dict:
         return make_configuration(version)
 
@@ -143,6 +182,17 @@
         self.processes.wait(name, _END_LIMIT_S)
         self._note(name, 'kill', began_s)
 
+    def kill_all(self) -> list[str]:
+        """Kill all gateways at once; return those to start again."""
+        lost = self.get_ready()
+        running = self.get_running()
+        for name in running:
+            self.processes.send(name, signal.SIGKILL)
+        for name in running:
+            self.kill(name)
+        self.total_losses_s.append(time.monotonic())
+        return lost
+
     async def freeze(self, name: str, seconds: float) -> None:
         began_s = time.monotonic()
         self.processes.send(name, signal.SIGSTOP)
@@ -202,24 +252,38 @@
         What to disturb.
     rng : Random
         Makes the choices repeatable.
+    more_series : tuple of Series
+        Further series, which end before the gateways are stopped.
     """
 
-    def __init__(self, *, fleet: GatewayFleet, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        fleet: GatewayFleet,
+        rng: random.Random,
+        more_series: tuple[Series, ...] = (),
+    ) -> None:
         self._fleet = fleet
         self._rng = rng
+        self._more_series = more_series
         self.counts: Counter[str] = Counter()
 
     async def run(self, seconds: float) -> None:
         """Disturb for some time, then stop all gateways at the same time."""
         around = self._start(self._disturb_store, self._change_configuration)
         at_processes = self._start(
-            self._stop, self._stop, self._kill, self._freeze, self._reload
+            self._stop,
+            self._stop,
+            self._kill,
+            self._freeze,
+            self._reload,
+            *self._more_series,
         )
         await _end(at_processes, seconds)
         await self._fleet.stop_all()
         await _end(around, 0)
 
-    def _start(self, *series: _Series) -> list[asyncio.Task[None]]:
+    def _start(self, *series: Series) -> list[asyncio.Task[None]]:
         return [
             asyncio.ensure_future(
                 _repeat(one, random.Random(self._rng.random()))
@@ -302,7 +366,7 @@
     return {**summary, 'logs': str(fleet.folder)}
 
 
-async def _repeat(series: _Series, rng: random.Random) -> None:
+async def _repeat(series: Series, rng: random.Random) -> None:
     while True:
         await series(rng)
 
--- a/measure/gateway_judge.py
+++ b/measure/gateway_judge.py
@@ -1,10 +1,12 @@
 """Tell what became of the requests of a soak of gateways."""
 
+import math
 import time
 
 from measure.gateway_fleet import GatewayFleet
 from measure.received_events import read_events
-from measure.request_paths import is_stream, may_repeat
+from measure.request_paths import breaks_off, is_stream, may_repeat
+from measure.resumption_figures import find_versions, read_stream
 from measure.sent_request import Sent
 from measure.spoiled_streams import is_spoiled
 from ragworthollow.conf import global_settings
@@ -20,13 +22,21 @@
     - global_settings.GATEWAY_STOP_MARGIN_MS / 1000
     - global_settings.GATEWAY_FINAL_RESPONSES_MS / 1000
 )
-_LOG_EVENTS = ('attempt_failed', 'answered', 'request_ended', 'stream_broken')
+_LOG_EVENTS = (
+    'attempt_failed',
+    'answered',
+    'request_ended',
+    'resume_decided',
+    'stream_broken',
+    'stream_part',
+)
 FAULTS = (
     'cut_by_stop',
     'truncated',
     'doubled',
     'crossed',
     'out_of_order',
+    'joined',
     'false_not_run',
 )
 
@@ -39,10 +49,13 @@
     ----------
     fleet : GatewayFleet
         Where the requests were sent.
+    sent : list of Sent
+        All requests.
     """
 
-    def __init__(self, *, fleet: GatewayFleet) -> None:
+    def __init__(self, *, fleet: GatewayFleet, sent: list[Sent]) -> None:
         self._fleet = fleet
+        self._versions = find_versions(sent)
         # When each request began to run, and where.
         self._runs: dict[str, list[tuple[str, float]]] = {}
         for upstream in fleet.upstreams.values():
@@ -74,6 +87,9 @@
             'verdict': sent.verdict,
             'request_id': sent.request_id,
             'path': sent.path,
+            'resumes_request_id': sent.resumes_request_id,
+            'last_event_id': sent.last_event_id,
+            'events': [event.text for event in read_stream(sent)],
             'status': sent.status,
             'gateway': sent.gateway,
             'sent_ms': round((sent.started_s + offset_s) * 1000),
@@ -93,7 +109,7 @@
         }
 
     def _find_verdict(self, sent: Sent) -> str:
-        fault = _find_fault(sent)
+        fault = _find_fault(sent) or self._find_join(sent)
         if fault:
             return fault
         if sent.status == _OK:
@@ -102,6 +118,18 @@
             return f'{sent.status}'
         return self._find_cut(sent) if sent.runs else 'not_run'
 
+    def _find_join(self, sent: Sent) -> str:
+        """Tell whether a stream has events of several software versions."""
+        if not is_stream(sent.path):
+            return ''
+        began_by = self._versions.get(
+            sent.resumes_request_id or sent.request_id
+        )
+        is_joined = any(
+            event.version != began_by for event in read_stream(sent)
+        )
+        return 'joined' if is_joined else ''
+
     def _find_cut(self, sent: Sent) -> str:
         kinds = {
             one.kind
@@ -127,7 +155,18 @@
         is_stream_of_engine = is_stream(sent.path) and (
             sent.request_id in self._spoiled_by_engines
         )
-        return is_spoiled(sent.path) or is_stream_of_engine
+        return (
+            is_spoiled(sent.path)
+            or breaks_off(sent.path)
+            or is_stream_of_engine
+            or self._has_lost_engine(sent)
+        )
+
+    def _has_lost_engine(self, sent: Sent) -> bool:
+        return is_stream(sent.path) and any(
+            self._fleet.crashes_s.get(name, math.inf) < sent.ended_s
+            for name, _ in self._runs.get(sent.request_id, ())
+        )
 
     def _find_stop(self, sent: Sent) -> float | None:
         """Return the time of SIGTERM of the process that got a request."""
--- a/measure/gateway_soak.py
+++ b/measure/gateway_soak.py
@@ -14,11 +14,15 @@
 from measure.gateway_caller import GatewayCaller
 from measure.gateway_fleet import GatewayBreakage, GatewayFleet, run_on_fleet
 from measure.gateway_judge import FAULTS, GatewayJudge
+from measure.release_breakage import ReleaseBreakage
+from measure.resuming_caller import ResumingCaller
+from measure.resumption_figures import count_resumptions
 from measure.sent_request import Sent
 from measure.spoiled_streams import SpoiledStreamCaller
 
 _CALLERS = 16
 _SPOILED_STREAM_CALLERS = 6
+_RESUMING_CALLERS = 24
 _MIN_BURST_CALLERS = 30
 _BURST_CALLERS_PER_GATEWAY = 4
 _REPORTED_OF_EACH = 5
@@ -29,11 +33,11 @@
 
 
 async def run_gateway_soak(
-    fleet: GatewayFleet, seed: int, seconds: float
+    fleet: GatewayFleet, seed: int, seconds: float, *, has_versions: bool
 ) -> dict:
     """Disturb gateways under load, and count what became of the requests."""
     rng = random.Random(seed)
-    breakage = GatewayBreakage(fleet=fleet, rng=random.Random(rng.random()))
+    breakage_rng = random.Random(rng.random())
     callers = [
         *_make_callers(GatewayCaller, 'c', _CALLERS, fleet, rng),
         *_make_callers(
@@ -42,6 +46,18 @@
     ]
     await fleet.start_all()
     running = []
+    releases = ReleaseBreakage(fleet=fleet)
+    breakage = GatewayBreakage(
+        fleet=fleet,
+        rng=breakage_rng,
+        more_series=(
+            (releases.release, releases.lose_all) if has_versions else ()
+        ),
+    )
+    if has_versions:
+        callers += _make_callers(
+            ResumingCaller, 'r', _RESUMING_CALLERS, fleet, rng
+        )
     if isinstance(fleet, FaultyFleet):
         count = max(
             _MIN_BURST_CALLERS,
@@ -66,7 +82,12 @@
         if not isinstance(outcome, asyncio.CancelledError):
             raise outcome
     sent = [one for caller in callers for one in caller.sent]
-    return _summarise(fleet, seed, sent, breakage.counts)
+    return {
+        **_summarise(fleet, seed, sent, breakage.counts + releases.counts),
+        'streams': count_resumptions(
+            fleet, [one for one in sent if one.request_id.startswith('r')]
+        ),
+    }
 
 
 def _make_callers(
@@ -89,7 +110,7 @@
 def _summarise(
     fleet: GatewayFleet, seed: int, sent: list[Sent], counts: Counter[str]
 ) -> dict:
-    judge = GatewayJudge(fleet=fleet)
+    judge = GatewayJudge(fleet=fleet, sent=sent)
     for one in sent:
         judge.judge(one)
     verdicts = Counter(one.verdict for one in sent)
@@ -130,7 +151,12 @@
 
 
 def run(
-    *, seed: int, seconds: float, gateways: int, has_faulty_engines: bool
+    *,
+    seed: int,
+    seconds: float,
+    gateways: int,
+    has_faulty_engines: bool,
+    has_versions: bool = False,
 ) -> dict:
     """Run a soak from start to end."""
     fleet = (
@@ -139,7 +165,10 @@
         else GatewayFleet(size=gateways)
     )
     return run_on_fleet(
-        fleet, lambda started: run_gateway_soak(started, seed, seconds)
+        fleet,
+        lambda started: run_gateway_soak(
+            started, seed, seconds, has_versions=has_versions
+        ),
     )
 
 
@@ -150,12 +179,14 @@
     seconds: float = 20,
     gateways: int = 4,
     faulty_engines: bool = True,
+    versions: bool = False,
 ) -> None:
     summary = run(
         seed=seed,
         seconds=seconds,
         gateways=gateways,
         has_faulty_engines=faulty_engines,
+        has_versions=versions,
     )
     line = {'seed': seed, 'seconds': seconds, **summary}
     print(msgspec.json.encode(line).decode())
--- a/measure/received_events.py
+++ b/measure/received_events.py
@@ -15,12 +15,17 @@
     event_id : int
         Number of the event in its stream.
     text : str
-        Its data.
+        Its data: the request and the name of the engine.
     """
 
     event_id: int
     text: str
 
+    @property
+    def version(self) -> str:
+        """Return the software version of the engine, the prefix of its name."""
+        return self.text.split(' ')[1].partition('-')[0]
+
 
 def read_events(body: str) -> list[ReceivedEvent]:
     """Return the complete events of a body."""
--- a/measure/request_paths.py
+++ b/measure/request_paths.py
@@ -9,6 +9,11 @@
     return path.startswith(_STREAMS)
 
 
+def breaks_off(path: str) -> bool:
+    """Return whether engines break off a stream that a path asks for."""
+    return '/paced?' in path and '-' in path.partition('?')[2]
+
+
 def may_repeat(path: str) -> bool:
     """Return whether a request may run more than once."""
     return path.startswith(_REPEATABLE)
--- a/measure/sent_request.py
+++ b/measure/sent_request.py
@@ -13,6 +13,9 @@
     is_first: bool
     started_s: float
     last_event_id: int = 0
+    # Attempt that brought the first event of the stream; empty for a new one.
+    resumes_request_id: str = ''
+    retry_after_s: float = 0
     ended_s: float = 0
     status: int | None = None
     body: str = ''
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -406,7 +406,12 @@
 
 def _read_pause_s(request) -> float:
     """Return the pause that a request asks for, as in `delay?120`."""
-    return int(request.path.partition('?')[2]) / 1000
+    return int(request.path.partition('?')[2].partition('-')[0]) / 1000
+
+
+def _read_stop_after(request) -> int:
+    """Return after how many events to break off, as in `paced?120-2`."""
+    return int(request.path.partition('-')[2] or EVENT_COUNT)
 
 
 async def _respond_after_pause(standin, request, _reader, writer):
@@ -419,10 +424,13 @@
 async def _stream_with_pauses(standin, request, _reader, writer):
     first = int(request.headers.get(_LAST_EVENT_ID_HEADER, '0')) + 1
     _start_stream(standin, request, writer)
-    for number in range(first, EVENT_COUNT + 1):
+    last = first + _read_stop_after(request)
+    for number in range(first, min(last, EVENT_COUNT + 1)):
         await asyncio.sleep(_read_pause_s(request))
-        event = f'id: {number}\ndata: {request.request_id}\n\n'
+        event = f'id: {number}\ndata: {request.request_id} {standin.name}\n\n'
         _write_chunk(writer, event.encode())
+    if last <= EVENT_COUNT:
+        return False
     _write_chunk(writer, b'')
     return True
 
@@ -463,14 +471,15 @@
     """Stream as a query such as `connection-inside-reset` asks."""
     framing, stop, end = request.path.partition('?')[2].split('-')
     last_id = request.headers.get(_LAST_EVENT_ID_HEADER)
+    text = f'{request.request_id} {standin.name}'
     if last_id:
-        stream = PartialStream(framing='chunked', text=request.request_id)
+        stream = PartialStream(framing='chunked', text=text)
     else:
         stream = PartialStream(
             framing=framing,
             stop=Stop(stop),
             end=End(end),
-            text=request.request_id,
+            text=text,
         )
     return await write_stream(
         writer, standin.record_run(request), stream, int(last_id or 0) + 1
