--- a/measure/resumption_figures.py
+++ b/measure/resumption_figures.py
@@ -14,15 +14,23 @@
 
 
 def count_resumptions(
-    fleet: GatewayFleet, sent: list[Sent]
+    fleet: GatewayFleet, sent: list[Sent], versions: dict[str, str]
 ) -> dict[str, dict[str, Counter[str]]]:
     """
     Count new streams and resumptions, and how many of them were served.
 
     Resumptions count while two engines of the software version serve that
     began the stream.
+
+    Parameters
+    ----------
+    fleet : GatewayFleet
+        Where the requests were sent.
+    sent : list of Sent
+        Requests of callers that resume streams.
+    versions : dict
+        Version of the first event of each stream.
     """
-    versions = find_versions(sent)
     figures = defaultdict(lambda: defaultdict(Counter))
     for one in sent:
         is_resumption = bool(one.resumes_request_id)
