Give streams of the soak time to be resumed after a total loss

On a busy machine gateways take seconds to start; the streams of callers ended at their time limit before, and a second loss came before any gateway was ready.

--- a/measure/gateway_fleet.py
+++ b/measure/gateway_fleet.py
@@ -27,6 +27,8 @@
 _WORK_TIMES = (70, 70, 170)
 _READY = 200
 _END_LIMIT_S = 10
+# Longer than gateways take to start on a busy machine.
+_RESUMABLE_TIMEOUT_MS = 10_000
 _STORE_FAULTS = ('slow_ms', 'slow_ms', 'down', 'mute')
 
 Series = Callable[[random.Random], Awaitable[None]]
@@ -126,7 +128,11 @@
         )
 
     def make_configuration(self, version: int) -> dict:
-        return make_configuration(version)
+        made = make_configuration(version)
+        for route in made['routes']:
+            if route['can_resume']:
+                route['timeout_ms'] = _RESUMABLE_TIMEOUT_MS
+        return made
 
     def count_engine_faults(self) -> Counter[str]:
         """Return how often engines rejected requests and had faults."""
