--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -411,7 +411,8 @@
 
 def _read_stop_after(request) -> int:
     """Return after how many events to break off, as in `paced?120-2`."""
-    return int(request.path.partition('-')[2] or EVENT_COUNT)
+    query = request.path.partition('?')[2]
+    return int(query.partition('-')[2] or EVENT_COUNT)
 
 
 async def _respond_after_pause(standin, request, _reader, writer):
