Check streams while versions are released and all gateways are lost

Callers whose streams broke off when all gateways were killed resumed them at new gateways, and got the rest from another software version with status 200.

--- a/tests/features/gateway_soak.feature
+++ b/tests/features/gateway_soak.feature
@@ -11,3 +11,10 @@
     # next on the connection, which an engine runs.
     When gateways in front of full engines are disturbed at random from seed 1 for 2 seconds
     Then no request was cut by a stop, doubled, crossed, out of order or falsely refused
+
+  Scenario: Software versions are released while all gateways are lost
+    # Guards against streams that callers resume and that are joined from two
+    # software versions, have a gap, go back or end early.
+    When gateways of engines that change their version are disturbed at random from seed 7 for 20 seconds
+    Then no request was cut by a stop, doubled, crossed, out of order or falsely refused
+    And no stream is joined from two versions, and some were resumed
--- a/tests/features/steps/gateway_soak.py
+++ b/tests/features/steps/gateway_soak.py
@@ -30,6 +30,20 @@
     )
 
 
+@when(
+    'gateways of engines that change their version are disturbed at random '
+    'from seed {seed:d} for {span:d} seconds'
+)
+def run_with_versions(context, seed, span):
+    context.summary = run(
+        seed=seed,
+        seconds=span,
+        gateways=_GATEWAYS,
+        has_faulty_engines=False,
+        has_versions=True,
+    )
+
+
 @then(
     'no request was cut by a stop, doubled, crossed, out of order or falsely '
     'refused'
@@ -37,3 +51,10 @@
 def check_requests(context):
     assert not count_faults(context.summary), context.summary
     assert context.summary['answered'], context.summary
+
+
+@then('no stream is joined from two versions, and some were resumed')
+def check_streams(context):
+    assert not context.summary['joined'], context.summary
+    streams = context.summary['streams'].values()
+    assert any(period['resumed']['served'] for period in streams), streams
