Count time in suspend wherever ages, deadlines and leases are measured

Callers saw: after a machine had been suspended, a request that was sent to another upstream carried a deadline longer than its caller waited, by the whole time in suspend. In the same way a list of instances from before looked new to a resumption, an outage looked more recent, and the owner of a key range trusted a lease which had ended meanwhile, so that a key could run at two members.

Cause: most ages were measured with CLOCK_MONOTONIC, which stops in suspend, and only those known to matter with CLOCK_BOOTTIME. One place (PoolThrottle) even compared times of both.

Now there is one clock, CLOCK_BOOTTIME, behind both names. A suspension looks like any other pause of the process, as for callers and peers. Timers of the event loop still stand still in suspend.

Evidence: suspension.feature advances CLOCK_BOOTTIME by 1 s while the first attempt of a request runs. Before: the second attempt was given 1494 ms where its caller had 482 ms left, and an owner was certain of its ranges after a suspension as long as its lease. The scenarios of grace_time.feature replaced only CLOCK_BOOTTIME by the suspended clock; as there is no other now, they replace the one that is left, and check the same.

--- a/tests/features/steps/grace_time.py
+++ b/tests/features/steps/grace_time.py
@@ -22,7 +22,7 @@
         return loop.get_ms() + (suspended_ms if is_resumed else 0)
 
     result = SimpleNamespace(is_aborted=None)
-    with override_clocks(loop.get_ms, read_boottime_ms):
+    with override_clocks(read_boottime_ms):
         role = GatewayRole(settings=make_settings(grace_s=_GRACE_S))
         serving = asyncio.ensure_future(_serve(role))
         await asyncio.sleep(0)
--- a/tests/features/steps/stream_restarts.py
+++ b/tests/features/steps/stream_restarts.py
@@ -8,7 +8,6 @@
 from behave import given, then, when
 
 from ragworthollow.utils import (
-    get_boottime_ms,
     get_monotonic_ms,
     override_clocks,
 )
@@ -110,10 +109,8 @@
     gateway = stage.get_context()
     gateway.directory.replace = lambda *_: None
     stage.run(stage.gateways.pop('g2').close())
-    boottime_ms = get_boottime_ms() - get_monotonic_ms() + seconds * 1000
     context.clocks = override_clocks(
-        lambda: time.monotonic() * 1000,
-        lambda: time.monotonic() * 1000 + boottime_ms,
+        lambda: (time.clock_gettime(time.CLOCK_BOOTTIME) + seconds) * 1000,
     )
 
 
--- /dev/null
+++ b/tests/features/suspension.feature
@@ -0,0 +1,15 @@
+Feature: A process whose machine was suspended or that was frozen counts the time
+
+  @each.gateway
+  @each.suspension
+  Scenario: A request is sent once more after its machine was suspended
+    # Guards against an upstream that is given more time than its caller has.
+    When a caller with 3000 ms posts to /safe/wait, and the machine is suspended for 1000 ms before another attempt
+    Then no attempt was given more time than the caller had left
+
+  @each.suspension
+  Scenario: A machine is suspended for longer than the lease of its sidecar
+    # Guards against a key that runs twice: another member has taken over.
+    Given an owner that has just confirmed its lease
+    When its machine is suspended for as long as the lease lasts
+    Then its ownership is no longer certain
