Answer at the time limit after the machine was suspended

Callers saw: a request that waited for a silent upstream while its gateway's machine was suspended got its 504 later than its limit, by the whole time in suspend.

Cause: timers of the event loop run on CLOCK_MONOTONIC, which stops in suspend.

The time limits of attempts and stages are now held by the gateway, which compares the clocks with every tick, and moves the timers forward after a suspension. Requests whose limit has passed are answered with that tick.

Evidence: suspension.feature suspends the machine for 2 s while a caller with 3 s waits for a whole answer, and for the head of a stream. Other timers (the limits for heads, bodies and idle connections) still last longer by the time in suspend.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/attempt.py
@@ -1,6 +1,5 @@
 """Make a single attempt at one upstream instance."""
 
-import asyncio
 from dataclasses import dataclass, replace
 
 from aiohttp import (
@@ -133,7 +132,7 @@
         ),
     )
     try:
-        async with asyncio.timeout(plan.timeout_ms / 1000):
+        async with context.exchanges.time_limits.limit(plan.timeout_ms):
             response = await context.upstream_session.request(
                 job.request.method,
                 target_url.make_target_url(address, job.request.raw_path),
@@ -171,7 +170,9 @@
         return opened
     response = opened.ok_value
     try:
-        async with asyncio.timeout((end_ms - get_monotonic_ms()) / 1000):
+        async with context.exchanges.time_limits.limit(
+            end_ms - get_monotonic_ms()
+        ):
             body = await bounded_reading.read_bounded(
                 response, global_settings.MAX_RESPONSE_BYTES
             )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/exchanges.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/exchanges.py
@@ -7,12 +7,13 @@
     make_peer_session,
 )
 from ragworthollow.upstreams import LoadTracker
+from ragworthollow.utils.time_limits import TimeLimits
 from ragworthollow_daemon.gateway.stage_exchange import StageExchange
 
 
 class Exchanges:
     """
-    Own the sessions for messages to stage instances and to peer gateways.
+    Own the sessions for stage instances and peers, and the time limits.
 
     Must be created inside the running event loop.
 
@@ -29,11 +30,14 @@
         Session for requests to peer gateways.
     stages : StageExchange
         Sends messages to stage instances.
+    time_limits : TimeLimits
+        Time limits of requests at upstreams.
     """
 
     def __init__(self, *, load_tracker: LoadTracker, metrics: Metrics) -> None:
         self._stage_session = make_held_session(REQUEST_ID_HEADER)
         self.peer_session = make_peer_session()
+        self.time_limits = TimeLimits()
         self.stages = StageExchange(
             session=self._stage_session,
             load_tracker=load_tracker,
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_runner.py
@@ -1,6 +1,5 @@
 """Run requests through their stages and forward them to an upstream."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -243,7 +242,9 @@
         job: RequestJob,
     ) -> Result[tuple[str, ...], UpstreamFailure]:
         try:
-            async with asyncio.timeout(job.get_remaining_ms() / 1000):
+            async with self._context.exchanges.time_limits.limit(
+                job.get_remaining_ms()
+            ):
                 return await stages.run()
         except TimeoutError:
             return Err(make_refusal(Reason.deadline_exceeded, job.pool))
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -221,6 +221,7 @@
     async def _tick(self, request_handler: RequestHandler) -> None:
         while True:
             await asyncio.sleep(global_settings.SCHEDULER_TICK_MS / 1000)
+            self.context.exchanges.time_limits.adjust()
             self._handover.check()
             self._piece_client.notify_new_hosts()
             self.service.advance_all()
--- a/tests/features/steps/suspension.py
+++ b/tests/features/steps/suspension.py
@@ -12,6 +12,7 @@
 
 # Time between the reading of a clock and the arrival of what was sent then.
 _TRANSIT_MS = 100
+_GATEWAY_TIMEOUT = 504
 # Some rounds of the gateways' loops.
 _SETTLE_S = 0.5
 _INPUTS_HEADER = 'x-ragworthollow-inputs'
@@ -60,6 +61,32 @@
     assert given_ms <= left_ms + _TRANSIT_MS, (given_ms, left_ms)
 
 
+@when(
+    'a caller with {limit_ms:d} ms posts to {path:S}, and the machine is '
+    'suspended for {suspended_ms:d} ms'
+)
+def wait_and_suspend(context, limit_ms, path, suspended_ms):
+    context.gateway_stage.run(
+        _wait_and_suspend(context, limit_ms, path, suspended_ms)
+    )
+
+
+async def _wait_and_suspend(context, limit_ms, path, suspended_ms) -> None:
+    stage = context.gateway_stage
+    sent_ms = get_monotonic_ms()
+    sending = asyncio.ensure_future(stage.send(path, limit_ms=limit_ms))
+    await stage.wait_for(lambda: _list_arrivals(stage))
+    context.suspension.suspend(suspended_ms)
+    context.response = await sending
+    context.elapsed_ms = get_monotonic_ms() - sent_ms
+
+
+@then('it is answered within {limit_ms:d} ms')
+def check_answered(context, limit_ms):
+    assert context.response.status == _GATEWAY_TIMEOUT
+    assert context.elapsed_ms < limit_ms, context.elapsed_ms
+
+
 @given('an owner that has just confirmed its lease')
 def make_owner(context):
     context.owner = Ownership(instance='s1', incarnation='s1-1')
--- a/tests/features/suspension.feature
+++ b/tests/features/suspension.feature
@@ -7,6 +7,18 @@
     When a caller with 3000 ms posts to /safe/wait, and the machine is suspended for 1000 ms before another attempt
     Then no attempt was given more time than the caller had left
 
+  @each.gateway
+  @each.suspension
+  Scenario Outline: A machine is suspended while a request waits for <what>
+    # Guards against a caller that is held past its time limit.
+    When a caller with 3000 ms posts to <path>, and the machine is suspended for 2000 ms
+    Then it is answered within 3400 ms
+
+    Examples:
+      | what                 | path         |
+      | a whole answer       | /unsafe/wait |
+      | the head of a stream | /stream/wait |
+
   @each.suspension
   Scenario: A machine is suspended for longer than the lease of its sidecar
     # Guards against a key that runs twice: another member has taken over.
