Show a missing event that only replaced gateways could notice

Callers would see a stream that is ended as whole but lacks events: after all gateways were replaced, a caller resumes after event 2 at an instance that goes on with event 4, and gets 4 and 5 with status 200.

Cause: that software numbers its events without gaps is remembered by each gateway for itself. Gateways that have relayed streams of it reject the gap ("A caller resumes at an instance that begins elsewhere"), those that have just started do not know, and software that leaves numbers out is sound too.

Not fixed: what streams have shown has to outlast the gateways, as the versions of streams do.

--- a/tests/features/stream_order.feature
+++ b/tests/features/stream_order.feature
@@ -136,6 +136,16 @@
       | 2 3 4 5   |
       | 4 5       |
 
+  Scenario: A caller resumes after all gateways were replaced, at an instance that skips an event
+    # Guards against a missing event that only gateways of before could notice.
+    Given two more gateways and an instance for stage work
+    And streams of these upstreams that were relayed before
+    When all gateways are killed and started again
+    Then they serve the newest configuration
+    Given upstreams whose next responses hold events 4 5
+    When a caller resumes /resumable/partial after event 2
+    Then it gets events 3 to 5 once, in order, and the end
+
   Scenario Outline: A caller resumes a stream with gaps after event <known>: <responses>
     # Guards against a caller that comes back and never gets the rest, or gets
     # events again.
