--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/version_records.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/version_records.py
@@ -12,11 +12,7 @@
 from ragworthollow.platform.stored import Stored
 from ragworthollow.platform.transaction import Put, compare_with
 from ragworthollow.upstreams import PoolVersions, VersionRegistry
-from ragworthollow.utils import (
-    decode_json,
-    get_boottime_ms,
-    get_monotonic_ms,
-)
+from ragworthollow.utils import decode_json, get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.shared_read import SharedRead
 
@@ -76,7 +72,7 @@
         self._registry.observe(
             directory.versions.list_current(directory.updated_ms),
             self._decoded,
-            get_boottime_ms() - (get_monotonic_ms() - confirmed_ms),
+            confirmed_ms,
         )
         self._written = {
             pool: (replaced, versions)
--- a/packages/ragworthollow/src/ragworthollow/upstreams/observation.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/observation.py
@@ -2,7 +2,7 @@
 
 import math
 
-from ragworthollow.utils import get_boottime_ms, get_monotonic_ms
+from ragworthollow.utils import get_monotonic_ms
 
 
 class Observation:
@@ -18,15 +18,14 @@
     Attributes
     ----------
     since_ms : float
-        Time from which on lists have followed each other without a break, on
-        the monotonic clock; infinite before the first list.
+        Time from which on lists have followed each other without a break;
+        infinite before the first list.
     """
 
     def __init__(self, *, propagation_ms: float) -> None:
         self._propagation_ms = propagation_ms
         self.since_ms = math.inf
-        # The monotonic clock stops while the machine is suspended.
-        self._updated_boottime_ms = -math.inf
+        self._updated_ms = -math.inf
 
     def record(self, updated_ms: float) -> None:
         """
@@ -35,14 +34,13 @@
         Parameters
         ----------
         updated_ms : float
-            Time as of which it is known to be current, on the monotonic clock.
+            Time as of which it is known to be current.
         """
-        boottime_ms = get_boottime_ms() - (get_monotonic_ms() - updated_ms)
-        gap_ms = boottime_ms - self._updated_boottime_ms
+        gap_ms = updated_ms - self._updated_ms
         if math.isinf(self.since_ms) or gap_ms > self._propagation_ms:
             self.since_ms = updated_ms
-        self._updated_boottime_ms = boottime_ms
+        self._updated_ms = updated_ms
 
     def get_age_ms(self) -> float:
-        """Return the age of the last list, including time in suspend."""
-        return get_boottime_ms() - self._updated_boottime_ms
+        """Return the age of the last list."""
+        return get_monotonic_ms() - self._updated_ms
--- a/packages/ragworthollow/src/ragworthollow/upstreams/version_registry.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/version_registry.py
@@ -17,7 +17,7 @@
     until it has been observed without a break for long enough; a break starts
     the wait again.
 
-    All times are on CLOCK_BOOTTIME, in milliseconds.
+    All times are on one clock that counts time in suspend, in milliseconds.
 
     Parameters
     ----------
--- a/tests/features/steps/stream_restarts.py
+++ b/tests/features/steps/stream_restarts.py
@@ -9,7 +9,6 @@
 from behave import given, then, when
 
 from ragworthollow.utils import (
-    get_monotonic_ms,
     override_clocks,
 )
 from tests.standins.partial_streams import PartialStream, Stop
