Ask the writer of a stored stream record whether it still holds

What callers saw: a stream was resumed at the version of the store's record although the gateway that had written it no longer trusted that version, since the instance had restarted under its identifier. Cause: the record is corrected up to 100 ms later, and was used before. The gateway that wrote it is asked now if it is still a member; the record counts alone only where it has ended or does not answer.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_resolver.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_resolver.py
@@ -67,10 +67,23 @@
         if may_ask and await self._origins.fetch(request_id):
             decision = decide_resume(self._context, job)
         if decision.is_recorded_in_store():
-            self._keep_origin(job, decision)
+            decision = await self._confirm_record(job, decision)
         log_resume(self._context, job, decision)
         return decision
 
+    async def _confirm_record(
+        self, job: RequestJob, decision: ResumeDecision
+    ) -> ResumeDecision:
+        """Decide again with what the writer of the record knows by now."""
+        request_id = job.request_parameters.resumes_request_id
+        recorded = self._context.directory.recorded_streams.find(request_id)
+        writers = () if recorded is None else recorded.writers
+        if await self._origins.confirm(request_id, writers):
+            return decide_resume(self._context, job)
+        # It has ended: the record is all there is.
+        self._keep_origin(job, decision)
+        return decision
+
     def _keep_origin(self, job: RequestJob, decision: ResumeDecision) -> None:
         """Remember what the store has told, until the stream is bound."""
         now_ms = get_monotonic_ms()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_origin_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_origin_client.py
@@ -1,6 +1,7 @@
 """Ask peer gateways which software version began a stream."""
 
 import asyncio
+from collections.abc import Collection
 
 import aiohttp
 import msgspec
@@ -43,7 +44,7 @@
 
     async def fetch(self, request_id: str) -> bool:
         """
-        Ask which version began a stream, and record it.
+        Ask peers which version began a stream, and record it.
 
         Parameters
         ----------
@@ -55,9 +56,34 @@
         bool
             Whether a peer knows the stream.
         """
+        return await self._fetch_from(self._choose_peers(), request_id)
+
+    async def confirm(self, request_id: str, writers: Collection[str]) -> bool:
+        """
+        Ask those who have recorded a stream whether the record still holds.
+
+        Parameters
+        ----------
+        request_id : str
+            Caller's attempt whose response brought the first event.
+        writers : collection of str
+            Incarnations of the gateways that have recorded it.
+
+        Returns
+        -------
+        bool
+            Whether one of them knows the stream.
+        """
+        peers = [
+            peer for peer in self._list_peers() if peer.incarnation in writers
+        ]
+        return await self._fetch_from(peers, request_id)
+
+    async def _fetch_from(
+        self, peers: Collection[GatewayMember], request_id: str
+    ) -> bool:
         asked = [
-            asyncio.ensure_future(self._ask(peer, request_id))
-            for peer in self._choose_peers()
+            asyncio.ensure_future(self._ask(peer, request_id)) for peer in peers
         ]
         try:
             return await self._record_first(request_id, asked)
@@ -78,13 +104,16 @@
                 )
         return False
 
-    def _choose_peers(self) -> list[GatewayMember]:
-        peers = [
+    def _list_peers(self) -> list[GatewayMember]:
+        return [
             member
             for member in self._members.get_members().values()
             if member.instance != self._context.settings.instance
             and not self._members.is_unresponsive(member.instance)
         ]
+
+    def _choose_peers(self) -> list[GatewayMember]:
+        peers = self._list_peers()
         count = min(len(peers), global_settings.STREAM_ORIGIN_PEERS)
         return self._context.rng.sample(peers, count)
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_records.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_records.py
@@ -127,7 +127,8 @@
                 error=str(error),
             )
             return
-        self._context.directory.recorded_streams.set(key, segment)
+        writer, _, _ = key.removeprefix(_PREFIX).partition('/')
+        self._context.directory.recorded_streams.set(key, writer, segment)
 
     def _has_space(self) -> bool:
         return len(self._streams) < global_settings.STREAM_SEGMENT_SIZE
--- a/packages/ragworthollow/src/ragworthollow/upstreams/recorded_streams.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/recorded_streams.py
@@ -15,9 +15,12 @@
     ----------
     software_version : str or None
         Version that began it; None if it is not certain.
+    writers : frozenset of str
+        Incarnations of the gateways that have recorded it.
     """
 
     software_version: str | None
+    writers: frozenset[str]
 
 
 class RecordedStreams:
@@ -25,9 +28,21 @@
 
     def __init__(self) -> None:
         self._segments: dict[str, Mapping[str, str | None]] = {}
+        self._writers: dict[str, str] = {}
 
-    def set(self, key: str, segment: StreamSegment) -> None:
-        """Add or replace a segment."""
+    def set(self, key: str, writer: str, segment: StreamSegment) -> None:
+        """
+        Add or replace a segment.
+
+        Parameters
+        ----------
+        key : str
+            Its key in the store.
+        writer : str
+            Incarnation of the gateway that has written it.
+        segment : StreamSegment
+            The segment.
+        """
         versions: dict[str, str | None] = {
             request_id: version
             for version, request_ids in segment.streams.items()
@@ -35,10 +50,12 @@
         }
         versions.update(dict.fromkeys(segment.uncertain))
         self._segments[key] = versions
+        self._writers[key] = writer
 
     def remove(self, key: str) -> None:
         """Remove a segment, if it is there."""
         self._segments.pop(key, None)
+        self._writers.pop(key, None)
 
     def list_keys(self) -> frozenset[str]:
         """Return the keys of the segments."""
@@ -53,15 +70,16 @@
         request_id : str
             Caller's attempt whose response brought the first event.
         """
-        versions = {
-            segment[request_id]
-            for segment in self._segments.values()
+        found = {
+            key: segment[request_id]
+            for key, segment in self._segments.items()
             if request_id in segment
         }
-        if not versions:
+        if not found:
             return None
         # A record that differs from another makes the version uncertain.
-        is_certain = len(versions) == 1
+        versions = set(found.values())
         return RecordedStream(
-            software_version=versions.pop() if is_certain else None
+            software_version=versions.pop() if len(versions) == 1 else None,
+            writers=frozenset(self._writers[key] for key in found),
         )
--- a/tests/features/steps/stream_restarts.py
+++ b/tests/features/steps/stream_restarts.py
@@ -16,6 +16,7 @@
 _PATH = '/resumable/partial'
 _SEED = 1
 _OK = 200
+_REFUSED = 503
 
 
 @given('instances of software versions {versions}')
@@ -107,6 +108,16 @@
         stage.run(stage.wait_for(partial(directory.get_pool, 'plain')))
 
 
+@when('the gateways that relayed them become uncertain')
+def make_all_uncertain(context):
+    stage = context.gateway_stage
+    context.new_gateways = sorted(stage.gateways)
+    for name in stage.gateways:
+        stream_versions = stage.get_context(name).directory.stream_versions
+        for instance in stage.upstreams:
+            stream_versions.forget_version(instance, 0)
+
+
 @when('each of the streams is resumed at a new gateway')
 def resume_streams(context):
     stage = context.gateway_stage
@@ -165,6 +176,12 @@
     assert of_version, 'no stream began at this version'
 
 
+@then('every resumption is refused')
+def check_refused(context):
+    statuses = Counter(resumed.status for resumed in context.resumed)
+    assert statuses == {_REFUSED: len(context.resumed)}, statuses
+
+
 def _find_versions(context, *responses) -> set[str]:
     """Return the versions of the instances that ran any of the requests."""
     names = [response.request_id for response in responses]
--- a/tests/features/steps/version_records.py
+++ b/tests/features/steps/version_records.py
@@ -137,15 +137,17 @@
 @then('a stream with records of v1 and v2 is uncertain')
 def check_differing(context):
     context.streams = RecordedStreams()
-    context.streams.set('s/1', StreamSegment(streams={'v1': ['r1', 'r2']}))
-    context.streams.set('s/2', StreamSegment(streams={'v2': ['r1']}))
+    context.streams.set(
+        's/1', 'g1', StreamSegment(streams={'v1': ['r1', 'r2']})
+    )
+    context.streams.set('s/2', 'g2', StreamSegment(streams={'v2': ['r1']}))
     assert context.streams.find('r1').software_version is None
     assert context.streams.find('r2').software_version == 'v1'
 
 
 @then('a stream with a record of v1 and an uncertain one is uncertain')
 def check_uncertain(context):
-    context.streams.set('s/3', StreamSegment(uncertain=['r2']))
+    context.streams.set('s/3', 'g3', StreamSegment(uncertain=['r2']))
     assert context.streams.find('r2').software_version is None
 
 
--- a/tests/features/stream_restarts.feature
+++ b/tests/features/stream_restarts.feature
@@ -56,6 +56,17 @@
     Then no stream is joined from two software versions
     And all streams of version v1 go on
 
+  @fixture.log_lines
+  Scenario: A version has become uncertain since it was recorded
+    # Guards against a record in the store that its writer no longer trusts.
+    Given instances of software versions v1, v1, v2, v2
+    And 2 more gateways that know all instances
+    When 24 streams break off
+    And the store has what began them
+    And the gateways that relayed them become uncertain
+    And each of the streams is resumed at a new gateway
+    Then every resumption is refused
+
   @fixture.log_lines
   Scenario: A gateway was suspended while a version came
     # Guards against a list that seems new by a clock which stops in suspend.
