Follow the configuration past a manifest that cannot be read

A manifest of another writer (wrong types, a number beyond 64 bits, deep nesting) raised DecodeError out of the loop that follows the configuration (loop_failed in the entry and in the sidecar), out of the start of a process, and out of an operator's change. Its decoder raised, and none of its three callers expected that.

The decoder now returns an error like that of a platform that does not answer. Processes keep their configuration and read the manifest again; a change is refused and says why, since overwriting the manifest would lose its history.

--- a/packages/ragworthollow/src/ragworthollow/configuration/configuration_synchronizer.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/configuration_synchronizer.py
@@ -213,7 +213,11 @@
             after=position,
             idle_ms=self._get_idle_timeout_ms(),
         ):
-            if decode_manifest(stored.text).generation > self._store.generation:
+            decoded = decode_manifest(stored.text)
+            if (
+                isinstance(decoded, Ok)
+                and decoded.ok_value.generation > self._store.generation
+            ):
                 await self._read_platform()
             if not self._peers.is_watcher():
                 return
--- a/packages/ragworthollow/src/ragworthollow/configuration/publisher.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/publisher.py
@@ -113,7 +113,14 @@
             return dataclasses.replace(
                 stored_manifest.err_value, may_have_applied=False
             )
-        manifest = decode_manifest(stored_manifest.ok_value.text)
+        decoded = decode_manifest(stored_manifest.ok_value.text)
+        if isinstance(decoded, Err):
+            return ChangeResponse(
+                accepted=False,
+                reason=Reason.platform_unavailable,
+                detail=decoded.err_value.detail,
+            )
+        manifest = decoded.ok_value
         earlier_response = find_accepted_change(manifest, request)
         if earlier_response is not None:
             await self._apply_manifest(manifest)
--- a/packages/ragworthollow/src/ragworthollow/configuration/reader.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/reader.py
@@ -34,7 +34,10 @@
     manifest_result = await key_value.read(MANIFEST_KEY)
     if isinstance(manifest_result, Err):
         return manifest_result
-    manifest = decode_manifest(manifest_result.ok_value.text)
+    decoded = decode_manifest(manifest_result.ok_value.text)
+    if isinstance(decoded, Err):
+        return decoded
+    manifest = decoded.ok_value
     if manifest.generation > store.generation:
         snapshot = await read_files(key_value, store, manifest)
         if isinstance(snapshot, Err):
--- a/packages/ragworthollow/src/ragworthollow/configuration/store.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/store.py
@@ -10,15 +10,20 @@
 from ragworthollow.configuration.checks import check_files
 from ragworthollow.configuration.deployment import Deployment
 from ragworthollow.configuration.exceptions import ConfigurationError
+from ragworthollow.configuration.keys import MANIFEST_KEY
 from ragworthollow.configuration.manifest import Manifest
 from ragworthollow.configuration.merge import SourceFile
 from ragworthollow.configuration.parse_cache import ParseCache
 from ragworthollow.configuration.snapshot import Snapshot, hash_text
+from ragworthollow.logs.events import log_error
 from ragworthollow.outcomes import Reason
+from ragworthollow.platform import PlatformError
 from ragworthollow.utils import decode_json
 
 Listener = Callable[[], None]
 
+_MAX_ERROR_CHARACTERS = 200
+
 
 class ConfigurationStore:
     """
@@ -155,15 +160,31 @@
     return msgspec.json.encode(manifest).decode()
 
 
-def decode_manifest(text: str) -> Manifest:
+def decode_manifest(text: str) -> Result[Manifest, PlatformError]:
     """
     Decode a stored manifest; an empty text gives an empty manifest.
 
-    Raises
-    ------
-    msgspec.DecodeError
-        The record is not a valid manifest.
+    Returns
+    -------
+    Result
+        The manifest, or an error if the record is not valid, which is logged.
     """
     if not text:
-        return Manifest()
-    return decode_json(text, Manifest)
+        return Ok(Manifest())
+    try:
+        return Ok(decode_json(text, Manifest))
+    except msgspec.DecodeError as error:
+        log_error(
+            'manifest_unreadable',
+            step='configuration',
+            peer=MANIFEST_KEY,
+            error=str(error)[:_MAX_ERROR_CHARACTERS],
+        )
+    return Err(
+        PlatformError(
+            step=MANIFEST_KEY,
+            peer=MANIFEST_KEY,
+            detail='the stored manifest cannot be read',
+            may_have_applied=False,
+        )
+    )
--- a/tests/features/foreign_entries.feature
+++ b/tests/features/foreign_entries.feature
@@ -57,3 +57,17 @@
       | "..:80" as address         | members/odd |
       | 1,000 levels as a whole    | assignment  |
       | 1e400 as epoch             | assignment  |
+
+  Scenario Outline: The store has <change> of the manifest
+    # Guards against a manifest that ends the processes that read it, or keeps
+    # them from following the configuration for good.
+    Given an entry and a sidecar that own the keys of a pool
+    When another writer replaces the manifest by <change> for 3 reads
+    Then a sidecar starts, and a change is refused for the manifest
+    And all apply the next configuration once the manifest is back
+
+    Examples:
+      | change                        |
+      | 1,000 levels as a whole       |
+      | 1e400 as generation           |
+      | {} as files                   |
--- a/tests/features/steps/foreign_entries.py
+++ b/tests/features/steps/foreign_entries.py
@@ -9,6 +9,7 @@
 
 from measure.large import Size, make_files
 from ragworthollow.conf import global_settings
+from ragworthollow.configuration.keys import MANIFEST_KEY
 from ragworthollow.platform.instance_list_decoding import decode_instance_list
 from ragworthollow.utils import get_monotonic_ms
 from tests.fixtures.odd_records import make_odd_record
@@ -23,6 +24,7 @@
     'address': _ODD_ADDRESS,
 }
 _ODD_MEMBER = {'incarnation': 'odd-1', 'address': _ODD_ADDRESS}
+_ODD_MANIFEST = {'generation': 2, 'files': [], 'history': []}
 _RANGE_PATH = '/api/kv-range'
 
 
@@ -173,24 +175,30 @@
 )
 def store_odd(context, change, key, count):
     harness = context.daemon_service
-    suffix = f'once/{_POOL}/assignment'
-    (assignment_key,) = (
-        name for name in harness.store.entries if name.endswith(suffix)
-    )
+    assignment_key = _find_key(harness, f'once/{_POOL}/assignment')
     odd_key = f'{assignment_key.removesuffix("assignment")}{key}'
     harness.run(_store_odd(harness, change, odd_key, count))
 
 
+def _find_key(harness, suffix):
+    (key,) = (name for name in harness.store.entries if name.endswith(suffix))
+    return key
+
+
 async def _store_odd(harness, change, key, count):
     odd = make_odd_record(_ODD_MEMBER, change)
     previous = harness.store.entries.get(key)
     harness.store.put_bytes(key, odd)
+    await _wait_for_reads(harness, count)
+    if previous:
+        harness.store.put_bytes(key, base64.b64decode(previous.value))
+
+
+async def _wait_for_reads(harness, count):
     target = harness.store.counts[_RANGE_PATH] + count
     await harness.wait_until(
         lambda: harness.store.counts[_RANGE_PATH] >= target
     )
-    if previous:
-        harness.store.put_bytes(key, base64.b64decode(previous.value))
 
 
 @then('no loop has failed, and the sidecar is sure of its keys once it is gone')
@@ -204,3 +212,31 @@
     )
     assert ownership.owns_any()
     _check_loops(context)
+
+
+@when('another writer replaces the manifest by {change} for {count:d} reads')
+def replace_manifest(context, change, count):
+    harness = context.daemon_service
+    context.manifest_key = _find_key(harness, MANIFEST_KEY)
+    context.manifest = harness.store.entries[context.manifest_key].value
+    odd = make_odd_record(_ODD_MANIFEST, change)
+    harness.store.put_bytes(context.manifest_key, odd)
+    harness.run(_wait_for_reads(harness, count))
+    _check_loops(context)
+
+
+@then('a sidecar starts, and a change is refused for the manifest')
+def check_unreadable_manifest(context):
+    harness = context.daemon_service
+    harness.running.append(harness.run(harness.start_sidecar('late')))
+    answer = harness.run(harness.post_change({'30-more.yaml': 'owner: own\n'}))
+    assert 'manifest cannot be read' in answer['detail'], answer
+
+
+@then('all apply the next configuration once the manifest is back')
+def check_manifest_back(context):
+    harness = context.daemon_service
+    harness.store.put_bytes(
+        context.manifest_key, base64.b64decode(context.manifest)
+    )
+    check_configuration(context)
