Reject an assignment with another number of ranges

The ranges of an assignment are an index: a record of another writer with fewer of them raised IndexError for the keys of the missing ranges, in the entry that looks up an owner and in the sidecar. Such an assignment cannot be read now, and is passed over like any other that cannot.

On the previous code both rows (63 and 65 ranges) failed, since the record was accepted.

--- a/packages/ragworthollow/src/ragworthollow/once/assignment.py
+++ b/packages/ragworthollow/src/ragworthollow/once/assignment.py
@@ -67,6 +67,11 @@
     members: tuple[Member, ...] = ()
     ranges: tuple[RangeOwner, ...] = ()
 
+    def __post_init__(self) -> None:
+        """Check the number of ranges."""
+        if len(self.ranges) not in {0, global_settings.ONCE_RANGES}:
+            raise ValueError(f'{len(self.ranges)} ranges')
+
     def get_owner(self, key: str) -> RangeOwner | None:
         """Return the owner of a key; None if no assignment exists."""
         if not self.ranges:
--- a/tests/features/json_decoding.feature
+++ b/tests/features/json_decoding.feature
@@ -20,6 +20,8 @@
       | a configuration           | an integer too large |
       | a page of the store       | an integer too large |
       | results of a peer         | a float too large    |
+      | an assignment             | 63 ranges            |
+      | an assignment             | 65 ranges            |
 
   Scenario: Numbers of any size in any text
     # Guards against numbers that are valid JSON and overflow arithmetic, and
--- a/tests/features/steps/json_decoding.py
+++ b/tests/features/steps/json_decoding.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 from result import Err
 
+from ragworthollow.once.assignment import decode_assignment
 from ragworthollow.platform.configuration_wire import decode_configuration
 from ragworthollow.platform.stage_wire import decode_is_busy, decode_run
 from ragworthollow.platform.store_wire import RangePage
@@ -25,6 +26,7 @@
     'deeply nested values': b'{"unknown":' + _NESTED + b'}',
     'a value not Base64': b'{"items":[{"key":"a","value":"?"}]}',
 }
+_OWNER = b'{"instance":"a","incarnation":"a-1"},'
 _TOO_LARGE = b'1' + b'0' * 400
 _TEXTS_BY_MESSAGE = {
     ('a report', 'an integer too large'): (
@@ -39,6 +41,12 @@
     ('a page of the store', 'an integer too large'): (
         b'{"as_of":-' + _TOO_LARGE + b'}'
     ),
+    ('an assignment', '63 ranges'): (
+        b'{"epoch":1,"ranges":[' + (_OWNER * 63)[:-1] + b']}'
+    ),
+    ('an assignment', '65 ranges'): (
+        b'{"epoch":1,"ranges":[' + (_OWNER * 65)[:-1] + b']}'
+    ),
     ('results of a peer', 'a float too large'): (
         b'{"results":[{"outcome":"done","wait_ms":1e300}]}'
     ),
@@ -49,6 +57,7 @@
     'results of a peer': decode_results,
     'an update of a peer': lambda text: decode_update(zlib.compress(text)),
     'a configuration': decode_configuration,
+    'an assignment': decode_assignment,
     'a page of the store': lambda text: decode_json(text, RangePage),
 }
 
