Replace a budget of model loads that cannot be read

The budget that all sidecars share was decoded outside of any guard: a record of another writer ended the loop that orders models. One whose start lies in the future kept every sidecar from loading a model until then, and a negative count granted loads beyond the rate of the weight store.

Such a record is replaced by an exhausted window that starts now, because nobody knows how many loads the last minute had; loads go on after it.

--- a/tests/features/foreign_entries.feature
+++ b/tests/features/foreign_entries.feature
@@ -71,3 +71,17 @@
       | 1,000 levels as a whole       |
       | 1e400 as generation           |
       | {} as files                   |
+
+  Scenario Outline: The store has <change> of the budget of model loads
+    # Guards against a record that ends the loop which orders models, or keeps
+    # every engine from loading one for good.
+    Given an entry and a sidecar that own the keys of a pool
+    When another writer stores <change> of the budget of model loads
+    Then no load is granted for a minute, and 2 of 3 are after that
+
+    Examples:
+      | change                              |
+      | 1,000 levels as a whole             |
+      | 1e400 as used                       |
+      | -1 as used                          |
+      | 4102444800000 as started_ms         |
--- a/tests/features/steps/foreign_entries.py
+++ b/tests/features/steps/foreign_entries.py
@@ -10,8 +10,9 @@
 from measure.large import Size, make_files
 from ragworthollow.conf import global_settings
 from ragworthollow.configuration.keys import MANIFEST_KEY
+from ragworthollow.engines.load_budget import try_consume_load
 from ragworthollow.platform.instance_list_decoding import decode_instance_list
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.utils import get_monotonic_ms, get_wall_ms
 from tests.fixtures.odd_records import make_odd_record
 
 _POOL = 'ledger-api'
@@ -25,6 +26,7 @@
 }
 _ODD_MEMBER = {'incarnation': 'odd-1', 'address': _ODD_ADDRESS}
 _ODD_MANIFEST = {'generation': 2, 'files': [], 'history': []}
+_BUDGET_KEY = 'weights/budget'
 _RANGE_PATH = '/api/kv-range'
 
 
@@ -240,3 +242,26 @@
         context.manifest_key, base64.b64decode(context.manifest)
     )
     check_configuration(context)
+
+
+@when('another writer stores {change} of the budget of model loads')
+def store_budget(context, change):
+    harness = context.daemon_service
+    prefix = _find_key(harness, MANIFEST_KEY).removesuffix(MANIFEST_KEY)
+    odd = make_odd_record({'started_ms': int(get_wall_ms())}, change)
+    harness.store.put_bytes(f'{prefix}{_BUDGET_KEY}', odd)
+
+
+@then('no load is granted for a minute, and 2 of 3 are after that')
+def check_budget(context):
+    harness = context.daemon_service
+    now_ms = get_wall_ms()
+    granted = [
+        harness.run(
+            try_consume_load(
+                harness.service._context.key_value, 2, now_ms + after_ms
+            )
+        ).ok_value
+        for after_ms in (0, 59_000, 61_000, 61_000, 61_000)
+    ]
+    assert granted == [False, False, True, True, False], granted
