Decode what commands of operators read like all other JSON

The clients of gateways and entries and the reader of collected logs called the codec themselves. One answer or line nested too deeply ended the command with a traceback (RecursionError) instead of a message, and a loss report with nothing for all other lines. They use the decoder of the daemons now.

On the previous code the three rows failed with RecursionError.

--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/gateway_client.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/gateway_client.py
@@ -5,6 +5,8 @@
 import aiohttp
 import msgspec
 
+from ragworthollow.utils import decode_json
+
 _TIMEOUT_S = 5
 _FAILURE_EXIT_CODE = 1
 _REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, msgspec.DecodeError)
@@ -41,7 +43,7 @@
     try:
         async with aiohttp.ClientSession(timeout=timeout) as session:
             response_body = await _send_request(session, url, body)
-        return msgspec.json.decode(response_body, type=response_type)
+        return decode_json(response_body, response_type)
     except _REQUEST_ERRORS as error:
         sys.stderr.write(f'{url}: {error!r}\n')
         sys.exit(_FAILURE_EXIT_CODE)
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/log_line.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/losses/log_line.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ragworthollow.utils import Message
+from ragworthollow.utils import Message, decode_json
 
 
 class LogLine(Message):
@@ -83,6 +83,6 @@
     if start < 0:
         return None
     try:
-        return msgspec.json.decode(text[start:].encode(), type=LogLine)
+        return decode_json(text[start:], LogLine)
     except msgspec.DecodeError:
         return None
--- a/packages/ragworthollow-ctl/src/ragworthollow_ctl/service_client.py
+++ b/packages/ragworthollow-ctl/src/ragworthollow_ctl/service_client.py
@@ -9,6 +9,8 @@
 import aiohttp
 import msgspec
 
+from ragworthollow.utils import decode_json
+
 KEY_VARIABLE = 'RAGWORTHOLLOW_OPERATOR_KEY'
 ENTRIES_VARIABLE = 'RAGWORTHOLLOW_ENTRIES'
 
@@ -89,7 +91,7 @@
     if response.status == _UNAUTHORIZED:
         sys.stderr.write('the service rejected the operator key\n')
         sys.exit(_FAILURE_EXIT_CODE)
-    return msgspec.json.decode(body, type=response_type)
+    return decode_json(body, response_type)
 
 
 def make_client(entries: Sequence[str]) -> ServiceClient:
--- a/tests/features/json_decoding.feature
+++ b/tests/features/json_decoding.feature
@@ -23,6 +23,18 @@
       | an assignment             | 63 ranges            |
       | an assignment             | 65 ranges            |
 
+  Scenario Outline: A command of an operator reads <what>, deeply nested
+    # Guards against commands that end with a traceback for one unreadable line
+    # or answer.
+    When a command of an operator reads <what>, deeply nested
+    Then it reports the text as unreadable
+
+    Examples:
+      | what                   |
+      | an answer of a gateway |
+      | an answer of an entry  |
+      | a line of a log        |
+
   Scenario: Numbers of any size in any text
     # Guards against numbers that are valid JSON and overflow arithmetic, and
     # against messages that are rejected for digits inside a string.
--- a/tests/features/steps/json_decoding.py
+++ b/tests/features/steps/json_decoding.py
@@ -1,9 +1,11 @@
 """Steps for the decoders of what other processes send."""
 
+import asyncio
 import json
 import zlib
 
 import msgspec
+from aiohttp import test_utils, web
 from behave import then, when
 from hypothesis import given as for_all
 from hypothesis import settings
@@ -18,6 +20,9 @@
 from ragworthollow.transport.piece_messages import decode_results
 from ragworthollow.utils import decode_json
 from ragworthollow.utils.message import Message
+from ragworthollow_ctl.gateway_client import query_gateway
+from ragworthollow_ctl.losses.log_line import decode_line
+from ragworthollow_ctl.service_client import ServiceClient
 
 _LEVELS = 5000
 _NESTED = b'[' * _LEVELS + b']' * _LEVELS
@@ -71,6 +76,47 @@
         context.decoded = Err(str(error))
 
 
+@when('a command of an operator reads {what}, deeply nested')
+def run_command(context, what):
+    command = _COMMANDS[what]
+    try:
+        context.decoded = asyncio.run(_run_command(command))
+    except SystemExit as error:
+        context.decoded = Err(f'exit status {error.code}')
+
+
+async def _run_command(command):
+    text = _TEXTS['deeply nested values']
+
+    async def send_nested(_request):
+        return web.Response(body=text)
+
+    application = web.Application()
+    application.router.add_get('/{path:.*}', send_nested)
+    async with test_utils.TestServer(application) as server:
+        return await command(f'{server.host}:{server.port}')
+
+
+async def _query_entry(address):
+    client = ServiceClient(entries=[f'http://{address}'], key='key')
+    return await client.get('history', Message)
+
+
+async def _read_line(_address):
+    text = _TEXTS['deeply nested values'].decode()
+    line = decode_line(f'2 gateway: {text}')
+    return Err('no line') if line is None else line
+
+
+_COMMANDS = {
+    'an answer of a gateway': lambda address: query_gateway(
+        address, '/', Message
+    ),
+    'an answer of an entry': _query_entry,
+    'a line of a log': _read_line,
+}
+
+
 @then('it reports the text as unreadable')
 def check_unreadable(context):
     assert isinstance(context.decoded, Err), context.decoded
