Reject announcements whose address cannot be one

The address of an announced generation was any text. One such as ..:80 raised UnicodeError in the session, which the follower of the configuration does not expect: the process answered 500. It has the form of addresses in the list of instances now.

On the previous code the row with ..:80 failed with [500, 500]; those with a port out of range and without a port with [204, 204], since nobody was found there.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/configuration_routes.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/web/configuration_routes.py
@@ -7,7 +7,7 @@
 
 from ragworthollow.conf import global_settings
 from ragworthollow.transport.responses import Problem, respond
-from ragworthollow.utils import decode_json, parse_count
+from ragworthollow.utils import HostAddress, decode_json, parse_count
 from ragworthollow.utils.message import Message
 from ragworthollow_daemon.process_context import ProcessContext
 
@@ -22,12 +22,12 @@
     ----------
     generation : int
         Number of the new generation.
-    address : str
+    address : HostAddress
         Address of a process that has the generation.
     """
 
     generation: int
-    address: str
+    address: HostAddress
 
 
 class ConfigurationRoutes:
--- a/tests/features/foreign_entries.feature
+++ b/tests/features/foreign_entries.feature
@@ -85,3 +85,16 @@
       | 1e400 as used                       |
       | -1 as used                          |
       | 4102444800000 as started_ms         |
+
+  Scenario Outline: A generation is announced with the address <address>
+    # Guards against an address that gives an error of the process which is
+    # told it.
+    Given an entry and a sidecar that own the keys of a pool
+    When a generation is announced to both with the address <address>
+    Then both answer 400
+
+    Examples:
+      | address         |
+      | ..:80           |
+      | 127.0.0.1:99999 |
+      | 127.0.0.1       |
--- a/tests/features/steps/foreign_entries.py
+++ b/tests/features/steps/foreign_entries.py
@@ -7,11 +7,13 @@
 import msgspec
 from behave import given, then, when
 
+from measure.fleet import CLUSTER_KEY
 from measure.large import Size, make_files
 from ragworthollow.conf import global_settings
 from ragworthollow.configuration.keys import MANIFEST_KEY
 from ragworthollow.engines.load_budget import try_consume_load
 from ragworthollow.platform.instance_list_decoding import decode_instance_list
+from ragworthollow.transport.session import make_session
 from ragworthollow.utils import get_monotonic_ms, get_wall_ms
 from tests.fixtures.odd_records import make_odd_record
 
@@ -265,3 +267,27 @@
         for after_ms in (0, 59_000, 61_000, 61_000, 61_000)
     ]
     assert granted == [False, False, True, True, False], granted
+
+
+@when('a generation is announced to both with the address {address}')
+def announce(context, address):
+    harness = context.daemon_service
+    context.statuses = harness.run(_announce(harness, address))
+
+
+async def _announce(harness, address):
+    statuses = []
+    async with make_session(CLUSTER_KEY) as session:
+        for service in harness.running:
+            own_address = service.settings.listen.get_address()
+            response = await session.post(
+                f'http://{own_address}/v1/configuration/announcements',
+                json={'generation': 1000, 'address': address},
+            )
+            statuses.append(response.status)
+    return statuses
+
+
+@then('both answer {status:d}')
+def check_statuses(context, status):
+    assert context.statuses == [status, status], context.statuses
