--- a/tests/features/foreign_entries.feature
+++ b/tests/features/foreign_entries.feature
@@ -98,3 +98,14 @@
       | ..:80           |
       | 127.0.0.1:99999 |
       | 127.0.0.1       |
+
+  Scenario Outline: The member key of a sidecar is <change> when it starts
+    # Guards against a record that ends the loop which acquires the key.
+    Given an entry and a sidecar that own the keys of a pool
+    When a sidecar starts whose key is <change> for 3 reads
+    Then no loop has failed, and the sidecar owns keys once it is gone
+
+    Examples:
+      | change                     |
+      | 1,000 levels as a whole    |
+      | 1e400 as incarnation       |
--- a/tests/features/steps/foreign_entries.py
+++ b/tests/features/steps/foreign_entries.py
@@ -291,3 +291,22 @@
 @then('both answer {status:d}')
 def check_statuses(context, status):
     assert context.statuses == [status, status], context.statuses
+
+
+@when('a sidecar starts whose key is {change} for {count:d} reads')
+def start_with_odd_key(context, change, count):
+    harness = context.daemon_service
+    key = _find_key(harness, f'/members/{_POOL}-own')
+    harness.run(harness.running.pop().stop())
+    harness.store.put_bytes(key, make_odd_record(_ODD_MEMBER, change))
+    harness.running.append(harness.run(harness.start_sidecar(_POOL)))
+    harness.run(_wait_for_reads(harness, count))
+    harness.store.entries.pop(key)
+
+
+@then('no loop has failed, and the sidecar owns keys once it is gone')
+def check_started_ownership(context):
+    harness = context.daemon_service
+    ownership = harness.running[1]._role._ownership
+    harness.run(harness.wait_until(ownership.owns_any))
+    _check_loops(context)
