--- a/tests/features/foreign_entries.feature
+++ b/tests/features/foreign_entries.feature
@@ -57,3 +57,55 @@
       | "..:80" as address         | members/odd |
       | 1,000 levels as a whole    | assignment  |
       | 1e400 as epoch             | assignment  |
+
+  Scenario Outline: The store has <change> of the manifest
+    # Guards against a manifest that ends the processes that read it, or keeps
+    # them from following the configuration for good.
+    Given an entry and a sidecar that own the keys of a pool
+    When another writer replaces the manifest by <change> for 3 reads
+    Then a sidecar starts, and a change is refused for the manifest
+    And all apply the next configuration once the manifest is back
+
+    Examples:
+      | change                        |
+      | 1,000 levels as a whole       |
+      | 1e400 as generation           |
+      | {} as files                   |
+
+  Scenario Outline: The store has <change> of the budget of model loads
+    # Guards against a record that ends the loop which orders models, or keeps
+    # every engine from loading one for good.
+    Given an entry and a sidecar that own the keys of a pool
+    When another writer stores <change> of the budget of model loads
+    Then no load is granted for a minute, and 2 of 3 are after that
+
+    Examples:
+      | change                              |
+      | 1,000 levels as a whole             |
+      | 1e400 as used                       |
+      | -1 as used                          |
+      | 4102444800000 as started_ms         |
+
+  Scenario Outline: A generation is announced with the address <address>
+    # Guards against an address that gives an error of the process which is
+    # told it.
+    Given an entry and a sidecar that own the keys of a pool
+    When a generation is announced to both with the address <address>
+    Then both answer 400
+
+    Examples:
+      | address         |
+      | ..:80           |
+      | 127.0.0.1:99999 |
+      | 127.0.0.1       |
+
+  Scenario Outline: The member key of a sidecar is <change> when it starts
+    # Guards against a record that ends the loop which acquires the key.
+    Given an entry and a sidecar that own the keys of a pool
+    When a sidecar starts whose key is <change> for 3 reads
+    Then no loop has failed, and the sidecar owns keys once it is gone
+
+    Examples:
+      | change                     |
+      | 1,000 levels as a whole    |
+      | 1e400 as incarnation       |
--- a/tests/features/json_decoding.feature
+++ b/tests/features/json_decoding.feature
@@ -20,6 +20,20 @@
       | a configuration           | an integer too large |
       | a page of the store       | an integer too large |
       | results of a peer         | a float too large    |
+      | an assignment             | 63 ranges            |
+      | an assignment             | 65 ranges            |
+
+  Scenario Outline: A command of an operator reads <what>, deeply nested
+    # Guards against commands that end with a traceback for one unreadable line
+    # or answer.
+    When a command of an operator reads <what>, deeply nested
+    Then it reports the text as unreadable
+
+    Examples:
+      | what                   |
+      | an answer of a gateway |
+      | an answer of an entry  |
+      | a line of a log        |
 
   Scenario: Numbers of any size in any text
     # Guards against numbers that are valid JSON and overflow arithmetic, and
--- a/tests/features/steps/foreign_entries.py
+++ b/tests/features/steps/foreign_entries.py
@@ -7,10 +7,14 @@
 import msgspec
 from behave import given, then, when
 
+from measure.fleet import CLUSTER_KEY
 from measure.large import Size, make_files
 from ragworthollow.conf import global_settings
+from ragworthollow.configuration.keys import MANIFEST_KEY
+from ragworthollow.engines.load_budget import try_consume_load
 from ragworthollow.platform.instance_list_decoding import decode_instance_list
-from ragworthollow.utils import get_monotonic_ms
+from ragworthollow.transport.session import make_session
+from ragworthollow.utils import get_monotonic_ms, get_wall_ms
 from tests.fixtures.odd_records import make_odd_record
 
 _POOL = 'ledger-api'
@@ -23,6 +27,8 @@
     'address': _ODD_ADDRESS,
 }
 _ODD_MEMBER = {'incarnation': 'odd-1', 'address': _ODD_ADDRESS}
+_ODD_MANIFEST = {'generation': 2, 'files': [], 'history': []}
+_BUDGET_KEY = 'weights/budget'
 _RANGE_PATH = '/api/kv-range'
 
 
@@ -173,24 +179,30 @@
 )
 def store_odd(context, change, key, count):
     harness = context.daemon_service
-    suffix = f'once/{_POOL}/assignment'
-    (assignment_key,) = (
-        name for name in harness.store.entries if name.endswith(suffix)
-    )
+    assignment_key = _find_key(harness, f'once/{_POOL}/assignment')
     odd_key = f'{assignment_key.removesuffix("assignment")}{key}'
     harness.run(_store_odd(harness, change, odd_key, count))
 
 
+def _find_key(harness, suffix):
+    (key,) = (name for name in harness.store.entries if name.endswith(suffix))
+    return key
+
+
 async def _store_odd(harness, change, key, count):
     odd = make_odd_record(_ODD_MEMBER, change)
     previous = harness.store.entries.get(key)
     harness.store.put_bytes(key, odd)
+    await _wait_for_reads(harness, count)
+    if previous:
+        harness.store.put_bytes(key, base64.b64decode(previous.value))
+
+
+async def _wait_for_reads(harness, count):
     target = harness.store.counts[_RANGE_PATH] + count
     await harness.wait_until(
         lambda: harness.store.counts[_RANGE_PATH] >= target
     )
-    if previous:
-        harness.store.put_bytes(key, base64.b64decode(previous.value))
 
 
 @then('no loop has failed, and the sidecar is sure of its keys once it is gone')
@@ -204,3 +216,97 @@
     )
     assert ownership.owns_any()
     _check_loops(context)
+
+
+@when('another writer replaces the manifest by {change} for {count:d} reads')
+def replace_manifest(context, change, count):
+    harness = context.daemon_service
+    context.manifest_key = _find_key(harness, MANIFEST_KEY)
+    context.manifest = harness.store.entries[context.manifest_key].value
+    odd = make_odd_record(_ODD_MANIFEST, change)
+    harness.store.put_bytes(context.manifest_key, odd)
+    harness.run(_wait_for_reads(harness, count))
+    _check_loops(context)
+
+
+@then('a sidecar starts, and a change is refused for the manifest')
+def check_unreadable_manifest(context):
+    harness = context.daemon_service
+    harness.running.append(harness.run(harness.start_sidecar('late')))
+    answer = harness.run(harness.post_change({'30-more.yaml': 'owner: own\n'}))
+    assert 'manifest cannot be read' in answer['detail'], answer
+
+
+@then('all apply the next configuration once the manifest is back')
+def check_manifest_back(context):
+    harness = context.daemon_service
+    harness.store.put_bytes(
+        context.manifest_key, base64.b64decode(context.manifest)
+    )
+    check_configuration(context)
+
+
+@when('another writer stores {change} of the budget of model loads')
+def store_budget(context, change):
+    harness = context.daemon_service
+    prefix = _find_key(harness, MANIFEST_KEY).removesuffix(MANIFEST_KEY)
+    odd = make_odd_record({'started_ms': int(get_wall_ms())}, change)
+    harness.store.put_bytes(f'{prefix}{_BUDGET_KEY}', odd)
+
+
+@then('no load is granted for a minute, and 2 of 3 are after that')
+def check_budget(context):
+    harness = context.daemon_service
+    now_ms = get_wall_ms()
+    granted = [
+        harness.run(
+            try_consume_load(
+                harness.service._context.key_value, 2, now_ms + after_ms
+            )
+        ).ok_value
+        for after_ms in (0, 59_000, 61_000, 61_000, 61_000)
+    ]
+    assert granted == [False, False, True, True, False], granted
+
+
+@when('a generation is announced to both with the address {address}')
+def announce(context, address):
+    harness = context.daemon_service
+    context.statuses = harness.run(_announce(harness, address))
+
+
+async def _announce(harness, address):
+    statuses = []
+    async with make_session(CLUSTER_KEY) as session:
+        for service in harness.running:
+            own_address = service.settings.listen.get_address()
+            response = await session.post(
+                f'http://{own_address}/v1/configuration/announcements',
+                json={'generation': 1000, 'address': address},
+            )
+            statuses.append(response.status)
+    return statuses
+
+
+@then('both answer {status:d}')
+def check_statuses(context, status):
+    assert context.statuses == [status, status], context.statuses
+
+
+@when('a sidecar starts whose key is {change} for {count:d} reads')
+def start_with_odd_key(context, change, count):
+    harness = context.daemon_service
+    key = _find_key(harness, f'/members/{_POOL}-own')
+    harness.run(harness.running.pop().stop())
+    harness.store.put_bytes(key, make_odd_record(_ODD_MEMBER, change))
+    harness.running.append(harness.run(harness.start_sidecar(_POOL)))
+    harness.run(_wait_for_reads(harness, count))
+    harness.store.entries.pop(key)
+
+
+@then('no loop has failed, and the sidecar owns keys once it is gone')
+def check_started_ownership(context):
+    harness = context.daemon_service
+    ownership = harness.running[1]._role._ownership
+    harness.run(harness.wait_until(ownership.owns_any))
+    _check_loops(context)
--- a/tests/features/steps/json_decoding.py
+++ b/tests/features/steps/json_decoding.py
@@ -1,15 +1,18 @@
 """Steps for the decoders of what other processes send."""
 
+import asyncio
 import json
 import zlib
 
 import msgspec
+from aiohttp import test_utils, web
 from behave import then, when
 from hypothesis import given as for_all
 from hypothesis import settings
 from hypothesis import strategies as st
 from result import Err
 
+from ragworthollow.once.assignment import decode_assignment
 from ragworthollow.platform.configuration_wire import decode_configuration
 from ragworthollow.platform.stage_wire import decode_is_busy, decode_run
 from ragworthollow.platform.store_wire import RangePage
@@ -17,6 +20,9 @@
 from ragworthollow.transport.piece_messages import decode_results
 from ragworthollow.utils import decode_json
 from ragworthollow.utils.message import Message
+from ragworthollow_ctl.gateway_client import query_gateway
+from ragworthollow_ctl.losses.log_line import decode_line
+from ragworthollow_ctl.service_client import ServiceClient
 
 _LEVELS = 5000
 _NESTED = b'[' * _LEVELS + b']' * _LEVELS
@@ -25,6 +31,7 @@
     'deeply nested values': b'{"unknown":' + _NESTED + b'}',
     'a value not Base64': b'{"items":[{"key":"a","value":"?"}]}',
 }
+_OWNER = b'{"instance":"a","incarnation":"a-1"},'
 _TOO_LARGE = b'1' + b'0' * 400
 _TEXTS_BY_MESSAGE = {
     ('a report', 'an integer too large'): (
@@ -39,6 +46,12 @@
     ('a page of the store', 'an integer too large'): (
         b'{"as_of":-' + _TOO_LARGE + b'}'
     ),
+    ('an assignment', '63 ranges'): (
+        b'{"epoch":1,"ranges":[' + (_OWNER * 63)[:-1] + b']}'
+    ),
+    ('an assignment', '65 ranges'): (
+        b'{"epoch":1,"ranges":[' + (_OWNER * 65)[:-1] + b']}'
+    ),
     ('results of a peer', 'a float too large'): (
         b'{"results":[{"outcome":"done","wait_ms":1e300}]}'
     ),
@@ -49,6 +62,7 @@
     'results of a peer': decode_results,
     'an update of a peer': lambda text: decode_update(zlib.compress(text)),
     'a configuration': decode_configuration,
+    'an assignment': decode_assignment,
     'a page of the store': lambda text: decode_json(text, RangePage),
 }
 
@@ -62,6 +76,47 @@
         context.decoded = Err(str(error))
 
 
+@when('a command of an operator reads {what}, deeply nested')
+def run_command(context, what):
+    command = _COMMANDS[what]
+    try:
+        context.decoded = asyncio.run(_run_command(command))
+    except SystemExit as error:
+        context.decoded = Err(f'exit status {error.code}')
+
+
+async def _run_command(command):
+    text = _TEXTS['deeply nested values']
+
+    async def send_nested(_request):
+        return web.Response(body=text)
+
+    application = web.Application()
+    application.router.add_get('/{path:.*}', send_nested)
+    async with test_utils.TestServer(application) as server:
+        return await command(f'{server.host}:{server.port}')
+
+
+async def _query_entry(address):
+    client = ServiceClient(entries=[f'http://{address}'], key='key')
+    return await client.get('history', Message)
+
+
+async def _read_line(_address):
+    text = _TEXTS['deeply nested values'].decode()
+    line = decode_line(f'2 gateway: {text}')
+    return Err('no line') if line is None else line
+
+
+_COMMANDS = {
+    'an answer of a gateway': lambda address: query_gateway(
+        address, '/', Message
+    ),
+    'an answer of an entry': _query_entry,
+    'a line of a log': _read_line,
+}
+
+
 @then('it reports the text as unreadable')
 def check_unreadable(context):
     assert isinstance(context.decoded, Err), context.decoded
