Keep the numbering of events in the store

What callers saw: after all gateways had been replaced, a stream that was resumed after event 2 got 4 and 5, with status 200 and as a whole. Cause: only a process that has relayed streams of a version knows whether its numbers follow each other; one that has just started took a missing event for a number that the software leaves out. The gateways record what they have learnt by route and version, by compare-and-swap and at a bounded rate; a gap that was seen once wins. Calls: none in calm operation after the first streams of a version (event_numberings.feature counts them).

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/store_records.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/store_records.py
@@ -4,6 +4,7 @@
 
 from ragworthollow.membership.gateway_members import GatewayMembers
 from ragworthollow_daemon.gateway.context import GatewayContext
+from ragworthollow_daemon.gateway.numbering_records import NumberingRecords
 from ragworthollow_daemon.gateway.quarantine_records import QuarantineRecords
 from ragworthollow_daemon.gateway.resume_resolver import ResumeResolver
 from ragworthollow_daemon.gateway.store_poller import StoreSubscriber
@@ -28,6 +29,7 @@
         self._context = context
         self._streams = StreamRecords(context=context)
         self._versions = VersionRecords(context=context)
+        self._numberings = NumberingRecords(context=context)
         self._quarantine = QuarantineRecords(context=context)
 
     def make_resolver(self, members: GatewayMembers) -> ResumeResolver:
@@ -41,12 +43,18 @@
 
     def list_subscribers(self) -> tuple[StoreSubscriber, ...]:
         """Return the subscribers, to be notified after that of instances."""
-        return (self._versions, self._streams, self._quarantine)
+        return (
+            self._versions,
+            self._streams,
+            self._numberings,
+            self._quarantine,
+        )
 
     def make_loops(self) -> tuple[Coroutine[None, None, None], ...]:
         """Return the loops that write the records until cancelled."""
         return (
             self._versions.run(),
             self._streams.run(),
+            self._numberings.run(),
             self._quarantine.run(),
         )
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -51,8 +51,13 @@
 # a longer one is broken off.
 MAX_EVENT_BYTES = 262_144
 # Number of pairs of a route and a software version of which it is remembered
-# how the events of their streams are numbered.
+# how the events of their streams are numbered; also that in the record of one
+# pool in the store.
 MAX_EVENT_NUMBERINGS = 1_000
+# Number of gateways that write at once what they have learnt of a pool's
+# numbering, and writes a second of all others together, which wait longer.
+EVENT_NUMBERING_FIRST_WRITERS = 16
+EVENT_NUMBERING_WRITES_PER_S = 40
 # Number of bytes and of chunks of a stream that are processed before the event
 # loop continues with other work.
 STREAM_TURN_BYTES = 16_384
--- a/packages/ragworthollow/src/ragworthollow/routes/route_table.py
+++ b/packages/ragworthollow/src/ragworthollow/routes/route_table.py
@@ -1,6 +1,6 @@
 """Look up routes and API keys in one version of the configuration."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from ragworthollow.routes.key_holder import KeyHolder
 from ragworthollow.routes.priority_ranks import PriorityRanks
@@ -46,6 +46,7 @@
         self._holders_by_key = holders_by_key
         self._by_host: dict[str, dict[str, Route]] = {}
         self._resume_times_ms: dict[str, float] = {}
+        self._resumable_routes: dict[str, set[str]] = {}
         priorities = set()
         for route in routes:
             self._by_host.setdefault(route.host, {})[route.path_prefix] = route
@@ -97,6 +98,10 @@
         """
         return self._resume_times_ms
 
+    def get_resumable_routes(self) -> Mapping[str, Collection[str]]:
+        """Return the names of resumable routes by pool."""
+        return self._resumable_routes
+
     def get_rank(self, route: Route, holder: KeyHolder | None) -> int:
         """Return the rank of an organisation's requests of a route, 0 first."""
         organisation = None if holder is None else holder.priority
@@ -113,3 +118,6 @@
             self._resume_times_ms[weighted.pool] = max(
                 self._resume_times_ms.get(weighted.pool, 0), route.timeout_ms
             )
+            self._resumable_routes.setdefault(weighted.pool, set()).add(
+                route.name
+            )
--- a/packages/ragworthollow/src/ragworthollow/throttling/senders.py
+++ b/packages/ragworthollow/src/ragworthollow/throttling/senders.py
@@ -91,6 +91,14 @@
         names = self._members | {self._gateway}
         return self._gateway == max(names, key=lambda name: get_rank(key, name))
 
+    def is_among_first(self, key: str, count: int) -> bool:
+        """Return whether this gateway is one of the first to act on a key."""
+        names = self._members | {self._gateway}
+        first = heapq.nlargest(
+            count, names, key=lambda name: get_rank(key, name)
+        )
+        return self._gateway in first
+
     def _is_among_highest(self, incarnation: str, senders: int) -> bool:
         highest = heapq.nlargest(
             senders,
--- a/packages/ragworthollow/src/ragworthollow/upstreams/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/__init__.py
@@ -7,6 +7,7 @@
 from ragworthollow.upstreams.first_event_latency import FirstEventLatency
 from ragworthollow.upstreams.instance_load import InstanceLoad
 from ragworthollow.upstreams.load_tracker import LoadTracker
+from ragworthollow.upstreams.pool_numberings import PoolNumberings
 from ragworthollow.upstreams.pool_versions import PoolVersions
 from ragworthollow.upstreams.stream_origin import StreamOrigin
 from ragworthollow.upstreams.stream_segment import StreamSegment
@@ -21,6 +22,7 @@
     'FirstEventLatency',
     'InstanceLoad',
     'LoadTracker',
+    'PoolNumberings',
     'PoolVersions',
     'StreamOrigin',
     'StreamSegment',
