Log unreadable records of the store in a limited number of lines

Another writer left thousands of odd records under the prefixes of instances, gateways and quarantines. A gateway logged each in a line of its own, and those of gateways again at each notification of its subscribers, since only the records of members were decoded anew every time; keys and errors had any length.

Members are decoded once for each write.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instances_subscriber.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/instances_subscriber.py
@@ -10,6 +10,7 @@
 )
 
 from ragworthollow.logs.events import log_event
+from ragworthollow.logs.unreadable_records import UnreadableRecords
 from ragworthollow.platform.drains_wire import read_drained_domains
 from ragworthollow.platform.instances_wire import (
     INSTANCES_PREFIX,
@@ -47,6 +48,9 @@
         self._context = context
         self._on_change = on_change
         self._on_restart = on_restart
+        self._unreadable = UnreadableRecords(
+            event='instance_entry_unreadable', step=_STEP
+        )
         self._decoded: dict[str, tuple[Stored, UpstreamInstance | None]] = {}
 
     def apply_entries(
@@ -196,10 +200,13 @@
             previous, instance = self._decoded.get(key, (Stored(), None))
             if not stored.is_same_write(previous):
                 instance = self._add_region(
-                    decode_instance(key, stored.text.encode()),
+                    decode_instance(
+                        key, stored.text.encode(), self._unreadable.record
+                    ),
                 )
                 self._record_warm_up(instance)
             decoded[key] = (stored, instance)
+        self._unreadable.end_list()
         self._decoded = decoded
         return [
             instance for _, instance in decoded.values() if instance is not None
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/membership.py
@@ -8,7 +8,8 @@
 from result import Err
 
 from ragworthollow.conf import global_settings
-from ragworthollow.logs.events import log_error, log_event
+from ragworthollow.logs.events import log_event
+from ragworthollow.logs.unreadable_records import UnreadableRecords
 from ragworthollow.membership.gateway_member import GatewayMember
 from ragworthollow.membership.gateway_members import GatewayMembers
 from ragworthollow.platform.stored import Stored
@@ -49,6 +50,10 @@
         self._has_member_list = False
         self._is_leaving = False
         self._timeline = 0
+        self._unreadable = UnreadableRecords(
+            event='member_unreadable', step=_STEP
+        )
+        self._decoded: dict[str, tuple[Stored, GatewayMember | None]] = {}
         self._store_restored = asyncio.Event()
 
     async def run(self) -> None:
@@ -177,7 +182,7 @@
             self._timeline = timeline
             self._store_restored.set()
         previous = self._members.get_members().keys()
-        self._members.replace(_decode(entries), confirmed_ms)
+        self._members.replace(self._decode(entries), confirmed_ms)
         self._has_member_list = True
         current = self._members.get_members().keys()
         self._context.set_members(current, get_monotonic_ms())
@@ -193,21 +198,23 @@
         """Record that the store could not be read, and keep the members."""
         self._context.metrics.count_event('member_list_unavailable')
 
-
-def _decode(entries: Mapping[str, Stored]) -> list[GatewayMember]:
-    members = []
-    for key, stored in entries.items():
-        if not key.startswith(_PREFIX):
-            continue
+    def _decode(self, entries: Mapping[str, Stored]) -> list[GatewayMember]:
+        """Decode records, reusing earlier results for unchanged ones."""
+        decoded = {}
+        for key, stored in entries.items():
+            if not key.startswith(_PREFIX):
+                continue
+            previous, member = self._decoded.get(key, (Stored(), None))
+            if not stored.is_same_write(previous):
+                member = self._decode_member(key, stored)
+            decoded[key] = (stored, member)
+        self._unreadable.end_list()
+        self._decoded = decoded
+        return [member for _, member in decoded.values() if member is not None]
+
+    def _decode_member(self, key: str, stored: Stored) -> GatewayMember | None:
         try:
-            member = decode_json(stored.text, GatewayMember)
+            return decode_json(stored.text, GatewayMember)
         except msgspec.DecodeError as error:
-            log_error(
-                'member_unreadable',
-                step=_STEP,
-                peer=key,
-                error=str(error),
-            )
-            continue
-        members.append(member)
-    return members
+            self._unreadable.record(key, str(error))
+            return None
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine_records.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/quarantine_records.py
@@ -7,7 +7,8 @@
 from result import Err
 
 from ragworthollow.conf import global_settings
-from ragworthollow.logs.events import log_error, log_event
+from ragworthollow.logs.events import log_event
+from ragworthollow.logs.unreadable_records import UnreadableRecords
 from ragworthollow.platform.stored import Stored
 from ragworthollow.platform.transaction import Put
 from ragworthollow.quarantine import CrashReport
@@ -38,6 +39,9 @@
         self._context = context
         self._applied_records: dict[str, Stored] = {}
         self._timeline = 0
+        self._unreadable = UnreadableRecords(
+            event='quarantine_record_unreadable', step=_STEP
+        )
 
     async def run(self) -> None:
         """Write the decisions of this gateway to the store until cancelled."""
@@ -92,17 +96,13 @@
                 self._applied_records.get(key, Stored())
             ):
                 self._apply_record(key, stored)
+        self._unreadable.end_list()
 
     def _apply_record(self, key: str, stored: Stored) -> None:
         try:
             report = decode_json(stored.text, CrashReport)
         except msgspec.DecodeError as error:
-            log_error(
-                'quarantine_record_unreadable',
-                step=_STEP,
-                peer=key,
-                error=str(error),
-            )
+            self._unreadable.record(key, str(error))
             return
         self._context.quarantine.apply_report(report)
 
--- a/packages/ragworthollow/src/ragworthollow/platform/instances_wire.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/instances_wire.py
@@ -1,6 +1,7 @@
 """Decode the records that upstream instances write to the store."""
 
 import enum
+from collections.abc import Callable
 from typing import Annotated
 
 import msgspec
@@ -44,7 +45,20 @@
     born: int = 0
 
 
-def decode_instance(key: str, text: bytes) -> UpstreamInstance | None:
+def _log_unreadable(key: str, reason: str) -> None:
+    log_error(
+        'instance_entry_unreadable',
+        step='instances',
+        peer=key,
+        error=reason,
+    )
+
+
+def decode_instance(
+    key: str,
+    text: bytes,
+    on_unreadable: Callable[[str, str], None] = _log_unreadable,
+) -> UpstreamInstance | None:
     """
     Decode one record.
 
@@ -59,19 +73,21 @@
         Key of the record, which ends in the instance's identifier.
     text : bytes
         The record as JSON.
+    on_unreadable : callable
+        Called with the key of an invalid record and the reason.
 
     Returns
     -------
     UpstreamInstance or None
-        The instance, or None for an invalid record, which is logged.
+        The instance, or None for an invalid record.
     """
     name = key.removeprefix(INSTANCES_PREFIX)
     try:
         entry = decode_json(text, _Entry)
     except msgspec.DecodeError as error:
-        return _reject(key, repr(error))
+        return on_unreadable(key, repr(error))
     if not name:
-        return _reject(key, 'no instance name')
+        return on_unreadable(key, 'no instance name')
     return UpstreamInstance(
         instance=name,
         pool=entry.backend,
@@ -83,12 +99,3 @@
         warm_up_remaining_ms=max(0, entry.cold_left_ms),
         software_version=entry.version,
     )
-
-
-def _reject(key: str, reason: str) -> None:
-    log_error(
-        'instance_entry_unreadable',
-        step='instances',
-        peer=key,
-        error=reason,
-    )
