Break off a stream whose next upstream ends after its head

What callers saw: a stream that went on at another instance, or was resumed by its caller, was answered 200 and ended as complete before its last event. Cause: an instance that closed its connection after its head, without a length, counted as broken off only if no event had come from any upstream. A part without an event is no end now; the next attempt follows, or the stream is broken off visibly. Evidence: the scenario of broken_streams.feature was answered 200, whole and empty before. A stream whose last event had arrived before it broke off may be broken off visibly too; the two cannot be told apart.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_relay.py
@@ -80,6 +80,8 @@
         self._response: web.StreamResponse | None = None
         self._event_buffer = EventBuffer()
         self._body_end: BodyEnd | None = None
+        # Events of earlier upstreams.
+        self._previous_events = 0
         self.timing = StreamTiming()
         self.sequence = EventSequence(
             resumed_after=job.request_parameters.last_event_id,
@@ -163,6 +165,7 @@
             If the caller disconnects.
         """
         self._event_buffer.discard_incomplete()
+        self._previous_events = self._event_buffer.event_count
         async for chunk in iterate_paced(upstream.content):
             complete = self._event_buffer.feed(chunk)
             if complete:
@@ -202,9 +205,7 @@
         """Raise ClientPayloadError if a regular end leaves events missing."""
         if self._event_buffer.has_partial_event():
             raise ClientPayloadError('the stream ended inside an event')
-        is_empty = not (
-            self._event_buffer.event_count or self.get_last_event_id()
-        )
+        is_empty = self._event_buffer.event_count == self._previous_events
         # A process that crashes after the head closes its connection too.
         if is_empty and self._body_end.framing is BodyFraming.connection:
             raise ClientPayloadError('the connection ended before any event')
--- a/tests/features/broken_streams.feature
+++ b/tests/features/broken_streams.feature
@@ -192,3 +192,9 @@
     # Guards against an instance that is avoided because a caller has left.
     When a caller leaves /stream/flood without reading it
     Then the request is logged as abandoned, and no attempt as failed
+
+  Scenario: A stream goes on at instances that end after their head
+    # Guards against a resumed stream that looks complete although the instance
+    # that it went on at has crashed.
+    When a caller resumes after event 1, and each instance ends after its head
+    Then it gets no event and a broken connection
--- a/tests/features/steps/broken_streams.py
+++ b/tests/features/steps/broken_streams.py
@@ -29,6 +29,8 @@
 _ATTEMPT_EVENTS = frozenset(('answered', 'attempt_failed'))
 _END_EVENTS = frozenset(('request_ended',))
 
+_MAX_ATTEMPTS = 3
+
 
 def _find_log_lines(context, events: frozenset[str]) -> list[dict]:
     return [fields for event, fields in context.log_lines if event in events]
@@ -342,3 +344,25 @@
         await asyncio.gather(*streaming)
 
     stage.run(send_all())
+
+
+@when('a caller resumes after event 1, and each instance ends after its head')
+def resume_at_crashing(context):
+    stage = context.gateway_stage
+    directory = stage.get_context().directory
+    stage.run(stage.wait_for(lambda: 'plain' in directory.recorded_versions))
+    for upstream in stage.upstreams.values():
+        upstream.partial_streams = [
+            PartialStream(framing='connection', stop=Stop.head)
+            for _ in range(_MAX_ATTEMPTS)
+        ]
+    headers = {'Last-Event-Id': '1', 'Resumes': 'request-0'}
+    context.response = stage.run(
+        stage.send('/resumable/partial', headers=headers)
+    )
+
+
+@then('it gets no event and a broken connection')
+def check_no_event(context):
+    assert not context.response.is_whole, context.response
+    assert not context.response.body, context.response
