--- a/packages/ragworthollow/src/ragworthollow/utils/hashing.py
+++ b/packages/ragworthollow/src/ragworthollow/utils/hashing.py
@@ -4,6 +4,9 @@
 
 import xxhash
 
+_RANK_BITS = 64
+_FRACTION_BITS = 53
+
 
 def hash_secret(secret: str) -> str:
     """
@@ -41,3 +44,19 @@
         64-bit rank; the candidate of the highest rank is selected.
     """
     return xxhash.xxh64_intdigest(f'{subject}\x00{candidate}'.encode())
+
+
+def get_fraction(subject: str, salt: str) -> float:
+    """
+    Return a number from 0 to below 1 that follows from a text.
+
+    Parameters
+    ----------
+    subject : str
+        The text.
+    salt : str
+        Makes independent numbers of one text.
+    """
+    # All bits fit into a float, so that the result cannot round to one.
+    bits = get_rank(subject, salt) >> (_RANK_BITS - _FRACTION_BITS)
+    return bits / 2**_FRACTION_BITS
