Infer a version only from records that were read and are the latest

What callers saw: streams were joined from two versions by a gateway whose replica lagged behind a release. Cause, three ways: its own last write hid a newer record that it had read; the replica put an older record back after a read; and where the read of the records failed, the version was inferred all the same. Records are merged by position now and never go back, a failed read refuses (unread, after asking the peers), records that are lost or unreadable are retained, and a lower time limit of a route does not shorten how long a version is kept. Unreadable records are logged in a limited number of lines, and only once for each write.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
@@ -13,7 +13,7 @@
 
 _STEP = 'resume'
 _READ_SOURCES = frozenset(('versions', 'unobserved'))
-_ASKED_SOURCES = frozenset((*_READ_SOURCES, 'stale'))
+_ASKED_SOURCES = frozenset((*_READ_SOURCES, 'stale', 'unread'))
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -28,6 +28,7 @@
         it), `store` (it is recorded there), `list` (the pool has had one
         version), `uncertain` (the version that began it is not certain),
         `versions` (the pool has had several), `stale` (the list is too old),
+        `unread` (the store did not confirm that the pool has had one version),
         `unobserved` (this gateway has not seen the lists of the stream's time)
         or `gone` (no instance of the version is left).
     software_version : str or None
@@ -93,6 +94,8 @@
     """
     now_ms = get_monotonic_ms()
     request_id = job.request_parameters.resumes_request_id
+    if not request_id:
+        return _decide_by_list(context, job, now_ms)
     origin = context.directory.stream_versions.find(request_id, now_ms)
     if origin is not None:
         return _decide_by_origin(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_resolver.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_resolver.py
@@ -1,5 +1,6 @@
 """Find out at which software version a caller's stream may go on."""
 
+from ragworthollow.conf import global_settings
 from ragworthollow.upstreams import StreamOrigin
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
@@ -56,12 +57,10 @@
         """
         decision = decide_resume(self._context, job)
         if decision.is_inferred():
-            # Another version may have been announced since the last read.
-            await self._versions.refresh()
-            decision = decide_resume(self._context, job)
+            decision = await self._confirm_inference(job)
         request_id = job.request_parameters.resumes_request_id
         if request_id and decision.may_be_in_store():
-            await self._streams.refresh()
+            await self._streams.refresh(self._get_limit_ms(job))
             decision = decide_resume(self._context, job)
         may_ask = decision.may_be_known_elsewhere() and request_id
         if may_ask and await self._origins.fetch(request_id):
@@ -71,6 +70,19 @@
         log_resume(self._context, job, decision)
         return decision
 
+    async def _confirm_inference(self, job: RequestJob) -> ResumeDecision:
+        """Decide again: another version may have been announced since."""
+        if await self._versions.refresh(self._get_limit_ms(job)):
+            return decide_resume(self._context, job)
+        return ResumeDecision(
+            source='unread', retry_after_ms=global_settings.RESUME_READ_LIMIT_MS
+        )
+
+    def _get_limit_ms(self, job: RequestJob) -> float:
+        return min(
+            max(job.get_remaining_ms(), 0), global_settings.RESUME_READ_LIMIT_MS
+        )
+
     async def _confirm_record(
         self, job: RequestJob, decision: ResumeDecision
     ) -> ResumeDecision:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/shared_read.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/shared_read.py
@@ -18,7 +18,7 @@
     Parameters
     ----------
     read : callable
-        Makes the read and handles its failure.
+        Makes the read, handles its failure, and returns whether it succeeded.
     get_interval_ms : callable
         Returns the shortest time between the beginnings of two reads.
     """
@@ -26,28 +26,48 @@
     def __init__(
         self,
         *,
-        read: Callable[[], Awaitable[None]],
+        read: Callable[[], Awaitable[bool]],
         get_interval_ms: Callable[[], float],
     ) -> None:
         self._read = read
         self._get_interval_ms = get_interval_ms
         self._began_ms = float('-inf')
-        self._current: asyncio.Task[None] | None = None
-        self._next: asyncio.Task[None] | None = None
+        self._current: asyncio.Task[bool] | None = None
+        self._next: asyncio.Task[bool] | None = None
 
-    async def run(self) -> None:
-        """Wait for a read that begins from now on."""
+    async def run(self, limit_ms: float) -> bool:
+        """
+        Wait for a read that begins from now on.
+
+        Parameters
+        ----------
+        limit_ms : float
+            Maximum wait in milliseconds.
+
+        Returns
+        -------
+        bool
+            Whether the read has succeeded in time.
+        """
         if self._next is None:
             self._next = asyncio.ensure_future(self._run_next(self._current))
-        # A caller that leaves must not cancel the read of the others.
-        await asyncio.shield(self._next)
-
-    async def _run_next(self, previous: asyncio.Task[None] | None) -> None:
-        if previous is not None:
-            await asyncio.wait((previous,))
-        pause_ms = self._began_ms + self._get_interval_ms() - get_monotonic_ms()
-        await asyncio.sleep(max(0, pause_ms) / _MILLISECONDS)
-        self._current = self._next
-        self._next = None
+        try:
+            async with asyncio.timeout(limit_ms / _MILLISECONDS):
+                # A caller that leaves must not cancel the read of the others.
+                return await asyncio.shield(self._next)
+        except TimeoutError:
+            return False
+
+    async def _run_next(self, previous: asyncio.Task[bool] | None) -> bool:
+        try:
+            if previous is not None:
+                await asyncio.wait((previous,))
+            pause_ms = (
+                self._began_ms + self._get_interval_ms() - get_monotonic_ms()
+            )
+            await asyncio.sleep(max(0, pause_ms) / _MILLISECONDS)
+        finally:
+            self._current = self._next
+            self._next = None
         self._began_ms = get_monotonic_ms()
-        await self._read()
+        return await self._read()
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_origin_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_origin_client.py
@@ -74,10 +74,20 @@
         bool
             Whether one of them knows the stream.
         """
-        peers = [
-            peer for peer in self._list_peers() if peer.incarnation in writers
-        ]
-        return await self._fetch_from(peers, request_id)
+        answers = await asyncio.gather(
+            *(
+                self._ask(peer, request_id)
+                for peer in self._list_peers()
+                if peer.incarnation in writers
+            )
+        )
+        known = [origin for origin in answers if origin is not None]
+        for origin in known:
+            # One that is not certain is never replaced by another.
+            self._context.directory.stream_versions.record(
+                request_id, origin, get_monotonic_ms()
+            )
+        return bool(known)
 
     async def _fetch_from(
         self, peers: Collection[GatewayMember], request_id: str
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_records.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_records.py
@@ -7,10 +7,13 @@
 from result import Err, Result
 
 from ragworthollow.conf import global_settings
-from ragworthollow.logs.events import log_error, log_event
+from ragworthollow.logs.events import log_event
+from ragworthollow.logs.unreadable_records import UnreadableRecords
 from ragworthollow.platform import PlatformError
+from ragworthollow.platform.store_position import StorePosition
 from ragworthollow.platform.stored import Stored
 from ragworthollow.platform.transaction import Put
+from ragworthollow.replica.latest_entries import LatestEntries
 from ragworthollow.upstreams import StreamSegment
 from ragworthollow.utils import decode_json, get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
@@ -36,7 +39,10 @@
 
     def __init__(self, *, context: GatewayContext) -> None:
         self._context = context
-        self._applied: dict[str, Stored] = {}
+        self._latest = LatestEntries()
+        self._unreadable = UnreadableRecords(
+            event='stream_segment_unreadable', step=_STEP
+        )
         self._number = 0
         self._lease = 0
         self._opened_ms = float('-inf')
@@ -56,13 +62,7 @@
             for key, stored in entries.items()
             if key.startswith(_PREFIX)
         }
-        recorded = self._context.directory.recorded_streams
-        for key in recorded.list_keys() - segments.keys():
-            recorded.remove(key)
-        for key, stored in segments.items():
-            if not stored.is_same_write(self._applied.get(key, Stored())):
-                self._apply_segment(key, stored)
-        self._applied = segments
+        self._merge(segments, self._context.replica.view.get_position())
 
     def handle_store_unavailable(self, detail: str) -> None:
         """Ignore an unavailable store; the last records stay in effect."""
@@ -99,33 +99,47 @@
         if self._is_dirty:
             self._is_dirty = not await self._write_segment()
 
-    async def refresh(self) -> None:
+    async def refresh(self, limit_ms: float) -> None:
         """
         Read the segments from the store now.
 
         The replica may lack what a gateway wrote shortly before it ended.
+
+        Parameters
+        ----------
+        limit_ms : float
+            Maximum wait in milliseconds.
         """
-        await self._shared_read.run()
+        await self._shared_read.run(limit_ms)
 
-    async def _read_segments(self) -> None:
+    async def _read_segments(self) -> bool:
         snapshot = await self._context.store.read_prefix(_PREFIX)
         if isinstance(snapshot, Err):
             self._report_failure(snapshot.err_value)
-            return
-        for key, stored in snapshot.ok_value.entries.items():
-            self._apply_segment(key, stored)
+            return False
+        read = snapshot.ok_value
+        self._merge(
+            read.entries,
+            StorePosition(timeline=read.timeline, revision=read.revision),
+        )
+        return True
+
+    def _merge(
+        self, segments: Mapping[str, Stored], as_of: StorePosition
+    ) -> None:
+        changes = self._latest.merge(segments, as_of)
+        for removed in changes.removed:
+            self._context.directory.recorded_streams.remove(removed)
+        for key in changes.written:
+            self._apply_segment(key, segments[key])
+        self._unreadable.end_list()
 
     def _apply_segment(self, key: str, stored: Stored) -> None:
         try:
             segment = decode_json(stored.text, StreamSegment)
         except msgspec.DecodeError as error:
             self._context.directory.recorded_streams.remove(key)
-            log_error(
-                'stream_segment_unreadable',
-                step=_STEP,
-                peer=key,
-                error=str(error),
-            )
+            self._unreadable.record(key, str(error))
             return
         writer, _, _ = key.removeprefix(_PREFIX).partition('/')
         self._context.directory.recorded_streams.set(key, writer, segment)
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -528,6 +528,10 @@
 # Reads of the store a second, of all gateways together, on behalf of callers
 # that resume streams.
 RESUME_READS_PER_S = 200
+# Longest wait for such a read.
+RESUME_READ_LIMIT_MS = 1_000
+# For how long an own record of versions counts that was not read since.
+VERSION_WRITE_UNREAD_MS = 10_000
 # For how long streams do not begin at a version that is not recorded, while no
 # instance of a recorded one is left.
 UNRECORDED_VERSION_WAIT_MS = 3_000
--- a/packages/ragworthollow/src/ragworthollow/upstreams/stream_versions.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/stream_versions.py
@@ -22,8 +22,9 @@
     def __init__(self, *, limit: int) -> None:
         self._limit = limit
         self._origins: dict[str, StreamOrigin] = {}
-        # Streams relayed here that the store does not have, oldest first.
-        self._unrecorded: dict[str, None] = {}
+        # Streams relayed here that the store does not have, by pool, oldest
+        # first.
+        self._unrecorded: dict[str, dict[str, None]] = {}
 
     def record(
         self, request_id: str, origin: StreamOrigin, now_ms: float
@@ -51,8 +52,8 @@
         if request_id not in self._origins and self._is_full(now_ms):
             return False
         self._origins[request_id] = origin
-        if origin.pool and known is None:
-            self._unrecorded[request_id] = None
+        if known is None:
+            self._queue(request_id, origin)
         return True
 
     def find(self, request_id: str, now_ms: float) -> StreamOrigin | None:
@@ -78,8 +79,7 @@
                 self._origins[request_id] = dataclasses.replace(
                     origin, software_version=None
                 )
-                if origin.pool:
-                    self._unrecorded[request_id] = None
+                self._queue(request_id, origin)
 
     def take_unrecorded(
         self, pools: Collection[str], limit: int, now_ms: float
@@ -97,15 +97,19 @@
             Time on the monotonic clock.
         """
         taken: dict[str, StreamOrigin] = {}
-        for request_id in reversed(tuple(self._unrecorded)):
-            origin = self.find(request_id, now_ms)
-            if origin is None:
-                self._unrecorded.pop(request_id)
-            elif origin.pool in pools and len(taken) < limit:
-                self._unrecorded.pop(request_id)
-                taken[request_id] = origin
+        for pool in pools:
+            unrecorded = self._unrecorded.get(pool, {})
+            while unrecorded and len(taken) < limit:
+                request_id, _ = unrecorded.popitem()
+                origin = self.find(request_id, now_ms)
+                if origin is not None:
+                    taken[request_id] = origin
         return taken
 
+    def _queue(self, request_id: str, origin: StreamOrigin) -> None:
+        if origin.pool:
+            self._unrecorded.setdefault(origin.pool, {})[request_id] = None
+
     def _is_full(self, now_ms: float) -> bool:
         if len(self._origins) >= self._limit:
             self._origins = {
@@ -114,8 +118,11 @@
                 if origin.expires_ms > now_ms
             }
             self._unrecorded = {
-                request_id: None
-                for request_id in self._unrecorded
-                if request_id in self._origins
+                pool: {
+                    request_id: None
+                    for request_id in unrecorded
+                    if request_id in self._origins
+                }
+                for pool, unrecorded in self._unrecorded.items()
             }
         return len(self._origins) >= self._limit
--- a/tests/features/steps/version_records.py
+++ b/tests/features/steps/version_records.py
@@ -11,6 +11,9 @@
     StreamVersions,
     VersionRegistry,
 )
+from ragworthollow.upstreams.longest_resume_times import (
+    LongestResumeTimes,
+)
 from ragworthollow.upstreams.recorded_streams import RecordedStreams
 from tests.fixtures.version_model import Variant, VersionModel
 
@@ -129,6 +132,21 @@
     assert _find_change(context) == PoolVersions(settled=('v1',))
 
 
+@then('the longer time limit holds until the streams of its time have ended')
+def check_longest(context):
+    times = LongestResumeTimes()
+    assert times.update({_POOL: 30_000}, 0) == {_POOL: 30_000}
+    assert times.update({_POOL: 5000}, 29_999) == {_POOL: 30_000}
+    assert times.update({_POOL: 5000}, 30_001) == {_POOL: 5000}
+
+
+@then('its resumptions are refused until it has seen the lists of their time')
+def check_unobserved(context):
+    model = VersionModel(seed=0, variant=Variant())
+    sources = model.decide_without_records()
+    assert sources == ['unobserved', 'list'], sources
+
+
 @then('the record is left as it is')
 def check_unchanged(context):
     assert _find_change(context) is None
--- a/tests/features/stream_restarts.feature
+++ b/tests/features/stream_restarts.feature
@@ -67,6 +67,37 @@
     And each of the streams is resumed at a new gateway
     Then every resumption is refused
 
+  @fixture.log_lines
+  Scenario Outline: A gateway lags behind a release, and <what>
+    # Guards against a version that is inferred from records of which the
+    # gateway has no newer read.
+    Given another gateway that knows all instances
+    When g1 reads nothing more, and <what>
+    And all instances are replaced by those of v2 at g2
+    And 8 streams break off at g2
+    And each of the streams is resumed at g1
+    Then every resumption is refused
+
+    Examples:
+      | what                         |
+      | its own last write is unread |
+      | its read of records fails    |
+
+  @fixture.log_lines
+  Scenario: A route is split between two pools
+    # Guards against streams that go on in another pool than the one in which
+    # they began, or are refused there.
+    Given instances of software versions v1, v1, v2, v2
+    And a second pool that gets half of the streams
+    And 2 more gateways that know all instances
+    When 24 streams break off
+    And the store has what began them
+    And gateways g1, g2, g3 are replaced
+    And each of the streams is resumed at a new gateway
+    Then no stream is joined from two software versions
+    And all streams of version v1 go on
+    And all streams of version w1 go on
+
   @fixture.log_lines
   Scenario: A gateway was suspended while a version came
     # Guards against a list that seems new by a clock which stops in suspend.
--- a/tests/features/version_records.feature
+++ b/tests/features/version_records.feature
@@ -27,6 +27,15 @@
     When the store is restored from before v2 was recorded
     Then v2 is still recorded, and written again
 
+  Scenario: A configuration lowers the time limit of a route
+    # Guards against a version that is forgotten while streams of before still
+    # go on.
+    Then the longer time limit holds until the streams of its time have ended
+
+  Scenario: A gateway has just started, and the store has no versions
+    # Guards against a version that is inferred from the first list alone.
+    Then its resumptions are refused until it has seen the lists of their time
+
   Scenario: Too many versions are listed
     # Guards against records that grow with what other writers list.
     Given a pool whose recorded version is v1, and a list with 40 versions
