--- a/tests/features/steps/stream_restarts.py
+++ b/tests/features/steps/stream_restarts.py
@@ -185,6 +185,21 @@
     store.read_prefix = fail
 
 
+@when('g1 gets no records of streams from its replica')
+def hide_streams(context):
+    stage = context.gateway_stage
+    for name in stage.gateways:
+        stage.run(_wait_for_versions(stage, name))
+    streams = stage.gateways['g1']._records._streams
+    streams.apply_entries = lambda *_: None
+
+
+@when('g2 ends')
+def end_other(context):
+    stage = context.gateway_stage
+    stage.run(stage.gateways.pop('g2').close())
+
+
 def _freeze_replica(stage) -> None:
     """Let a gateway notify nobody of what it reads of the store."""
     stage.gateways['g1'].store_poller._notify = lambda: None
--- a/tests/features/steps/version_records.py
+++ b/tests/features/steps/version_records.py
@@ -1,7 +1,9 @@
 """Steps for the records of software versions in the store."""
 
+import base64
 from collections import Counter
 
+import msgspec
 from behave import given, then, when
 
 from ragworthollow.upstreams import (
@@ -247,6 +249,34 @@
     assert directory.recorded_versions[_POOL].settled == ('v1',)
 
 
+@given('a recorded version v2 whose instance has left')
+def record_left_version(context):
+    stage = context.gateway_stage
+    directory = stage.get_context().directory
+    stage.run(stage.publish_instance('u2', _POOL, version='v2'))
+    stage.run(stage.wait_for(lambda: _get_recorded(stage) == {'v1', 'v2'}))
+    stage.run(stage.remove_instance('u2'))
+    stage.run(stage.wait_for(lambda: len(directory.get_pool(_POOL)) == 1))
+
+
+@then('the gateway writes v1 and v2 again')
+def check_both_written_again(context):
+    stage = context.gateway_stage
+    stage.run(stage.wait_for(lambda: _get_recorded(stage) == {'v1', 'v2'}))
+
+
+def _get_recorded(stage) -> frozenset[str]:
+    """Return the versions in the store; none if the record is junk."""
+    entry = stage.store.entries.get(f'pool-versions/{_POOL}')
+    if entry is None:
+        return frozenset()
+    text = base64.b64decode(entry.value)
+    try:
+        return msgspec.json.decode(text, type=PoolVersions).list_all()
+    except (msgspec.DecodeError, RecursionError):
+        return frozenset()
+
+
 @when('another writer leaves a segment of streams that is junk')
 def write_junk_segment(context):
     stage = context.gateway_stage
--- a/tests/features/stream_restarts.feature
+++ b/tests/features/stream_restarts.feature
@@ -67,6 +67,21 @@
     And each of the streams is resumed at a new gateway
     Then every resumption is refused
 
+  @fixture.log_lines
+  Scenario: A gateway ends before the others have read its records
+    # Guards against streams that are given up although the store has what began
+    # them.
+    Given instances of software versions v1, v1, v2, v2
+    And 1 more gateways that know all instances
+    When g1 gets no records of streams from its replica
+    And 8 streams break off at g2
+    And the store has what began them
+    And g2 ends
+    And each of the streams is resumed at g1
+    Then no stream is joined from two software versions
+    And all streams of version v1 go on
+    And all streams of version v2 go on
+
   @fixture.log_lines
   Scenario Outline: A gateway lags behind a release, and <what>
     # Guards against a version that is inferred from records of which the
--- a/tests/features/version_records.feature
+++ b/tests/features/version_records.feature
@@ -75,6 +75,13 @@
     When another writer replaces the recorded versions by junk
     Then the gateway writes the record again
 
+  @fixture.gateway
+  Scenario: The record of a pool is spoiled after a version has left
+    # Guards against a version that is forgotten with its record.
+    Given a recorded version v2 whose instance has left
+    When another writer replaces the recorded versions by junk
+    Then the gateway writes v1 and v2 again
+
   @fixture.gateway
   Scenario: A segment of streams cannot be read
     # Guards against a gateway that ends because of a segment that another
