Fix a scenario that raced with the record of a stream

The scenario now keeps g1 from recording, and demands the refusal as before. A second one waits for the record, and demands that the stream goes on at one version.

--- a/tests/features/steps/stream_restarts.py
+++ b/tests/features/steps/stream_restarts.py
@@ -1,6 +1,5 @@
 """Steps for streams that are resumed after gateways were replaced."""
 
-import base64
 import random
 import time
 from collections import Counter
@@ -12,6 +11,7 @@
 from ragworthollow.utils import (
     override_clocks,
 )
+from tests.fixtures.recorded_streams import is_stream_recorded
 from tests.standins.partial_streams import PartialStream, Stop
 
 _PATH = '/resumable/partial'
@@ -78,7 +78,7 @@
     stage.run(
         stage.wait_for(
             lambda: all(
-                _is_recorded(stage, began.request_id)
+                is_stream_recorded(stage, began.request_id)
                 for began in context.began
                 if _find_versions(context, began) != {_SINGLE_VERSION}
             )
@@ -86,14 +86,6 @@
     )
 
 
-def _is_recorded(stage, request_id: str) -> bool:
-    return any(
-        f'"{request_id}"' in base64.b64decode(entry.value).decode()
-        for key, entry in stage.store.entries.items()
-        if key.startswith('streams/')
-    )
-
-
 @when('the instances of version {version:w} leave')
 def remove_version(context, version):
     stage = context.gateway_stage
--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -11,6 +11,7 @@
     UpstreamInstance,
 )
 from ragworthollow.upstreams.version_history import VersionHistory
+from tests.fixtures.recorded_streams import is_stream_recorded
 from tests.standins.partial_streams import PartialStream, Stop
 
 _PATH = '/resumable/partial'
@@ -74,6 +75,21 @@
     return lambda: members.count() == len(stage.gateways)
 
 
+@given('gateway g1 records no streams in the store')
+def suppress_records(context):
+    stream_versions = context.gateway_stage.get_context(
+        'g1'
+    ).directory.stream_versions
+    stream_versions.take_unrecorded = lambda *_: {}
+
+
+@when('the store has what began its stream')
+def wait_for_record(context):
+    stage = context.gateway_stage
+    request_id = context.response.request_id
+    stage.run(stage.wait_for(lambda: is_stream_recorded(stage, request_id)))
+
+
 @when('the gateway that relayed it is gone')
 def end_gateway(context):
     stage = context.gateway_stage
--- a/tests/features/stream_versions.feature
+++ b/tests/features/stream_versions.feature
@@ -64,15 +64,30 @@
     And both attempts ran at one software version
 
   Scenario: The gateway that relayed the beginning is gone
-    # Guards against a version that is guessed where no peer knows it.
+    # Guards against a version that is guessed where neither a peer nor the
+    # store knows it.
     Given instance u2 has software version v2
     And another gateway that knows all instances
+    And gateway g1 records no streams in the store
     And upstreams whose next responses hold events 1 2 broken
     When a caller posts to /resumable/partial
     And the gateway that relayed it is gone
     And it resumes /resumable/partial after event 2 at the other gateway
     Then it gets status 503 and the request has run 0 times
 
+  Scenario: The gateway that recorded the beginning is gone
+    # Guards against a stream that is given up although the store has what began
+    # it.
+    Given instance u2 has software version v2
+    And another gateway that knows all instances
+    And upstreams whose next responses hold events 1 2 broken
+    When a caller posts to /resumable/partial
+    And the store has what began its stream
+    And the gateway that relayed it is gone
+    And it resumes /resumable/partial after event 2 at the other gateway
+    Then it gets events 3 to 5 once, in order, and the end
+    And both attempts ran at one software version
+
   Scenario: The gateway that relayed the beginning is not certain
     # Guards against a peer that trusts a version which the one that relayed the
     # beginning does not.
