Take up a stream only in the pool in which it began

A configuration may move a route to another pool, or change the weights of its split, while callers have streams of before. They were answered 200 with the rest from the new pool where that pool has a software version of the same name.

What began a stream was known as a version only. The record of the gateway that relayed it, the answers of peers and the segments in the store now name the pool too, and a stream that began in another pool than the one to which its request would go is refused before any work (`moved`). An answer of an earlier build names no pool, so that a stream known from it alone is refused.

Without the fix the scenarios "A route moves while its streams are broken off" and "The weights of a split change" fail at the gateway that relayed the streams: resumptions are answered 200 by instances of the other pool.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
@@ -5,7 +5,8 @@
 
 from ragworthollow.logs.events import log_event
 from ragworthollow.outcomes import Outcome, Reason
-from ragworthollow.upstreams import Directory, PoolVersions
+from ragworthollow.upstreams import Directory, PoolVersions, StreamOrigin
+from ragworthollow.upstreams.recorded_streams import RecordedStream
 from ragworthollow.utils import get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.request_job import RequestJob
@@ -29,8 +30,9 @@
         version), `uncertain` (the version that began it is not certain),
         `versions` (the pool has had several), `stale` (the list is too old),
         `unread` (the store did not confirm that the pool has had one version),
-        `unobserved` (this gateway has not seen the lists of the stream's time)
-        or `gone` (no instance of the version is left).
+        `unobserved` (this gateway has not seen the lists of the stream's time),
+        `moved` (it began in another pool than that of its route) or `gone` (no
+        instance of the version is left).
     software_version : str or None
         Version at which it may go on; None if it may not.
     age_ms : float or None
@@ -101,29 +103,30 @@
         return _decide_by_origin(
             context,
             job,
-            origin.software_version,
+            origin,
             source='record',
             age_ms=now_ms - origin.began_ms,
         )
     recorded = context.directory.recorded_streams.find(request_id)
     if recorded is not None:
-        return _decide_by_origin(
-            context, job, recorded.software_version, source='store'
-        )
+        return _decide_by_origin(context, job, recorded, source='store')
     return _decide_by_list(context, job, now_ms)
 
 
 def _decide_by_origin(
     context: GatewayContext,
     job: RequestJob,
-    version: str | None,
+    origin: StreamOrigin | RecordedStream,
     *,
     source: str,
     age_ms: float | None = None,
 ) -> ResumeDecision:
     """Decide for a stream of which it is known what began it."""
+    version = origin.software_version
     if version is None:
         return ResumeDecision(source='uncertain', age_ms=age_ms)
+    if origin.pool != job.pool:
+        return ResumeDecision(source='moved', age_ms=age_ms)
     instances = context.directory.get_pool(job.pool)
     if all(instance.software_version != version for instance in instances):
         return ResumeDecision(source='gone', age_ms=age_ms)
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_resolver.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_resolver.py
@@ -106,6 +106,7 @@
                 instance='',
                 began_ms=now_ms,
                 expires_ms=now_ms + job.route.timeout_ms,
+                pool=job.pool,
             ),
             now_ms,
         )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_binding.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_binding.py
@@ -70,6 +70,7 @@
                 began_ms=now_ms,
                 expires_ms=now_ms + self._job.route.timeout_ms + spread_ms,
                 pool=instance.pool,
+                is_relayed_here=True,
             ),
             now_ms,
         )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_origin_client.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_origin_client.py
@@ -159,6 +159,7 @@
             instance=answer.instance,
             began_ms=now_ms - answer.age_ms,
             expires_ms=now_ms + answer.left_ms,
+            pool=answer.pool,
         )
 
     def _log(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_origin_route.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_origin_route.py
@@ -42,6 +42,7 @@
         is_known=True,
         software_version=origin.software_version,
         instance=origin.instance,
+        pool=origin.pool,
         age_ms=now_ms - origin.began_ms,
         left_ms=origin.expires_ms - now_ms,
     )
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_records.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_records.py
@@ -1,4 +1,4 @@
-"""Record in the store which software versions began streams."""
+"""Record in the store what began streams."""
 
 import asyncio
 from collections.abc import Mapping
@@ -14,7 +14,8 @@
 from ragworthollow.platform.stored import Stored
 from ragworthollow.platform.transaction import Put
 from ragworthollow.replica.latest_entries import LatestEntries
-from ragworthollow.upstreams import StreamSegment
+from ragworthollow.upstreams import StreamOrigin, StreamSegment
+from ragworthollow.upstreams.stream_segment import AttemptsByVersion
 from ragworthollow.utils import decode_json, get_monotonic_ms
 from ragworthollow_daemon.gateway.context import GatewayContext
 from ragworthollow_daemon.gateway.shared_read import SharedRead
@@ -46,7 +47,7 @@
         self._number = 0
         self._lease = 0
         self._opened_ms = float('-inf')
-        self._streams: dict[str, str | None] = {}
+        self._streams: dict[str, StreamOrigin] = {}
         self._is_dirty = False
         self._shared_read = SharedRead(
             read=self._read_segments,
@@ -93,8 +94,7 @@
             taken = self._context.directory.stream_versions.take_unrecorded(
                 pools, self._get_limit(), now_ms
             )
-            for request_id, origin in taken.items():
-                self._streams[request_id] = origin.software_version
+            self._streams.update(taken)
             self._is_dirty = self._is_dirty or bool(taken)
         if self._is_dirty:
             self._is_dirty = not await self._write_segment()
@@ -224,12 +224,14 @@
         return int(min(needed_ms, global_settings.MAX_LEASE_MS))
 
 
-def _make_segment(streams: Mapping[str, str | None]) -> StreamSegment:
-    by_version: dict[str, list[str]] = {}
+def _make_segment(streams: Mapping[str, StreamOrigin]) -> StreamSegment:
+    pools: dict[str, AttemptsByVersion] = {}
     uncertain = []
-    for request_id, version in streams.items():
+    for request_id, origin in streams.items():
+        version = origin.software_version
         if version is None:
             uncertain.append(request_id)
         else:
+            by_version = pools.setdefault(origin.pool, {})
             by_version.setdefault(version, []).append(request_id)
-    return StreamSegment(streams=by_version, uncertain=uncertain)
+    return StreamSegment(pools=pools, uncertain=uncertain)
--- a/packages/ragworthollow/src/ragworthollow/transport/host_messages.py
+++ b/packages/ragworthollow/src/ragworthollow/transport/host_messages.py
@@ -97,14 +97,14 @@
 
 
 class StreamOriginQuery(Message):
-    """Ask which software version began a stream, by its first attempt."""
+    """Ask what began a stream, by its first attempt."""
 
     request_id: str
 
 
 class StreamOriginAnswer(Message):
     """
-    Tell which software version began a stream.
+    Tell what began a stream.
 
     Attributes
     ----------
@@ -114,6 +114,8 @@
         The version; None if it is not certain.
     instance : str
         Instance that generated the first event.
+    pool : str
+        Pool of that instance; empty if it is not known.
     age_ms, left_ms : float
         Milliseconds since the first event, and until the record expires.
     """
@@ -121,6 +123,7 @@
     is_known: bool = False
     software_version: str | None = None
     instance: str = ''
+    pool: str = ''
     age_ms: float = 0
     left_ms: float = 0
 
--- a/packages/ragworthollow/src/ragworthollow/upstreams/recorded_streams.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/recorded_streams.py
@@ -1,10 +1,14 @@
-"""Find which software version began a stream in the records of the store."""
+"""Find what began a stream in the records of the store."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from ragworthollow.upstreams.stream_segment import StreamSegment
 
+# Pool and software version.
+_Beginning = tuple[str, str | None]
+_UNCERTAIN: _Beginning = ('', None)
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RecordedStream:
@@ -15,11 +19,14 @@
     ----------
     software_version : str or None
         Version that began it; None if it is not certain.
+    pool : str
+        Pool in which it began; empty if it is not certain.
     writers : frozenset of str
         Incarnations of the gateways that have recorded it.
     """
 
     software_version: str | None
+    pool: str
     writers: frozenset[str]
 
 
@@ -27,7 +34,7 @@
     """Hold the segments of all gateways, as last read."""
 
     def __init__(self) -> None:
-        self._segments: dict[str, Mapping[str, str | None]] = {}
+        self._segments: dict[str, Mapping[str, _Beginning]] = {}
         self._writers: dict[str, str] = {}
 
     def set(self, key: str, writer: str, segment: StreamSegment) -> None:
@@ -43,13 +50,12 @@
         segment : StreamSegment
             The segment.
         """
-        versions: dict[str, str | None] = {
-            request_id: version
-            for version, request_ids in segment.streams.items()
-            for request_id in request_ids
-        }
-        versions.update(dict.fromkeys(segment.uncertain))
-        self._segments[key] = versions
+        streams: dict[str, _Beginning] = {}
+        for pool, by_version in segment.pools.items():
+            for version, request_ids in by_version.items():
+                streams.update(dict.fromkeys(request_ids, (pool, version)))
+        streams.update(dict.fromkeys(segment.uncertain, _UNCERTAIN))
+        self._segments[key] = streams
         self._writers[key] = writer
 
     def remove(self, key: str) -> None:
@@ -77,9 +83,11 @@
         }
         if not found:
             return None
-        # A record that differs from another makes the version uncertain.
-        versions = set(found.values())
+        # A record that differs from another makes the beginning uncertain.
+        beginnings = set(found.values())
+        pool, version = beginnings.pop() if len(beginnings) == 1 else _UNCERTAIN
         return RecordedStream(
-            software_version=versions.pop() if len(versions) == 1 else None,
+            software_version=version,
+            pool=pool,
             writers=frozenset(self._writers[key] for key in found),
         )
--- a/packages/ragworthollow/src/ragworthollow/upstreams/stream_origin.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/stream_origin.py
@@ -6,7 +6,7 @@
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StreamOrigin:
     """
-    Hold the software version that generated the first event of a stream.
+    Hold the pool and software version that generated a stream's first event.
 
     Attributes
     ----------
@@ -18,7 +18,9 @@
         When the event arrived, and from when on no caller resumes the stream,
         on the monotonic clock.
     pool : str
-        Pool of the instance; empty if another gateway has relayed the stream.
+        Pool of the instance; empty if it is not known.
+    is_relayed_here : bool
+        Whether this gateway has relayed the event.
     """
 
     software_version: str | None
@@ -26,3 +28,4 @@
     began_ms: float
     expires_ms: float
     pool: str = ''
+    is_relayed_here: bool = False
--- a/packages/ragworthollow/src/ragworthollow/upstreams/stream_segment.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/stream_segment.py
@@ -2,18 +2,21 @@
 
 from ragworthollow.utils.message import Message
 
+AttemptsByVersion = dict[str, list[str]]
+
 
 class StreamSegment(Message):
     """
-    Hold which software versions began some of the streams of a gateway.
+    Hold what began some of the streams of a gateway.
 
     Attributes
     ----------
-    streams : dict of str to list of str
-        Callers' attempts whose response brought the first event, by version.
+    pools : dict of str to dict of str to list of str
+        Callers' attempts whose response brought the first event, by pool and
+        software version.
     uncertain : list of str
-        Attempts of which it is not certain which version began them.
+        Attempts of which it is not certain what began them.
     """
 
-    streams: dict[str, list[str]] = {}
+    pools: dict[str, AttemptsByVersion] = {}
     uncertain: list[str] = []
--- a/packages/ragworthollow/src/ragworthollow/upstreams/stream_versions.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/stream_versions.py
@@ -107,7 +107,7 @@
         return taken
 
     def _queue(self, request_id: str, origin: StreamOrigin) -> None:
-        if origin.pool:
+        if origin.is_relayed_here:
             self._unrecorded.setdefault(origin.pool, {})[request_id] = None
 
     def _is_full(self, now_ms: float) -> bool:
--- a/tests/features/steps/version_records.py
+++ b/tests/features/steps/version_records.py
@@ -158,9 +158,11 @@
 def check_differing(context):
     context.streams = RecordedStreams()
     context.streams.set(
-        's/1', 'g1', StreamSegment(streams={'v1': ['r1', 'r2']})
+        's/1', 'g1', StreamSegment(pools={_POOL: {'v1': ['r1', 'r2']}})
+    )
+    context.streams.set(
+        's/2', 'g2', StreamSegment(pools={_POOL: {'v2': ['r1']}})
     )
-    context.streams.set('s/2', 'g2', StreamSegment(streams={'v2': ['r1']}))
     assert context.streams.find('r1').software_version is None
     assert context.streams.find('r2').software_version == 'v1'
 
@@ -178,26 +180,29 @@
     assert context.streams.find('r1') is None
 
 
-def _make_origin(pool: str, expires_ms: float = 100) -> StreamOrigin:
+def _make_origin(
+    pool: str, expires_ms: float = 100, *, is_relayed_here: bool = True
+) -> StreamOrigin:
     return StreamOrigin(
         software_version='v1',
         instance='i1',
         began_ms=0,
         expires_ms=expires_ms,
         pool=pool,
+        is_relayed_here=is_relayed_here,
     )
 
 
 @then('only unexpired streams of the pools with several versions are written')
 def check_taken(context):
     context.versions = StreamVersions(limit=10)
-    for request_id, pool, expires_ms in (
-        ('mine', _POOL, 100),
-        ('expired', _POOL, 5),
-        ('of-peer', '', 100),
-        ('other-pool', 'other', 100),
+    for request_id, origin in (
+        ('mine', _make_origin(_POOL)),
+        ('expired', _make_origin(_POOL, 5)),
+        ('of-peer', _make_origin(_POOL, is_relayed_here=False)),
+        ('other-pool', _make_origin('other')),
     ):
-        context.versions.record(request_id, _make_origin(pool, expires_ms), 0)
+        context.versions.record(request_id, origin, 0)
     taken = context.versions.take_unrecorded([_POOL], 10, 50)
     assert taken.keys() == {'mine'}, taken
     assert not context.versions.take_unrecorded([_POOL], 10, 50)
