Record in which pools the streams of a route may have begun

Where a configuration had moved a route to another pool, or changed its split, a caller that took up a stream of before at another gateway, or after all had been replaced, was answered 200 with the rest from the new pool: one that has a single version, or whose version has the same name, passed for the stream's. A caller of a split route that named no stream got whichever pool its own request was for.

The cause is the one of the streams joined from two versions: what a process has not seen it took for what was not there, here the configurations of before. The gateways now record the splits of each resumable route, by host and path prefix, as they record the versions of a pool: the registry and its records are shared. Without a record of the stream nothing is inferred unless all recorded splits send it to the same pool. A route without a settled split is new, so that its callers' streams may have begun at another route; those of a removed route with a longer path count too. While a route has several splits, its streams are recorded, and go on where they began. A configuration is in force before its record is written; what may happen in between is in the design.

--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -530,6 +530,8 @@
 RESUME_READS_PER_S = 200
 # Longest wait for such a read.
 RESUME_READ_LIMIT_MS = 1_000
+# Longest key that the store takes.
+MAX_STORE_KEY_BYTES = 200
 # For how long an own record of versions counts that was not read since.
 VERSION_WRITE_UNREAD_MS = 10_000
 # For how long streams do not begin at a version that is not recorded, while no
--- a/packages/ragworthollow/src/ragworthollow/replica/latest_entries.py
+++ b/packages/ragworthollow/src/ragworthollow/replica/latest_entries.py
@@ -39,10 +39,13 @@
         return self._entries.get(key, Stored())
 
     def merge(
-        self, entries: Mapping[str, Stored], as_of: StorePosition
+        self,
+        entries: Mapping[str, Stored],
+        as_of: StorePosition,
+        prefix: str = '',
     ) -> EntryChanges:
         """
-        Merge all keys of a state of the store.
+        Merge all keys of a state of the store that have a prefix.
 
         Parameters
         ----------
@@ -50,6 +53,8 @@
             The keys of that state.
         as_of : StorePosition
             Position up to which the state contains all changes.
+        prefix : str
+            The prefix; empty for all keys that are held here.
         """
         written = tuple(
             key
@@ -60,7 +65,9 @@
         removed = tuple(
             key
             for key, stored in self._entries.items()
-            if key not in entries and stored.get_position() <= as_of
+            if key.startswith(prefix)
+            and key not in entries
+            and stored.get_position() <= as_of
         )
         self._entries.update((key, entries[key]) for key in written)
         for key in removed:
--- a/tests/features/steps/many_odd_records.py
+++ b/tests/features/steps/many_odd_records.py
@@ -15,6 +15,7 @@
     'gateways',
     'quarantine',
     'pool-versions',
+    'route-pools',
     'streams',
 )
 _LIMITED_EVENTS = (
