Let few gateways take over the write of a record

A change of the recorded versions or splits was left to the responsible gateway for 1.5 s, then all others wrote at once: of 410 gateways 409 calls for each record, of which one succeeds. With a record for each route, a domain that is lost while a configuration moves many routes would exceed what the store takes.

Three others write after 1.5 s now, all after 3 s. The scenario "The gateway that writes a record does not" fails without the change: all seven gateways try within 2.3 s.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/registry_records.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/registry_records.py
@@ -191,11 +191,7 @@
         due_ms = self._due_ms.setdefault(pool, now_ms)
         if pool in self._written:
             return
-        senders = self._context.throttle.senders
-        is_responsible = senders.is_ranked_first_once_listed(key)
-        if not is_responsible and (
-            now_ms - due_ms < global_settings.VERSION_TAKEOVER_MS
-        ):
+        if now_ms - due_ms < self._get_delay_ms(key):
             return
         previous = self._latest.get(key)
         written = await self._context.store.commit(
@@ -222,6 +218,17 @@
                 previous=previous.text,
             )
 
+    def _get_delay_ms(self, key: str) -> float:
+        """Return for how long to leave a write to other gateways."""
+        senders = self._context.throttle.senders
+        if senders.is_ranked_first_once_listed(key):
+            return 0
+        if senders.is_among_first(
+            key, global_settings.VERSION_TAKEOVER_WRITERS
+        ):
+            return global_settings.VERSION_TAKEOVER_MS
+        return 2 * global_settings.VERSION_TAKEOVER_MS
+
     def _publish(self) -> None:
         """Set the versions by which streams begin and are resumed."""
         now_ms = get_monotonic_ms()
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -513,9 +513,11 @@
 # For how long streams may go on to begin at instances of a version that has
 # left the list: at a gateway that is cut off, while the instances still run.
 VERSION_AFTERLIFE_MS = 20_000
-# How long the other gateways leave a change of the recorded versions to the
-# one that is responsible for it.
+# How long the first of the other gateways leave a change of the recorded
+# versions to the one that is responsible for it, and half of how long all
+# others do; and how many the first are, with the responsible one.
 VERSION_TAKEOVER_MS = 1_500
+VERSION_TAKEOVER_WRITERS = 4
 # Writes and streams a second, of all gateways together, that record which
 # version began a stream while a pool has several, and the shortest interval of
 # one gateway.
--- a/tests/features/route_records.feature
+++ b/tests/features/route_records.feature
@@ -116,3 +116,12 @@
     # Guards against writes that the store refuses again and again.
     When a route gets a path of 300 characters
     Then the gateway has recorded the other routes only
+
+  @fixture.gateway
+  Scenario: The gateway that writes a record does not
+    # Guards against all gateways of a large deployment writing one record at
+    # the same moment.
+    Given 6 more gateways whose writes of records are lost
+    When a route is added while nobody writes its record
+    Then only the first 4 of the gateways try to take over within 2300 ms
+    And the others try after that
--- a/tests/features/steps/route_records.py
+++ b/tests/features/steps/route_records.py
@@ -1,14 +1,18 @@
 """Steps for the records of the pools of routes in the store."""
 
+import asyncio
 import base64
+from functools import partial
 
 import msgspec
 from behave import given, then, when
+from result import Ok
 
 from ragworthollow.routes import Route, RouteKind, WeightedPool
 from ragworthollow.routes.route_split import encode_split
 from ragworthollow.upstreams import PoolVersions, VersionRegistry
 from ragworthollow.upstreams.route_splits import RouteSplits
+from ragworthollow.utils import get_rank
 
 _HOST = 'service.example'
 _PREFIX = '/resumable/'
@@ -260,6 +264,69 @@
     assert keys == {_KEY}, keys
 
 
+@given('{count:d} more gateways whose writes of records are lost')
+def add_gateways(context, count):
+    stage = context.gateway_stage
+    for number in range(2, count + 2):
+        stage.run(stage.add_gateway(f'g{number}'))
+    for name in stage.gateways:
+        stage.run(stage.wait_for_configuration(name))
+        stage.run(stage.wait_for(partial(_knows_all, stage, name)))
+    stage.run(stage.wait_for(lambda: _KEY in stage.store.entries))
+    context.tried = set()
+    for name in stage.gateways:
+        _lose_writes(context, name)
+
+
+def _knows_all(stage, name) -> bool:
+    return stage.gateways[name].members.count() == len(stage.gateways)
+
+
+def _lose_writes(context, name) -> None:
+    """Keep a gateway's records from the store, and note that it tried."""
+    store = context.gateway_stage.get_context(name).store
+    commit = store.commit
+
+    async def commit_others(*, compares, puts, removes=()):
+        if any(put.key.startswith('route-pools/') for put in puts):
+            context.tried.add(name)
+            return Ok(False)
+        return await commit(compares=compares, puts=puts, removes=removes)
+
+    store.commit = commit_others
+
+
+@when('a route is added while nobody writes its record')
+def add_route(context):
+    stage = context.gateway_stage
+    routes = stage.configuration['routes']
+    (route,) = [item for item in routes if item['path_prefix'] == _PREFIX]
+    new = {**route, 'name': 'r-new', 'path_prefix': '/new/'}
+    stage.run(stage.configure(version=9, routes=[*routes, new]))
+    for name in stage.gateways:
+        stage.run(stage.wait_for_configuration(name))
+
+
+@then(
+    'only the first {count:d} of the gateways try to take over within '
+    '{wait_ms:d} ms'
+)
+def check_first(context, count, wait_ms):
+    stage = context.gateway_stage
+    stage.run(asyncio.sleep(wait_ms / 1000))
+    key = f'route-pools/{_HOST}/new/'
+    first = sorted(
+        stage.gateways, key=lambda name: get_rank(key, name), reverse=True
+    )
+    assert context.tried == set(first[:count]), (context.tried, first)
+
+
+@then('the others try after that')
+def check_others(context):
+    stage = context.gateway_stage
+    stage.run(stage.wait_for(lambda: context.tried == set(stage.gateways)))
+
+
 def _get_recorded(stage) -> PoolVersions | None:
     """Return the record in the store; None if it is absent or junk."""
     entry = stage.store.entries.get(_KEY)
