--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
@@ -16,7 +16,7 @@
 )
 from ragworthollow.routes import KeyHolder, Route, RouteTable
 from ragworthollow.utils import get_boottime_ms
-from ragworthollow.utils.hashing import hash_secret
+from ragworthollow.utils.hashing import get_fraction, hash_secret
 from ragworthollow_daemon.gateway.body_budget import BodyReservation
 from ragworthollow_daemon.gateway.body_reader import BodyReader
 from ragworthollow_daemon.gateway.context import GatewayContext
@@ -177,8 +177,17 @@
     The choice follows from the attempt that began the stream, so that every
     gateway takes up a stream in the pool in which it began.
     """
+    weighted_pools = [
+        weighted for weighted in route.weighted_pools if weighted.weight
+    ] or route.weighted_pools[:1]
     subject = caller.resumes_request_id or caller.request_id
-    return route.make_split().choose_pool(subject)
+    total = sum(weighted.weight for weighted in weighted_pools)
+    remaining = get_fraction(subject, route.name) * total
+    for weighted in weighted_pools:
+        remaining -= weighted.weight
+        if remaining < 0:
+            return weighted.pool
+    return weighted_pools[-1].pool
 
 
 def make_shutdown_failure(peer: str, outcome: Outcome) -> UpstreamFailure:
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
@@ -13,7 +13,7 @@
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
 _STEP = 'resume'
-_READ_SOURCES = frozenset(('versions', 'pools', 'unobserved'))
+_READ_SOURCES = frozenset(('versions', 'unobserved'))
 _ASKED_SOURCES = frozenset((*_READ_SOURCES, 'stale', 'unread'))
 
 
@@ -28,11 +28,9 @@
         What it follows from: `record` (the stream began here, or a peer knows
         it), `store` (it is recorded there), `list` (the pool has had one
         version), `uncertain` (the version that began it is not certain),
-        `versions` (the pool has had several), `pools` (the stream may have
-        begun in another pool), `stale` (the list is too old),
+        `versions` (the pool has had several), `stale` (the list is too old),
         `unread` (the store did not confirm that the pool has had one version),
-        `unobserved` (neither this gateway nor the store knows the lists and
-        routes of the stream's time),
+        `unobserved` (this gateway has not seen the lists of the stream's time),
         `moved` (it began in another pool than that of its route) or `gone` (no
         instance of the version is left).
     software_version : str or None
@@ -146,9 +144,6 @@
     if directory.observation.get_age_ms() > spread_ms:
         return ResumeDecision(source='stale')
     window_ms = job.route.timeout_ms + spread_ms
-    by_route = _decide_by_route(context, job, now_ms, window_ms)
-    if by_route is not None:
-        return by_route
     last_known_ms = dict(
         directory.versions.get_last_listed_ms(job.pool, now_ms - window_ms)
     )
@@ -173,28 +168,6 @@
     )
 
 
-def _decide_by_route(
-    context: GatewayContext, job: RequestJob, now_ms: float, window_ms: float
-) -> ResumeDecision | None:
-    """Refuse a stream that may have begun in another pool."""
-    if not job.route.can_resume:
-        return None
-    splits = context.directory.route_splits
-    since_ms = now_ms - window_ms
-    pools = splits.find_pools(
-        job.route,
-        job.get_path(),
-        job.request_parameters.resumes_request_id,
-        since_ms,
-    )
-    if pools != {job.pool}:
-        return ResumeDecision(source='pools', retry_after_ms=window_ms)
-    observed_ms = context.directory.observation.since_ms
-    if splits.is_known_since(job.route, since_ms, observed_ms):
-        return None
-    return ResumeDecision(source='unobserved', retry_after_ms=window_ms)
-
-
 def log_resume(
     context: GatewayContext, job: RequestJob, decision: ResumeDecision
 ) -> None:
@@ -223,7 +196,6 @@
         recorded_versions=sorted(
             directory.recorded_versions.get(job.pool, PoolVersions()).list_all()
         ),
-        recorded_splits=sorted(directory.route_splits.get_recorded(job.route)),
         retry_after_ms=decision.retry_after_ms,
     )
 
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_resolver.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_resolver.py
@@ -1,7 +1,5 @@
 """Find out at which software version a caller's stream may go on."""
 
-import asyncio
-
 from ragworthollow.conf import global_settings
 from ragworthollow.upstreams import StreamOrigin
 from ragworthollow.utils import get_monotonic_ms
@@ -12,7 +10,6 @@
     decide_resume,
     log_resume,
 )
-from ragworthollow_daemon.gateway.route_records import RouteRecords
 from ragworthollow_daemon.gateway.stream_origin_client import (
     StreamOriginClient,
 )
@@ -30,8 +27,6 @@
         State of this gateway.
     versions : VersionRecords
         Records of the versions of pools in the store.
-    routes : RouteRecords
-        Records of the pools of routes in the store.
     streams : StreamRecords
         Records of what began streams in the store.
     origins : StreamOriginClient
@@ -43,13 +38,11 @@
         *,
         context: GatewayContext,
         versions: VersionRecords,
-        routes: RouteRecords,
         streams: StreamRecords,
         origins: StreamOriginClient,
     ) -> None:
         self._context = context
         self._versions = versions
-        self._routes = routes
         self._streams = streams
         self._origins = origins
 
@@ -78,13 +71,8 @@
         return decision
 
     async def _confirm_inference(self, job: RequestJob) -> ResumeDecision:
-        """Decide again: a version or a pool may have been announced since."""
-        limit_ms = self._get_limit_ms(job)
-        reads = await asyncio.gather(
-            self._versions.refresh(limit_ms),
-            self._routes.refresh(job.route.get_location(), limit_ms),
-        )
-        if all(reads):
+        """Decide again: another version may have been announced since."""
+        if await self._versions.refresh(self._get_limit_ms(job)):
             return decide_resume(self._context, job)
         return ResumeDecision(
             source='unread', retry_after_ms=global_settings.RESUME_READ_LIMIT_MS
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -88,8 +88,8 @@
                     on_restart=self.service.forget_incarnation,
                 ),
                 self.membership,
-                ConfigurationSubscriber(context=self.context),
                 *self._records.list_subscribers(),
+                ConfigurationSubscriber(context=self.context),
             ),
         )
         self._host_pinger = make_host_pinger(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/store_records.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/store_records.py
@@ -7,7 +7,6 @@
 from ragworthollow_daemon.gateway.numbering_records import NumberingRecords
 from ragworthollow_daemon.gateway.quarantine_records import QuarantineRecords
 from ragworthollow_daemon.gateway.resume_resolver import ResumeResolver
-from ragworthollow_daemon.gateway.route_records import RouteRecords
 from ragworthollow_daemon.gateway.store_poller import StoreSubscriber
 from ragworthollow_daemon.gateway.stream_origin_client import (
     StreamOriginClient,
@@ -30,7 +29,6 @@
         self._context = context
         self._streams = StreamRecords(context=context)
         self._versions = VersionRecords(context=context)
-        self._routes = RouteRecords(context=context)
         self._numberings = NumberingRecords(context=context)
         self._quarantine = QuarantineRecords(context=context)
 
@@ -39,16 +37,14 @@
         return ResumeResolver(
             context=self._context,
             versions=self._versions,
-            routes=self._routes,
             streams=self._streams,
             origins=StreamOriginClient(context=self._context, members=members),
         )
 
     def list_subscribers(self) -> tuple[StoreSubscriber, ...]:
-        """Return the subscribers, to be notified after those of the sources."""
+        """Return the subscribers, to be notified after that of instances."""
         return (
             self._versions,
-            self._routes,
             self._streams,
             self._numberings,
             self._quarantine,
@@ -58,7 +54,6 @@
         """Return the loops that write the records until cancelled."""
         return (
             self._versions.run(),
-            self._routes.run(),
             self._streams.run(),
             self._numberings.run(),
             self._quarantine.run(),
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_records.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/stream_records.py
@@ -82,7 +82,7 @@
                 self._context.directory.recorded_versions.items()
             )
             if len(versions.list_all()) > 1
-        } | self._context.directory.route_splits.uncertain_pools
+        }
         if not pools:
             return
         now_ms = get_monotonic_ms()
--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -513,11 +513,9 @@
 # For how long streams may go on to begin at instances of a version that has
 # left the list: at a gateway that is cut off, while the instances still run.
 VERSION_AFTERLIFE_MS = 20_000
-# How long the first of the other gateways leave a change of the recorded
-# versions to the one that is responsible for it, and half of how long all
-# others do; and how many the first are, with the responsible one.
+# How long the other gateways leave a change of the recorded versions to the
+# one that is responsible for it.
 VERSION_TAKEOVER_MS = 1_500
-VERSION_TAKEOVER_WRITERS = 4
 # Writes and streams a second, of all gateways together, that record which
 # version began a stream while a pool has several, and the shortest interval of
 # one gateway.
@@ -532,8 +530,6 @@
 RESUME_READS_PER_S = 200
 # Longest wait for such a read.
 RESUME_READ_LIMIT_MS = 1_000
-# Longest key that the store takes.
-MAX_STORE_KEY_BYTES = 200
 # For how long an own record of versions counts that was not read since.
 VERSION_WRITE_UNREAD_MS = 10_000
 # For how long streams do not begin at a version that is not recorded, while no
--- a/packages/ragworthollow/src/ragworthollow/replica/latest_entries.py
+++ b/packages/ragworthollow/src/ragworthollow/replica/latest_entries.py
@@ -39,13 +39,10 @@
         return self._entries.get(key, Stored())
 
     def merge(
-        self,
-        entries: Mapping[str, Stored],
-        as_of: StorePosition,
-        prefix: str = '',
+        self, entries: Mapping[str, Stored], as_of: StorePosition
     ) -> EntryChanges:
         """
-        Merge all keys of a state of the store that have a prefix.
+        Merge all keys of a state of the store.
 
         Parameters
         ----------
@@ -53,8 +50,6 @@
             The keys of that state.
         as_of : StorePosition
             Position up to which the state contains all changes.
-        prefix : str
-            The prefix; empty for all keys that are held here.
         """
         written = tuple(
             key
@@ -65,9 +60,7 @@
         removed = tuple(
             key
             for key, stored in self._entries.items()
-            if key.startswith(prefix)
-            and key not in entries
-            and stored.get_position() <= as_of
+            if key not in entries and stored.get_position() <= as_of
         )
         self._entries.update((key, entries[key]) for key in written)
         for key in removed:
--- a/packages/ragworthollow/src/ragworthollow/routes/route.py
+++ b/packages/ragworthollow/src/ragworthollow/routes/route.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 
 from ragworthollow.routes.allowed_regions import AllowedRegions
-from ragworthollow.routes.route_split import RouteSplit
 
 
 class RouteKind(enum.StrEnum):
@@ -101,22 +100,6 @@
     can_resume: bool = False
     allowed_regions: AllowedRegions | None = None
 
-    def get_location(self) -> str:
-        """Return the host and the path prefix, which identify the route."""
-        return f'{self.host}{self.path_prefix}'
-
-    def make_split(self) -> RouteSplit:
-        """Return how its requests are divided among pools."""
-        weighted_pools = [
-            weighted for weighted in self.weighted_pools if weighted.weight
-        ] or self.weighted_pools[:1]
-        return RouteSplit(
-            route=self.name,
-            pools=tuple(
-                (weighted.pool, weighted.weight) for weighted in weighted_pools
-            ),
-        )
-
     def is_idempotent(self) -> bool:
         """Return whether a request may run more than once."""
         if self.kind is RouteKind.stream:
--- a/packages/ragworthollow/src/ragworthollow/routes/route_table.py
+++ b/packages/ragworthollow/src/ragworthollow/routes/route_table.py
@@ -6,7 +6,6 @@
 from ragworthollow.routes.priority_ranks import PriorityRanks
 from ragworthollow.routes.request_limits import RequestLimits
 from ragworthollow.routes.route import Route
-from ragworthollow.routes.route_split import encode_split
 from ragworthollow.routes.upstream_pool import UpstreamPool
 
 
@@ -48,8 +47,6 @@
         self._by_host: dict[str, dict[str, Route]] = {}
         self._resume_times_ms: dict[str, float] = {}
         self._resumable_routes: dict[str, set[str]] = {}
-        self._resumable_splits: dict[str, str] = {}
-        self._split_times_ms: dict[str, float] = {}
         priorities = set()
         for route in routes:
             self._by_host.setdefault(route.host, {})[route.path_prefix] = route
@@ -105,14 +102,6 @@
         """Return the names of resumable routes by pool."""
         return self._resumable_routes
 
-    def get_resumable_splits(self) -> Mapping[str, str]:
-        """Return the encoded splits of resumable routes by location."""
-        return self._resumable_splits
-
-    def get_split_times_ms(self) -> Mapping[str, float]:
-        """Return the time limits of resumable routes by location."""
-        return self._split_times_ms
-
     def get_rank(self, route: Route, holder: KeyHolder | None) -> int:
         """Return the rank of an organisation's requests of a route, 0 first."""
         organisation = None if holder is None else holder.priority
@@ -125,9 +114,6 @@
     def _add_resume_time(self, route: Route) -> None:
         if not (route.is_stream() and route.can_resume):
             return
-        location = route.get_location()
-        self._resumable_splits[location] = encode_split(route.make_split())
-        self._split_times_ms[location] = route.timeout_ms
         for weighted in route.weighted_pools:
             self._resume_times_ms[weighted.pool] = max(
                 self._resume_times_ms.get(weighted.pool, 0), route.timeout_ms
--- a/packages/ragworthollow/src/ragworthollow/upstreams/directory.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/directory.py
@@ -11,7 +11,6 @@
 from ragworthollow.upstreams.observation import Observation
 from ragworthollow.upstreams.pool_versions import PoolVersions
 from ragworthollow.upstreams.recorded_streams import RecordedStreams
-from ragworthollow.upstreams.route_splits import RouteSplits
 from ragworthollow.upstreams.stream_versions import StreamVersions
 from ragworthollow.upstreams.upstream_instance import UpstreamInstance
 from ragworthollow.upstreams.version_history import VersionHistory
@@ -79,8 +78,6 @@
         Software versions that the instances of each pool have had.
     recorded_versions : mapping of str to PoolVersions
         Versions of each pool that the gateways have recorded in the store.
-    route_splits : RouteSplits
-        Pools in which the streams of routes may have begun.
     stream_versions : StreamVersions
         Software versions of the streams that this process has relayed.
     recorded_streams : RecordedStreams
@@ -105,7 +102,6 @@
         self.drains = DomainDrains()
         self.versions = VersionHistory()
         self.recorded_versions: Mapping[str, PoolVersions] = {}
-        self.route_splits = RouteSplits()
         self.recorded_streams = RecordedStreams()
         self.stream_versions = StreamVersions(
             limit=global_settings.MAX_STREAM_VERSIONS
--- a/packages/ragworthollow/src/ragworthollow/upstreams/version_history.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/version_history.py
@@ -25,19 +25,10 @@
 
     def record(self, listed: Iterable[UpstreamInstance], now_ms: float) -> None:
         """Record a list, including instances that are shutting down."""
-        self.record_pairs(
-            ((instance.pool, instance.software_version) for instance in listed),
-            now_ms,
-        )
-
-    def record_pairs(
-        self, listed: Iterable[tuple[str, str]], now_ms: float
-    ) -> None:
-        """Record pairs of a pool and a version."""
-        for pool, version in listed:
-            spans = self._spans.setdefault(pool, {})
-            known = spans.get(version)
-            spans[version] = _ListedSpan(
+        for instance in listed:
+            spans = self._spans.setdefault(instance.pool, {})
+            known = spans.get(instance.software_version)
+            spans[instance.software_version] = _ListedSpan(
                 first_ms=now_ms if known is None else known.first_ms,
                 last_ms=now_ms,
             )
--- a/packages/ragworthollow/src/ragworthollow/upstreams/version_registry.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/version_registry.py
@@ -24,19 +24,10 @@
     propagation_ms : float
         Time in which all gateways learn of a change of the store, and the
         longest time between two lists that counts as no break.
-    is_exclusive : bool
-        Whether a pool always has one version, so that streams of before may
-        have begun elsewhere until its first version has been listed for as
-        long as they are resumed.  It may be left without one.
     """
 
-    def __init__(
-        self, *, propagation_ms: float, is_exclusive: bool = False
-    ) -> None:
+    def __init__(self, *, propagation_ms: float) -> None:
         self._propagation_ms = propagation_ms
-        self._is_exclusive = is_exclusive
-        # Pools and versions that were listed before anything was recorded.
-        self._original: frozenset[tuple[str, str]] | None = None
         self._listed: Mapping[str, Collection[str]] = {}
         self._recorded: Mapping[str, PoolVersions] = {}
         # Versions that were recorded when the store was restored.
@@ -67,8 +58,6 @@
         if confirmed_ms - self._observed_ms > self._propagation_ms:
             self._announced_ms.clear()
             self._missing_ms.clear()
-            if self._original is not None:
-                self._original = frozenset()
         self._observed_ms = confirmed_ms
         self._listed = listed
         self._recorded = recorded
@@ -78,12 +67,10 @@
             if not versions.list_all()
             <= recorded.get(pool, _NO_VERSIONS).list_all()
         }
-        self._update_original()
         announced = {
             (pool, version)
             for pool, versions in recorded.items()
             for version in versions.announced
-            if not self._is_exclusive or version in listed.get(pool, ())
         }
         missing = {
             (pool, version)
@@ -106,10 +93,9 @@
         for pool, retained in self._retained.items():
             versions = recorded.get(pool, _NO_VERSIONS)
             lost = retained.list_all() - versions.list_all()
-            settled = self._list_lost(lost)
             merged[pool] = PoolVersions(
-                settled=(*versions.settled, *sorted(settled)),
-                announced=(*versions.announced, *sorted(lost - settled)),
+                settled=(*versions.settled, *sorted(lost)),
+                announced=versions.announced,
             )
         return merged
 
@@ -128,13 +114,11 @@
             resumed.
         """
         listed = frozenset(self._listed.get(pool, ()))
-        if not (listed or self._is_exclusive):
+        if not listed:
             return None
         recorded = self._recorded.get(pool)
         retained = self._retained.get(pool, _NO_VERSIONS).list_all()
-        if _is_calm(listed, recorded, retained):
-            return None
-        if recorded is None and self._is_complete(listed | retained):
+        if recorded is None and len(listed | retained) == 1:
             # No stream has begun at any other version.
             return PoolVersions(settled=tuple(listed))
         recorded = recorded or _NO_VERSIONS
@@ -142,16 +126,9 @@
         known = recorded.list_all() | retained
         settled = (
             frozenset(recorded.settled)
-            | self._list_older(
-                self._announced_ms,
-                pool,
-                retention_ms if self._is_exclusive else self._propagation_ms,
-            )
-            | self._list_original(pool)
-            | self._list_lost(retained - recorded.list_all())
+            | self._list_older(self._announced_ms, pool, self._propagation_ms)
+            | (retained - recorded.list_all())
         ) - expired
-        if not listed:
-            settled = frozenset()
         announced = (known | listed) - settled - expired
         change = PoolVersions(
             settled=tuple(sorted(settled)),
@@ -161,34 +138,6 @@
             return None
         return None if _is_same(change, recorded) else change
 
-    def _is_complete(self, versions: Collection[str]) -> bool:
-        """Return whether versions may be taken for all there were."""
-        return not self._is_exclusive and len(versions) == 1
-
-    def _update_original(self) -> None:
-        if not self._is_exclusive:
-            return
-        listed = frozenset(
-            (pool, version)
-            for pool, versions in self._listed.items()
-            for version in versions
-        )
-        if self._original is not None:
-            self._original &= listed
-        elif listed:
-            self._original = frozenset() if self._recorded else listed
-
-    def _list_original(self, pool: str) -> frozenset[str]:
-        return frozenset(
-            version
-            for version in self._listed.get(pool, ())
-            if (pool, version) in (self._original or ())
-        )
-
-    def _list_lost(self, lost: frozenset[str]) -> frozenset[str]:
-        """Return which of the versions that are lost count as settled."""
-        return frozenset() if self._is_exclusive else lost
-
     def _update_since(
         self,
         since_ms: Mapping[tuple[str, str], float],
@@ -209,20 +158,6 @@
         )
 
 
-def _is_calm(
-    listed: frozenset[str],
-    recorded: PoolVersions | None,
-    retained: frozenset[str],
-) -> bool:
-    """Return whether the record is that of a pool that has not changed."""
-    return (
-        recorded is not None
-        and not retained
-        and not recorded.announced
-        and listed == frozenset(recorded.settled)
-    )
-
-
 def _is_same(change: PoolVersions, recorded: PoolVersions) -> bool:
     return frozenset(change.settled) == frozenset(
         recorded.settled
--- a/tests/features/steps/many_odd_records.py
+++ b/tests/features/steps/many_odd_records.py
@@ -15,7 +15,6 @@
     'gateways',
     'quarantine',
     'pool-versions',
-    'route-pools',
     'streams',
 )
 _LIMITED_EVENTS = (
