Tell the next host of running calls before a gateway leaves

"The host of a scheduler changes while pieces wait and run" failed now and then: the instance had two calls at a time. A gateway that stops told all others at once that it leaves, released its queue in the next tick and reported its calls in the same moment. Pieces that reached the next host before that report were sent to an instance that was still busy. Whether the queue was released at all depended on a tick between the first call and the stop, so that most runs did not come there.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/role.py
@@ -169,6 +169,7 @@
         written may not have been delivered.
         """
         started_ms = get_monotonic_ms()
+        await self._handover.leave()
         await self.membership.leave()
         await self.context.stop.wait(global_settings.GATEWAY_BALANCER_LAG_MS)
         await self.context.drain.wait_until_idle(self._get_remaining_ms())
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/scheduler_handover.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/scheduler_handover.py
@@ -1,5 +1,6 @@
 """Hand over schedulers whose pool is now hosted by another gateway."""
 
+import asyncio
 from collections.abc import Iterable
 
 import msgspec
@@ -66,6 +67,23 @@
             else:
                 self._hand_over(pool, self._schedulers.get(pool), host)
 
+    async def leave(self) -> None:
+        """
+        Host no schedulers any more, once the next hosts know of their calls.
+
+        Run it before the other gateways learn that this one leaves: from then
+        on they send their pieces to the next hosts.
+        """
+        self.check()
+        held = [self._schedulers.get(pool) for pool in self._hosted]
+        for scheduler in held:
+            scheduler.is_held = True
+        await asyncio.gather(*map(self._prepare_successor, self._hosted))
+        self._members.leave()
+        for scheduler in held:
+            scheduler.is_held = False
+        self.check()
+
     def apply_transfer(self, transfer: SchedulerTransfer) -> None:
         """Record the calls and results of another gateway for a pool."""
         now_ms = get_monotonic_ms()
@@ -95,23 +113,33 @@
         if pool in self._hosted:
             self._hosted.discard(pool)
             self._release_queue(pool, scheduler, host)
-        calls = _make_call_messages(scheduler)
-        now_ms = get_monotonic_ms()
-        results = make_result_messages(scheduler.result_space.pop_all(), now_ms)
-        if calls or results or pool in self._notified:
-            transfer = SchedulerTransfer(
-                pool=pool,
-                source=self._context.settings.instance,
-                calls=calls,
-                kept=results,
-            )
+        transfer = self._make_transfer(pool, scheduler)
+        if transfer.calls or transfer.kept or pool in self._notified:
             self._context.spawn(self._send(host, transfer))
         # After the last call has ended, one more transfer reports no calls.
-        if calls:
+        if transfer.calls:
             self._notified.add(pool)
         else:
             self._notified.discard(pool)
 
+    async def _prepare_successor(self, pool: str) -> None:
+        successor = self._members.find_host(pool, can_be_self=False)
+        if successor is not None:
+            transfer = self._make_transfer(pool, self._schedulers.get(pool))
+            await self._send(successor, transfer)
+
+    def _make_transfer(
+        self, pool: str, scheduler: PieceScheduler
+    ) -> SchedulerTransfer:
+        return SchedulerTransfer(
+            pool=pool,
+            source=self._context.settings.instance,
+            calls=_make_call_messages(scheduler),
+            kept=make_result_messages(
+                scheduler.result_space.pop_all(), get_monotonic_ms()
+            ),
+        )
+
     def _release_queue(
         self,
         pool: str,
--- a/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
+++ b/packages/ragworthollow/src/ragworthollow/membership/gateway_members.py
@@ -207,22 +207,32 @@
         """Return the members by name."""
         return self._members
 
-    def find_host(self, pool: str) -> GatewayMember | None:
+    def find_host(
+        self, pool: str, *, can_be_self: bool = True
+    ) -> GatewayMember | None:
         """
         Return the member that hosts the scheduler of a pool.
 
+        Parameters
+        ----------
+        pool : str
+            Pool of the scheduler.
+        can_be_self : bool
+            False for the host after this gateway has left.
+
         Returns
         -------
         GatewayMember or None
-            None if this gateway hosts it.
+            None if this gateway hosts it, or if no other member can.
         """
-        ranked = self._rank(pool)
-        for name in ranked:
-            if name == self._instance:
-                if self._is_leaving:
-                    continue
-                return None
-            if name not in self._unresponsive and name not in self._leaving:
+        is_candidate = can_be_self and not self._is_leaving
+        for name in self._rank(pool):
+            is_self = name == self._instance
+            if is_self and is_candidate:
+                break
+            if not (
+                is_self or name in self._unresponsive or name in self._leaving
+            ):
                 return self._members[name]
         return None
 
--- a/packages/ragworthollow/src/ragworthollow/pieces/scheduler.py
+++ b/packages/ragworthollow/src/ragworthollow/pieces/scheduler.py
@@ -38,6 +38,11 @@
     latest start that still meets their latency objective.  Pieces that have
     missed it come last, since one response in time is worth several late
     responses.
+
+    Attributes
+    ----------
+    is_held : bool
+        Whether no calls are started.
     """
 
     def __init__(self) -> None:
@@ -47,6 +52,7 @@
         self._throughput = QueueThroughput()
         self._shortage = SpaceShortage()
         self.wait_error = WaitError()
+        self.is_held = False
 
     def submit(self, waiting: WaitingPiece) -> None:
         """Queue a piece."""
@@ -227,6 +233,8 @@
             New calls; each counts as running until it is passed to `finish`.
         """
         self.drop_unawaited(now_ms)
+        if self.is_held:
+            return []
         if not self._queue:
             self._throughput.record(
                 started=0, is_backlogged=False, now_ms=now_ms
--- a/tests/features/gateway.feature
+++ b/tests/features/gateway.feature
@@ -251,6 +251,16 @@
     And the instance never had two calls at a time
     And all results are released
 
+  Scenario: The calls of a stopping host reach the new host late
+    # Guards against a new host that starts calls beside those it has not heard
+    # of yet.
+    Given two more gateways and an instance for stage work
+    And calls for pieces take 400 ms
+    And gateways hand over their schedulers 200 ms late
+    When the host of the scheduler stops while 12 callers wait for pieces
+    Then each of them got its own complete response
+    And the instance never had two calls at a time
+
   Scenario: Results are released through a gateway that is no longer the host
     # Guards against released results that are still counted as stored: when
     # the accounted space is full, every call is held back until they expire.
--- a/tests/features/steps/scheduler_hosts.py
+++ b/tests/features/steps/scheduler_hosts.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import msgspec
-from behave import then, when
+from behave import given, then, when
 
 from ragworthollow.pieces import StoredResult
 from ragworthollow.transport.piece_messages import ResultsRelease
@@ -50,7 +50,9 @@
     )
     upstream = stage.upstreams['s1']
     await stage.wait_for(lambda: upstream.calls)
-    return stage.gateways[host], sending
+    role = stage.gateways[host]
+    await stage.wait_for(lambda: 'stage' in role._handover._hosted)
+    return role, sending
 
 
 @when('the host of the scheduler stops while {count:d} callers wait for pieces')
@@ -66,6 +68,22 @@
     return await sending
 
 
+@given('gateways hand over their schedulers {delay_ms:d} ms late')
+def delay_transfers(context, delay_ms):
+    for role in context.gateway_stage.gateways.values():
+        _delay_transfers(role._handover, delay_ms)
+
+
+def _delay_transfers(handover, delay_ms: int) -> None:
+    send = handover._send
+
+    async def send_late(host, transfer):
+        await asyncio.sleep(delay_ms / 1000)
+        await send(host, transfer)
+
+    handover._send = send_late
+
+
 @then('the instance never had two calls at a time')
 def check_one_call_at_a_time(context):
     assert context.gateway_stage.upstreams['s1'].max_active_calls == 1
