Limit the log lines of unreadable records of numberings

A gateway logged a line for each record under event-numberings/ that it could not read, and all of them again after a restoration of the store. The readers of all other prefixes log the first of each list and count the rest.

The scenarios with many odd records now add records under this prefix too.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/numbering_records.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/numbering_records.py
@@ -7,7 +7,8 @@
 from result import Err
 
 from ragworthollow.conf import global_settings
-from ragworthollow.logs.events import log_error, log_event
+from ragworthollow.logs.events import log_event
+from ragworthollow.logs.unreadable_records import UnreadableRecords
 from ragworthollow.platform.stored import Stored
 from ragworthollow.platform.transaction import Put, compare_with
 from ragworthollow.upstreams import PoolNumberings, PoolVersions
@@ -39,6 +40,9 @@
         self._context = context
         self._stored: Mapping[str, Stored] = {}
         self._decoded: dict[str, PoolNumberings] = {}
+        self._unreadable = UnreadableRecords(
+            event='event_numberings_unreadable', step=_STEP
+        )
         # When a record was written that the replica may not show yet.
         self._written_ms: dict[str, float] = {}
         # When this gateway may write a record that lacks something.
@@ -87,8 +91,9 @@
         for changed, entry in stored.items():
             previous = self._stored.get(changed)
             if previous is None or not entry.is_same_write(previous):
-                decoded[changed] = _decode_record(changed, entry)
+                decoded[changed] = self._decode(changed, entry)
                 self._context.directory.event_numberings.merge(decoded[changed])
+        self._unreadable.end_list()
         self._decoded = {pool: decoded[pool] for pool in stored}
         self._stored = stored
 
@@ -154,23 +159,15 @@
         spread_ms = 2 * interval_ms * self._context.rng.random()
         return self._context.settings.leaving_bound_ms + spread_ms
 
-
-def _decode_record(pool: str, stored: Stored) -> PoolNumberings:
-    """Decode a record; an empty one for one that another writer left."""
-    try:
-        numberings = decode_json(stored.text, PoolNumberings)
-    except msgspec.DecodeError as error:
-        return _reject(pool, str(error))
-    if numberings.count() > global_settings.MAX_EVENT_NUMBERINGS:
-        return _reject(pool, 'too many numberings')
-    return numberings
-
-
-def _reject(pool: str, detail: str) -> PoolNumberings:
-    log_error(
-        'event_numberings_unreadable',
-        step=_STEP,
-        peer=f'{_PREFIX}{pool}',
-        error=detail,
-    )
-    return _NO_NUMBERINGS
+    def _decode(self, pool: str, stored: Stored) -> PoolNumberings:
+        """Decode a record; an empty one for one that another writer left."""
+        try:
+            numberings = decode_json(stored.text, PoolNumberings)
+        except msgspec.DecodeError as error:
+            self._unreadable.record(f'{_PREFIX}{pool}', str(error))
+            return _NO_NUMBERINGS
+        count = numberings.count()
+        if count > global_settings.MAX_EVENT_NUMBERINGS:
+            self._unreadable.record(f'{_PREFIX}{pool}', f'{count} numberings')
+            return _NO_NUMBERINGS
+        return numberings
--- a/tests/features/steps/many_odd_records.py
+++ b/tests/features/steps/many_odd_records.py
@@ -16,11 +16,13 @@
     'quarantine',
     'pool-versions',
     'streams',
+    'event-numberings',
 )
 _LIMITED_EVENTS = (
     'instance_entry_unreadable',
     'member_unreadable',
     'quarantine_record_unreadable',
+    'event_numberings_unreadable',
 )
 _FAULTS = {
     'is slow': {'slow_ms': 300},
