Reject assignments that no sidecar can have written

One record of another writer under the key of an assignment could leave the keys of a pool without an owner for good, or let them run again.

- With the largest number as epoch, the next change wrote an epoch that does not fit into 64 bits, which no sidecar could read, the writer included.
Sidecars that had read the record ignored each sound one.
- Without ranges, and an epoch above 0, no sidecar ever took a range.
- After an empty record, or one with a negative epoch, a sidecar that started owned ranges although their owner was alive.
By reading, it takes all of them as if no key of the pool had ever run.
- Without members it came to own ranges too; how was not traced.

The decoder took any record of the right types. Each change by a sidecar increments the epoch, and every owner is a member, so records that break this are now unreadable, as are times in the future, after which all keys would be too old. Epochs are compared with the time in milliseconds, because any fixed limit would be the largest epoch with no next one.

A step that reads the assignments of processes decodes them as messages, since one that has none yet answers with an empty one.

--- a/packages/ragworthollow/src/ragworthollow/once/assignment.py
+++ b/packages/ragworthollow/src/ragworthollow/once/assignment.py
@@ -1,9 +1,10 @@
 """Define which process owns which keys of a pool."""
 
+import msgspec
 import xxhash
 
 from ragworthollow.conf import global_settings
-from ragworthollow.utils import HostAddress, decode_json
+from ragworthollow.utils import HostAddress, decode_json, get_wall_ms
 from ragworthollow.utils.hashing import get_rank
 from ragworthollow.utils.message import Message
 
@@ -143,4 +144,26 @@
     """
     if not text:
         return Assignment()
-    return decode_json(text, Assignment)
+    assignment = decode_json(text, Assignment)
+    error = _find_error(assignment, get_wall_ms())
+    if error:
+        raise msgspec.ValidationError(error)
+    return assignment
+
+
+def _find_error(assignment: Assignment, wall_ms: float) -> str:
+    """Return why no sidecar has written it; empty if one may have."""
+    # Changes are more than a millisecond apart.
+    if not 0 < assignment.epoch < wall_ms:
+        return f'epoch {assignment.epoch}'
+    if not assignment.ranges:
+        return 'no ranges'
+    members = {member.instance for member in assignment.members}
+    if not members.issuperset(owner.instance for owner in assignment.ranges):
+        return 'a range of an owner that is no member'
+    latest_ms = wall_ms + global_settings.KEY_MAX_AGE_MS
+    times_ms = [
+        *(member.joined_ms for member in assignment.members),
+        *(owner.since_ms for owner in assignment.ranges),
+    ]
+    return 'a time in the future' if max(times_ms) > latest_ms else ''
--- a/tests/features/foreign_entries.feature
+++ b/tests/features/foreign_entries.feature
@@ -58,6 +58,21 @@
       | 1,000 levels as a whole    | assignment  |
       | 1e400 as epoch             | assignment  |
 
+  Scenario Outline: The assignment has <change>
+    # Guards against an assignment that no sidecar has written, after which the
+    # keys of a pool have no owner for good, or run although they have run.
+    Given an entry and a sidecar that own the keys of a pool
+    When another writer has <change> in the assignment while a sidecar starts
+    Then the pool is shared by both sidecars once it is back
+
+    Examples:
+      | change                       |
+      | 9223372036854775807 as epoch |
+      | -1 as epoch                  |
+      | {} as a whole                |
+      | [] as ranges                 |
+      | [] as members                |
+
   Scenario Outline: The store has <change> of the manifest
     # Guards against a manifest that ends the processes that read it, or keeps
     # them from following the configuration for good.
--- a/tests/features/json_decoding.feature
+++ b/tests/features/json_decoding.feature
@@ -7,21 +7,25 @@
     Then it reports the text as unreadable
 
     Examples:
-      | message                   | text                 |
-      | a run of pieces           | deeply nested values |
-      | a report                  | deeply nested values |
-      | results of a peer         | deeply nested values |
-      | an update of a peer       | deeply nested values |
-      | a configuration           | deeply nested values |
-      | a page of the store       | deeply nested values |
-      | a page of the store       | a value not Base64   |
-      | a report                  | an integer too large |
-      | an update of a peer       | an integer too large |
-      | a configuration           | an integer too large |
-      | a page of the store       | an integer too large |
-      | results of a peer         | a float too large    |
-      | an assignment             | 63 ranges            |
-      | an assignment             | 65 ranges            |
+      | message             | text                         |
+      | a run of pieces     | deeply nested values         |
+      | a report            | deeply nested values         |
+      | results of a peer   | deeply nested values         |
+      | an update of a peer | deeply nested values         |
+      | a configuration     | deeply nested values         |
+      | a page of the store | deeply nested values         |
+      | a page of the store | a value not Base64           |
+      | a report            | an integer too large         |
+      | an update of a peer | an integer too large         |
+      | a configuration     | an integer too large         |
+      | a page of the store | an integer too large         |
+      | results of a peer   | a float too large            |
+      | an assignment       | 63 ranges                    |
+      | an assignment       | 65 ranges                    |
+      | an assignment       | an epoch too large           |
+      | an assignment       | a start in the future        |
+      | an assignment       | a member of the future       |
+      | an assignment       | an owner that is no member   |
 
   Scenario Outline: A command of an operator reads <what>, deeply nested
     # Guards against commands that end with a traceback for one unreadable line
--- a/tests/features/steps/at_most_once.py
+++ b/tests/features/steps/at_most_once.py
@@ -7,7 +7,8 @@
 from behave import given, then, when
 
 from ragworthollow.once import Assignment
-from ragworthollow.once.assignment import decode_assignment, get_preferred_owner
+from ragworthollow.once.assignment import get_preferred_owner
+from ragworthollow.utils import decode_json
 
 _PIPELINE = 'certificate-drafting'
 _POOL = 'ledger-api'
@@ -35,7 +36,7 @@
                     f'http://{instance.address}/v1/once/assignment',
                     headers=fleet.cluster_headers,
                 ) as response:
-                    assignment = decode_assignment(await response.text())
+                    assignment = decode_json(await response.read(), Assignment)
         except (OSError, TimeoutError):
             continue
         if assignment.epoch > newest.epoch:
--- a/tests/features/steps/foreign_entries.py
+++ b/tests/features/steps/foreign_entries.py
@@ -218,6 +218,54 @@
     _check_loops(context)
 
 
+@when('another writer has {change} in the assignment while a sidecar starts')
+def change_assignment(context, change):
+    harness = context.daemon_service
+    harness.run(_change_assignment(harness, change))
+
+
+async def _change_assignment(harness, change):
+    key = _find_key(harness, f'once/{_POOL}/assignment')
+    sound = base64.b64decode(harness.store.entries[key].value)
+    odd = make_odd_record(msgspec.json.decode(sound), change)
+    harness.store.put_bytes(key, odd)
+    harness.running.append(await harness.start_sidecar(_POOL, 'second'))
+    await _wait_for_reads(harness, 4)
+    # Its owner did not hand over any range.
+    assert not harness.running[-1]._role._ownership.owns_any()
+    harness.store.put_bytes(key, sound)
+
+
+@then('the pool is shared by both sidecars once it is back')
+def check_shared(context):
+    harness = context.daemon_service
+    harness.run(harness.wait_until(lambda: _is_shared(harness)))
+    _check_loops(context)
+
+
+def _is_shared(harness):
+    all_ranges = list(range(global_settings.ONCE_RANGES))
+    return (
+        all(sidecar.owns_any() for sidecar in _list_sidecars(harness))
+        and sorted(_list_owned(harness)) == all_ranges
+    )
+
+
+def _list_owned(harness):
+    """List the ranges that each sidecar is certain to own."""
+    now_ms = get_monotonic_ms()
+    return [
+        index
+        for sidecar in _list_sidecars(harness)
+        for index, owner in enumerate(sidecar.assignment.ranges)
+        if sidecar.is_ours(owner) and sidecar.is_certain(now_ms)
+    ]
+
+
+def _list_sidecars(harness):
+    return [one._role._ownership for one in harness.running[1:]]
+
+
 @when('another writer replaces the manifest by {change} for {count:d} reads')
 def replace_manifest(context, change, count):
     harness = context.daemon_service
--- a/tests/features/steps/json_decoding.py
+++ b/tests/features/steps/json_decoding.py
@@ -1,6 +1,7 @@
 """Steps for the decoders of what other processes send."""
 
 import asyncio
+import itertools
 import json
 import zlib
 
@@ -12,13 +13,19 @@
 from hypothesis import strategies as st
 from result import Err
 
-from ragworthollow.once.assignment import decode_assignment
+from ragworthollow.conf import global_settings
+from ragworthollow.once.assignment import (
+    Assignment,
+    Member,
+    RangeOwner,
+    decode_assignment,
+)
 from ragworthollow.platform.configuration_wire import decode_configuration
 from ragworthollow.platform.stage_wire import decode_is_busy, decode_run
 from ragworthollow.platform.store_wire import RangePage
 from ragworthollow.replica.update_codec import decode_update
 from ragworthollow.transport.piece_messages import decode_results
-from ragworthollow.utils import decode_json
+from ragworthollow.utils import decode_json, get_wall_ms
 from ragworthollow.utils.message import Message
 from ragworthollow_ctl.gateway_client import query_gateway
 from ragworthollow_ctl.losses.log_line import decode_line
@@ -33,6 +40,26 @@
 }
 _OWNER = b'{"instance":"a","incarnation":"a-1"},'
 _TOO_LARGE = b'1' + b'0' * 400
+_LATER_MS = 3_600_000
+
+
+def _make_assignment(*, epoch=1, since_ms=0, joined_ms=0, owner='a'):
+    member = Member(
+        instance='a',
+        incarnation='a-1',
+        address='127.0.0.1:9',
+        joined_ms=int(joined_ms),
+    )
+    owners = itertools.repeat(
+        RangeOwner(instance=owner, incarnation='a-1', since_ms=int(since_ms)),
+        global_settings.ONCE_RANGES,
+    )
+    assignment = Assignment(
+        epoch=int(epoch), members=(member,), ranges=tuple(owners)
+    )
+    return msgspec.json.encode(assignment)
+
+
 _TEXTS_BY_MESSAGE = {
     ('a report', 'an integer too large'): (
         b'{"busy":' + _TOO_LARGE + b',"waiting":0}'
@@ -52,6 +79,18 @@
     ('an assignment', '65 ranges'): (
         b'{"epoch":1,"ranges":[' + (_OWNER * 65)[:-1] + b']}'
     ),
+    ('an assignment', 'an epoch too large'): _make_assignment(
+        epoch=get_wall_ms() + _LATER_MS
+    ),
+    ('an assignment', 'a start in the future'): _make_assignment(
+        since_ms=get_wall_ms() + _LATER_MS
+    ),
+    ('an assignment', 'a member of the future'): _make_assignment(
+        joined_ms=get_wall_ms() + _LATER_MS
+    ),
+    ('an assignment', 'an owner that is no member'): _make_assignment(
+        owner='b'
+    ),
     ('results of a peer', 'a float too large'): (
         b'{"results":[{"outcome":"done","wait_ms":1e300}]}'
     ),
