Reject manifests that no change can have made

After one manifest of another writer with the largest number as generation, the entry and the sidecar applied it; by reading, they shut out every later one from then on, and pass it on to processes that start. After one with a generation of 0 or below, or an empty one, the next change would be accepted and be older than what is active.

A change is now refused, and the manifest passed over, unless the newest change of its history made its generation, which is above 0 and not after the time in milliseconds.

--- a/packages/ragworthollow/src/ragworthollow/configuration/store.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/store.py
@@ -18,7 +18,7 @@
 from ragworthollow.logs.events import log_error
 from ragworthollow.outcomes import Reason
 from ragworthollow.platform import PlatformError
-from ragworthollow.utils import decode_json
+from ragworthollow.utils import decode_json, get_wall_ms
 
 Listener = Callable[[], None]
 
@@ -172,14 +172,27 @@
     if not text:
         return Ok(Manifest())
     try:
-        return Ok(decode_json(text, Manifest))
+        manifest = decode_json(text, Manifest)
     except msgspec.DecodeError as error:
-        log_error(
-            'manifest_unreadable',
-            step='configuration',
-            peer=MANIFEST_KEY,
-            error=str(error)[:_MAX_ERROR_CHARACTERS],
-        )
+        return _reject_manifest(str(error))
+    generation = manifest.generation
+    # Changes are more than a millisecond apart.
+    if not 0 < generation < get_wall_ms():
+        return _reject_manifest(f'generation {generation}')
+    if not manifest.history or manifest.history[0].generation != generation:
+        return _reject_manifest('its last change made another generation')
+    if any(entry.generation > generation for entry in manifest.files):
+        return _reject_manifest('a file of a later generation')
+    return Ok(manifest)
+
+
+def _reject_manifest(error: str) -> Err[PlatformError]:
+    log_error(
+        'manifest_unreadable',
+        step='configuration',
+        peer=MANIFEST_KEY,
+        error=error[:_MAX_ERROR_CHARACTERS],
+    )
     return Err(
         PlatformError(
             step=MANIFEST_KEY,
--- a/tests/features/foreign_entries.feature
+++ b/tests/features/foreign_entries.feature
@@ -82,10 +82,15 @@
     And all apply the next configuration once the manifest is back
 
     Examples:
-      | change                        |
-      | 1,000 levels as a whole       |
-      | 1e400 as generation           |
-      | {} as files                   |
+      | change                            |
+      | 1,000 levels as a whole           |
+      | 1e400 as generation               |
+      | {} as files                       |
+      | 9223372036854775807 as generation |
+      | -1 as generation                  |
+      | 0 as generation                   |
+      | {} as a whole                     |
+      | [] as history                     |
 
   Scenario Outline: The store has <change> of the budget of model loads
     # Guards against a record that ends the loop which orders models, or keeps
--- a/tests/features/json_decoding.feature
+++ b/tests/features/json_decoding.feature
@@ -26,6 +26,8 @@
       | an assignment       | a start in the future        |
       | an assignment       | a member of the future       |
       | an assignment       | an owner that is no member   |
+      | a manifest          | a generation too large       |
+      | a manifest          | a file of a later generation |
 
   Scenario Outline: A command of an operator reads <what>, deeply nested
     # Guards against commands that end with a traceback for one unreadable line
--- a/tests/features/steps/foreign_entries.py
+++ b/tests/features/steps/foreign_entries.py
@@ -27,7 +27,6 @@
     'address': _ODD_ADDRESS,
 }
 _ODD_MEMBER = {'incarnation': 'odd-1', 'address': _ODD_ADDRESS}
-_ODD_MANIFEST = {'generation': 2, 'files': [], 'history': []}
 _BUDGET_KEY = 'weights/budget'
 _RANGE_PATH = '/api/kv-range'
 
@@ -271,7 +270,8 @@
     harness = context.daemon_service
     context.manifest_key = _find_key(harness, MANIFEST_KEY)
     context.manifest = harness.store.entries[context.manifest_key].value
-    odd = make_odd_record(_ODD_MANIFEST, change)
+    sound = msgspec.json.decode(base64.b64decode(context.manifest))
+    odd = make_odd_record(sound, change)
     harness.store.put_bytes(context.manifest_key, odd)
     harness.run(_wait_for_reads(harness, count))
     _check_loops(context)
--- a/tests/features/steps/json_decoding.py
+++ b/tests/features/steps/json_decoding.py
@@ -14,6 +14,10 @@
 from result import Err
 
 from ragworthollow.conf import global_settings
+from ragworthollow.configuration.change_record import ChangeRecord
+from ragworthollow.configuration.file_entry import FileEntry
+from ragworthollow.configuration.manifest import Manifest
+from ragworthollow.configuration.store import decode_manifest
 from ragworthollow.once.assignment import (
     Assignment,
     Member,
@@ -60,6 +64,24 @@
     return msgspec.json.encode(assignment)
 
 
+def _make_manifest(generation, file_generation):
+    change = ChangeRecord(
+        change_id='a',
+        generation=int(generation),
+        operator='a',
+        time_ms=0,
+        files=(),
+    )
+    changed = FileEntry(
+        name='a', owner='a', sha256='a', generation=file_generation
+    )
+    return msgspec.json.encode(
+        Manifest(
+            generation=int(generation), files=(changed,), history=(change,)
+        )
+    )
+
+
 _TEXTS_BY_MESSAGE = {
     ('a report', 'an integer too large'): (
         b'{"busy":' + _TOO_LARGE + b',"waiting":0}'
@@ -91,6 +113,10 @@
     ('an assignment', 'an owner that is no member'): _make_assignment(
         owner='b'
     ),
+    ('a manifest', 'a generation too large'): _make_manifest(
+        get_wall_ms() + _LATER_MS, 1
+    ),
+    ('a manifest', 'a file of a later generation'): _make_manifest(1, 2),
     ('results of a peer', 'a float too large'): (
         b'{"results":[{"outcome":"done","wait_ms":1e300}]}'
     ),
@@ -102,6 +128,7 @@
     'an update of a peer': lambda text: decode_update(zlib.compress(text)),
     'a configuration': decode_configuration,
     'an assignment': decode_assignment,
+    'a manifest': decode_manifest,
     'a page of the store': lambda text: decode_json(text, RangePage),
 }
 
