Log generations from the platform that are refused

A process that read a newer manifest whose files are missing, damaged or not valid kept its configuration without a log line or a count. The result of applying it was dropped; the same from a peer is logged. The reader now tells the error to its caller, which logs it in the same way. The process still follows the manifest, so that it applies the next one.

--- a/packages/ragworthollow/src/ragworthollow/configuration/configuration_synchronizer.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/configuration_synchronizer.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from ragworthollow.conf import global_settings
+from ragworthollow.configuration.exceptions import ConfigurationError
 from ragworthollow.configuration.keys import MANIFEST_KEY
 from ragworthollow.configuration.reader import refresh_store
 from ragworthollow.configuration.snapshot import Snapshot
@@ -164,12 +165,7 @@
             return
         # The snapshot is invalid, or lacks files because the peer assumes
         # another base: read the generation from the platform instead.
-        self._count_event('configuration_refused')
-        log_event(
-            'configuration_refused',
-            step='configuration',
-            detail=applied.err_value.detail,
-        )
+        self._report_refused(applied.err_value)
         await self._read_platform()
 
     async def _pull_from_next(self, *, wait_ms: int) -> None:
@@ -189,7 +185,9 @@
 
     async def _read_platform(self) -> StorePosition | None:
         previous_generation = self._store.generation
-        manifest_result = await refresh_store(self._key_value, self._store)
+        manifest_result = await refresh_store(
+            self._key_value, self._store, self._report_refused
+        )
         if isinstance(manifest_result, Err):
             self._count_event('platform_unavailable')
             return None
@@ -234,6 +232,14 @@
             return global_settings.CONFIGURATION_REREAD_MS
         return global_settings.CONFIGURATION_WAIT_MS
 
+    def _report_refused(self, error: ConfigurationError) -> None:
+        self._count_event('configuration_refused')
+        log_event(
+            'configuration_refused',
+            step='configuration',
+            detail=error.detail,
+        )
+
     def _record_applied(self, source: str) -> None:
         self._count_event('configuration_applied')
         log_event(
--- a/packages/ragworthollow/src/ragworthollow/configuration/reader.py
+++ b/packages/ragworthollow/src/ragworthollow/configuration/reader.py
@@ -1,7 +1,10 @@
 """Read a configuration generation from the platform."""
 
+from collections.abc import Callable
+
 from result import Err, Ok, Result
 
+from ragworthollow.configuration.exceptions import ConfigurationError
 from ragworthollow.configuration.keys import MANIFEST_KEY, get_file_key
 from ragworthollow.configuration.manifest import Manifest
 from ragworthollow.configuration.snapshot import Snapshot
@@ -15,6 +18,7 @@
 async def refresh_store(
     key_value: StoreClient,
     store: ConfigurationStore,
+    on_refused: Callable[[ConfigurationError], None],
 ) -> Result[Stored, PlatformError]:
     """
     Read the manifest and apply its generation if it is newer.
@@ -25,6 +29,8 @@
         Client of the platform's key-value store.
     store : ConfigurationStore
         Store to update; files that it already holds are not read again.
+    on_refused : callable
+        Called with the error of a newer generation that is not valid.
 
     Returns
     -------
@@ -42,7 +48,9 @@
         snapshot = await read_files(key_value, store, manifest)
         if isinstance(snapshot, Err):
             return snapshot
-        store.apply(snapshot.ok_value)
+        applied = store.apply(snapshot.ok_value)
+        if isinstance(applied, Err):
+            on_refused(applied.err_value)
     return manifest_result
 
 
--- a/tests/features/foreign_entries.feature
+++ b/tests/features/foreign_entries.feature
@@ -92,6 +92,13 @@
       | {} as a whole                     |
       | [] as history                     |
 
+  Scenario: The manifest lists a file that is missing
+    # Guards against a generation that is passed over without a trace.
+    Given an entry and a sidecar that own the keys of a pool
+    When another writer lists a file in the manifest that is missing
+    Then the generation is logged as refused
+    And all apply the next configuration once the manifest is back
+
   Scenario Outline: The store has <change> of the budget of model loads
     # Guards against a record that ends the loop which orders models, or keeps
     # every engine from loading one for good.
--- a/tests/features/steps/foreign_entries.py
+++ b/tests/features/steps/foreign_entries.py
@@ -10,7 +10,11 @@
 from measure.fleet import CLUSTER_KEY
 from measure.large import Size, make_files
 from ragworthollow.conf import global_settings
+from ragworthollow.configuration.change_record import ChangeRecord
+from ragworthollow.configuration.change_rules import advance_manifest
+from ragworthollow.configuration.file_entry import FileEntry
 from ragworthollow.configuration.keys import MANIFEST_KEY
+from ragworthollow.configuration.manifest import Manifest
 from ragworthollow.engines.load_budget import try_consume_load
 from ragworthollow.platform.instance_list_decoding import decode_instance_list
 from ragworthollow.transport.session import make_session
@@ -277,6 +281,42 @@
     _check_loops(context)
 
 
+@when('another writer lists a file in the manifest that is missing')
+def list_missing_file(context):
+    harness = context.daemon_service
+    context.manifest_key = _find_key(harness, MANIFEST_KEY)
+    context.manifest = harness.store.entries[context.manifest_key].value
+    manifest = msgspec.json.decode(
+        base64.b64decode(context.manifest), type=Manifest
+    )
+    next_number = manifest.generation + 1
+    added = FileEntry(
+        name='30-odd.yaml', owner='odd', sha256='odd', generation=next_number
+    )
+    change = ChangeRecord(
+        change_id='odd',
+        generation=next_number,
+        operator='odd',
+        time_ms=0,
+        files=(added.name,),
+    )
+    odd = advance_manifest(manifest, [*manifest.files, added], change)
+    harness.store.put_bytes(context.manifest_key, msgspec.json.encode(odd))
+
+
+@then('the generation is logged as refused')
+def check_refused(context):
+    context.daemon_service.run(
+        context.daemon_service.wait_until(
+            lambda: any(
+                event == 'configuration_refused'
+                and '30-odd.yaml' in fields['detail']
+                for event, fields in context.log_lines
+            )
+        )
+    )
+
+
 @then('a sidecar starts, and a change is refused for the manifest')
 def check_unreadable_manifest(context):
     harness = context.daemon_service
