Reject evidence of crashes in the future

A quarantine lasts from the newest crash on. One record of another writer, with crashes of a negative age, quarantined its request for as long as the age said, and the evidence is kept as long, also after the record has gone. Gateways send and store ages of crashes that have been.

The scenario failed before: all three gateways held the request for 4.6e18 ms.

--- a/packages/ragworthollow/src/ragworthollow/quarantine/evidence_update.py
+++ b/packages/ragworthollow/src/ragworthollow/quarantine/evidence_update.py
@@ -1,7 +1,14 @@
 """Define the messages in which gateways exchange crash evidence."""
 
+from typing import Annotated
+
+import msgspec
+
 from ragworthollow.utils.message import Message
 
+# A crash in the future would quarantine a request for good.
+_Age = Annotated[float, msgspec.Meta(ge=0)]
+
 
 class CrashReport(Message):
     """
@@ -30,7 +37,7 @@
     """
 
     fingerprint: str
-    crash_ages_ms: dict[str, float] = {}
+    crash_ages_ms: dict[str, _Age] = {}
     cleared: tuple[str, ...] = ()
     run_ms: dict[str, float] = {}
     companions: tuple[str, ...] | None = None
--- a/tests/features/foreign_records.feature
+++ b/tests/features/foreign_records.feature
@@ -26,3 +26,11 @@
     # Guards against values that no list of examples has.
     Given two more gateways and an instance for stage work
     Then no value that another writer stores ends a gateway
+
+  @fixture.log_lines
+  Scenario: A quarantine whose crashes are in the future
+    # Guards against a record of another writer that quarantines a request for
+    # good.
+    Given two more gateways and an instance for stage work
+    When another writer adds a quarantine whose crashes are in the future
+    Then no gateway quarantines it, and it is logged as unreadable
--- a/tests/features/steps/foreign_records.py
+++ b/tests/features/steps/foreign_records.py
@@ -91,6 +91,31 @@
     assert rejected == set(context.odd_keys), rejected
 
 
+@when('another writer adds a quarantine whose crashes are in the future')
+def add_quarantine(context):
+    stage = context.gateway_stage
+    ages_ms = dict.fromkeys(_CRASH_REPORT['crash_ages_ms'], -(2**62))
+    record = {**_CRASH_REPORT, 'crash_ages_ms': ages_ms}
+    stage.run(stage.write({'quarantine/odd': _encode(record)}))
+    stage.run(_poll_all(stage))
+
+
+@then('no gateway quarantines it, and it is logged as unreadable')
+def check_not_quarantined(context):
+    stage = context.gateway_stage
+    quarantined = [
+        stage.get_context(name).quarantine.list_quarantined()
+        for name in stage.gateways
+    ]
+    assert not any(quarantined), quarantined
+    keys = [
+        fields['peer']
+        for event, fields in context.log_lines
+        if event == 'quarantine_record_unreadable'
+    ]
+    assert keys == ['quarantine/odd' for _ in stage.gateways], keys
+
+
 @then('no value that another writer stores ends a gateway')
 def check_any_value(context):
     stage = context.gateway_stage
