Do not retain odd records of instances after a restoration

What a restored store has lost is retained until the instance has written something newer. A record of another writer with the largest number as `seq` or `born` was newer than whatever the instance wrote from then on: its records were hidden for good. Neither number exceeds the time in milliseconds in a record of an instance, so those that do are not taken as newer.

Both scenarios failed before: the replica still showed the odd record after the instance had written twice.

--- a/packages/ragworthollow/src/ragworthollow/platform/restored_order.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/restored_order.py
@@ -5,7 +5,7 @@
 from ragworthollow.platform.configuration_wire import CONFIGURATION_KEY
 from ragworthollow.platform.drains_wire import DRAINS_PREFIX
 from ragworthollow.platform.instances_wire import INSTANCES_PREFIX
-from ragworthollow.utils import decode_json
+from ragworthollow.utils import decode_json, get_wall_ms
 from ragworthollow.utils.message import Message
 
 _LEAVING = 'draining'
@@ -55,7 +55,10 @@
         if key == CONFIGURATION_KEY:
             return _read_order(text, _Version) > _read_order(other, _Version)
         if key.startswith(INSTANCES_PREFIX):
-            return _read_order(text, _Report) > _read_order(other, _Report)
+            order = _read_order(text, _Report)
+            # Reports are more than a millisecond apart.
+            is_sound = max(order) < get_wall_ms()
+            return is_sound and order > _read_order(other, _Report)
     except msgspec.DecodeError:
         # The subscribers of that key log values that cannot be decoded.
         return False
--- a/tests/features/steps/store_restored.py
+++ b/tests/features/steps/store_restored.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 
+import msgspec
 from behave import given, then, when
 from hypothesis import given as given_any
 from hypothesis import settings
@@ -19,11 +20,13 @@
 from ragworthollow.replica import Replica
 from ragworthollow.utils import override_clocks
 from tests.fixtures.news_model import NewsModel
+from tests.fixtures.odd_records import make_odd_record
 from tests.fixtures.replica_variants import VARIANTS
 from tests.fixtures.store_pollers import make_store_poller
 
 _CONFIGURATION_KEY = 'op/config'
 _DRAIN_KEY = 'op/evacuate/one'
+_INSTANCE_KEY = 'servers/odd'
 _GATEWAY_KEY = 'gateways/g2'
 _QUARANTINE_KEY = 'quarantine/some-key'
 _KEYS = st.sampled_from(('op/config', 'servers/a', 'servers/b'))
@@ -295,6 +298,24 @@
     assert replica.get_entries(expires_ms)[_CONFIGURATION_KEY] == written
 
 
+@then('what the instance writes after the restore replaces {change}')
+def check_odd_replaced(context, change):
+    report = {'born': 1, 'state': 'ready', 'seq': 7}
+    odd = make_odd_record(report, change).decode()
+    replica = Replica()
+    replica.replace(
+        _make_snapshot({_INSTANCE_KEY: Stored(text=odd, mod_revision=8)}, 8, 0),
+        0,
+    )
+    for revision, seq in ((3, 6), (4, 8)):
+        text = msgspec.json.encode({**report, 'seq': seq}).decode()
+        stored = Stored(text=text, mod_revision=revision)
+        replica.replace(
+            _make_snapshot({_INSTANCE_KEY: stored}, revision, 1), revision
+        )
+    assert replica.get_entries(revision)[_INSTANCE_KEY] == stored
+
+
 def _make_snapshot(entries, revision: int, timeline: int) -> StoreSnapshot:
     return StoreSnapshot(
         entries=entries,
--- a/tests/features/store_restored.feature
+++ b/tests/features/store_restored.feature
@@ -89,6 +89,16 @@
     # it.
     Then a lost key is retained for a while, and a version until the store has caught up
 
+  Scenario Outline: A record of an instance had <number> as <field> before the restore
+    # Guards against an odd record of another writer that hides for good what
+    # the instance writes.
+    Then what the instance writes after the restore replaces <number> as <field>
+
+    Examples:
+      | number              | field |
+      | 9223372036854775807 | seq   |
+      | 9223372036854775807 | born  |
+
   Scenario: Rights are granted before and after the store is restored
     # Guards against a holder whose commands are refused as those of an earlier
     # holder.
