Test three guards of resumptions that no test needed

Each was taken out alone, and stream_restarts, stream_versions and version_records passed without it (store_restored, too, for the first):

- the versions that a gateway retains when the store is restored; only those retained in the registry had a test;
- the lease of the records of streams, and that it is granted anew where the store no longer has it;
- what a gateway keeps of a record that it has resumed by.

--- a/tests/features/steps/stream_restarts.py
+++ b/tests/features/steps/stream_restarts.py
@@ -4,12 +4,15 @@
 import time
 from collections import Counter
 from functools import partial
+from unittest import mock
 
 from behave import given, then, when
 from result import Err
 
-from ragworthollow.utils import (
-    override_clocks,
+from ragworthollow.conf import global_settings
+from ragworthollow.utils import get_monotonic_ms, override_clocks
+from ragworthollow_daemon.gateway.stream_origin_client import (
+    StreamOriginClient,
 )
 from tests.fixtures.recorded_streams import is_stream_recorded
 from tests.standins.partial_streams import PartialStream, Stop
@@ -186,6 +189,63 @@
     streams.apply_entries = lambda *_: None
 
 
+@when('g1 loses the records of streams once it has asked their writers')
+def lose_records(context):
+    streams = context.gateway_stage.get_context().directory.recorded_streams
+    confirm = StreamOriginClient.confirm
+
+    async def confirm_and_lose(client, request_id, writers):
+        is_confirmed = await confirm(client, request_id, writers)
+        for key in streams.list_keys():
+            streams.remove(key)
+        return is_confirmed
+
+    patching = mock.patch.object(
+        StreamOriginClient, 'confirm', confirm_and_lose
+    )
+    patching.start()
+    context.add_cleanup(patching.stop)
+
+
+@then('their records have leases for as long as they are resumed')
+def check_leases(context):
+    stage = context.gateway_stage
+    (resume_time_ms,) = (
+        stage.get_context().route_table.get_resume_times_ms().values()
+    )
+    context.leases = _list_leases(stage)
+    for lease in context.leases:
+        granted_ms, _ = stage.store.leases.get(lease, (0, 0))
+        assert granted_ms >= resume_time_ms, granted_ms
+    assert context.leases
+
+
+@when('these leases end')
+def end_leases(context):
+    stage = context.gateway_stage
+    for lease in context.leases:
+        stage.run(stage.store._revoke_lease(lease))
+
+
+@then('the store has what began them, under other leases')
+def check_other_leases(context):
+    began_ms = get_monotonic_ms()
+    wait_for_records(context)
+    # The next segment has another lease anyhow.
+    took_ms = get_monotonic_ms() - began_ms
+    assert took_ms < global_settings.STREAM_SEGMENT_OPEN_MS / 2, took_ms
+    leases = _list_leases(context.gateway_stage)
+    assert not leases & context.leases, (leases, context.leases)
+
+
+def _list_leases(stage):
+    return {
+        entry.lease
+        for key, entry in stage.store.entries.items()
+        if key.startswith('streams/')
+    }
+
+
 @when('g2 ends')
 def end_other(context):
     stage = context.gateway_stage
@@ -297,6 +357,12 @@
     assert statuses == {_REFUSED: len(context.resumed)}, statuses
 
 
+@then('every resumption goes on')
+def check_all_go_on(context):
+    statuses = Counter(resumed.status for resumed in context.resumed)
+    assert statuses == {_OK: len(context.resumed)}, statuses
+
+
 def _find_versions(context, *responses) -> set[str]:
     """Return the versions of the instances that ran any of the requests."""
     names = [response.request_id for response in responses]
--- a/tests/features/steps/version_records.py
+++ b/tests/features/steps/version_records.py
@@ -249,6 +249,13 @@
     assert directory.recorded_versions[_POOL].settled == ('v1',)
 
 
+@given('a backup of the store with version v1')
+def back_up(context):
+    stage = context.gateway_stage
+    stage.run(stage.wait_for(lambda: _get_recorded(stage) == {'v1'}))
+    context.backup = stage.store.save()
+
+
 @given('a recorded version v2 whose instance has left')
 def record_left_version(context):
     stage = context.gateway_stage
--- a/tests/features/stream_restarts.feature
+++ b/tests/features/stream_restarts.feature
@@ -82,6 +82,32 @@
     And all streams of version v1 go on
     And all streams of version v2 go on
 
+  @fixture.log_lines
+  Scenario: The record of a stream lapses while it is resumed
+    # Guards against a version that is known when the resumption is allowed, and
+    # no longer when an instance is chosen.
+    Given instances of software versions v1, v1, v2, v2
+    And 1 more gateways that know all instances
+    When 1 streams break off at g2
+    And the store has what began them
+    And g2 ends
+    And g1 loses the records of streams once it has asked their writers
+    And each of the streams is resumed at g1
+    Then no stream is joined from two software versions
+    And every resumption goes on
+
+  @fixture.log_lines
+  Scenario: The leases of the records of streams
+    # Guards against records that stay in the store for good, and against those
+    # that are never written since a lease has ended.
+    Given instances of software versions v1, v1, v2, v2
+    When 4 streams break off
+    And the store has what began them
+    Then their records have leases for as long as they are resumed
+    When these leases end
+    And 4 streams break off
+    Then the store has what began them, under other leases
+
   @fixture.log_lines
   Scenario Outline: A gateway lags behind a release, and <what>
     # Guards against a version that is inferred from records of which the
--- a/tests/features/version_records.feature
+++ b/tests/features/version_records.feature
@@ -82,6 +82,14 @@
     When another writer replaces the recorded versions by junk
     Then the gateway writes v1 and v2 again
 
+  @fixture.gateway
+  Scenario: The store is restored from before a version was recorded
+    # Guards against a version that gateways forget because the store has.
+    Given a backup of the store with version v1
+    And a recorded version v2 whose instance has left
+    When the store is restored from its backup
+    Then the gateway writes v1 and v2 again
+
   @fixture.gateway
   Scenario: A segment of streams cannot be read
     # Guards against a gateway that ends because of a segment that another
