Limit the log lines of unreadable records of sidecars

A sidecar logged a line for each member key and each assignment that it could not read, with every read, every few seconds for as long as they were in the store: 3,001 lines for 1,000 odd members in three reads before. It now decodes a record again only after it was written, and logs the first 20 of each list, like the gateway.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/assignment_reader.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/sidecar/assignment_reader.py
@@ -5,7 +5,8 @@
 import msgspec
 from result import Err, Ok
 
-from ragworthollow.logs.events import log_error, log_event
+from ragworthollow.logs.events import log_event
+from ragworthollow.logs.unreadable_records import UnreadableRecords
 from ragworthollow.once import Ownership
 from ragworthollow.once.assignment import decode_assignment
 from ragworthollow.once.member_key import MemberKey
@@ -16,7 +17,6 @@
 from ragworthollow_daemon.sidecar.member_lease import MemberLease
 
 _ABSENT = Stored()
-_MAX_ERROR_CHARACTERS = 200
 
 Members = Mapping[str, MemberKey]
 
@@ -47,6 +47,12 @@
         self._prefix = f'once/{pool}/'
         self._name = context.settings.instance
         self._stored_assignment = _ABSENT
+        # The last assignment that could not be read.
+        self._rejected = _ABSENT
+        self._members: dict[str, tuple[Stored, MemberKey | None]] = {}
+        self._unreadable = UnreadableRecords(
+            event='once_record_unreadable', step='once'
+        )
         self.assignment_key = f'{self._prefix}assignment'
         self.lease = MemberLease(
             key_value=context.key_value,
@@ -98,7 +104,10 @@
                 assignment = decode_assignment(stored.text)
             except msgspec.DecodeError as error:
                 # Nobody knows the owners now, as without the platform.
-                _log_unreadable(self.assignment_key, error)
+                if not stored.is_same_write(self._rejected):
+                    self._unreadable.record(self.assignment_key, str(error))
+                    self._unreadable.end_list()
+                self._rejected = stored
                 return None
             self._stored_assignment = stored
             self._ownership.apply_assignment(assignment)
@@ -132,33 +141,28 @@
         )
 
     def _decode_members(self, entries: Mapping[str, Stored]) -> Members:
+        """Decode members, reusing earlier results for unchanged ones."""
         prefix = self.get_member_key('')
-        members = {
-            key.removeprefix(prefix): _decode_member(key, stored.text)
-            for key, stored in entries.items()
-            if key.startswith(prefix)
-        }
+        decoded = {}
+        for key, stored in entries.items():
+            if key.startswith(prefix):
+                previous, member = self._members.get(key, (_ABSENT, None))
+                if not stored.is_same_write(previous):
+                    member = self._decode_member(key, stored)
+                decoded[key] = (stored, member)
+        self._unreadable.end_list()
+        self._members = decoded
         readable = {
-            name: member
-            for name, member in members.items()
-            if member is not None
+            name.removeprefix(prefix): known
+            for name, (_, known) in decoded.items()
+            if known is not None
         }
         return {**readable, self._name: self._make_member()}
 
-
-def _decode_member(key: str, text: str) -> MemberKey | None:
-    try:
-        return decode_json(text, MemberKey)
-    except msgspec.DecodeError as error:
-        # Nobody takes over from it while its key exists.
-        _log_unreadable(key, error)
-        return None
-
-
-def _log_unreadable(key: str, error: msgspec.DecodeError) -> None:
-    log_error(
-        'once_record_unreadable',
-        step='once',
-        peer=key,
-        error=str(error)[:_MAX_ERROR_CHARACTERS],
-    )
+    def _decode_member(self, key: str, stored: Stored) -> MemberKey | None:
+        try:
+            return decode_json(stored.text, MemberKey)
+        except msgspec.DecodeError as error:
+            # Nobody takes over from it while its key exists.
+            self._unreadable.record(key, str(error))
+            return None
--- a/tests/features/foreign_entries.feature
+++ b/tests/features/foreign_entries.feature
@@ -58,6 +58,14 @@
       | 1,000 levels as a whole    | assignment  |
       | 1e400 as epoch             | assignment  |
 
+  Scenario: The store has an odd assignment and many odd members
+    # Guards against a log that grows with each record and each read.
+    Given an entry and a sidecar that own the keys of a pool
+    When another writer stores 1000 odd members for 9 reads
+    And another writer stores 1e400 as epoch of a member at assignment for 3 reads
+    Then they are logged in at most 25 lines
+    And no loop has failed, and the sidecar is sure of its keys once it is gone
+
   Scenario Outline: The assignment has <change>
     # Guards against an assignment that no sidecar has written, after which the
     # keys of a pool have no owner for good, or run although they have run.
--- a/tests/features/steps/foreign_entries.py
+++ b/tests/features/steps/foreign_entries.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import itertools
+from collections import Counter
 
 import msgspec
 from behave import given, then, when
@@ -221,6 +222,27 @@
     _check_loops(context)
 
 
+@when('another writer stores {count:d} odd members for {reads:d} reads')
+def store_many(context, count, reads):
+    harness = context.daemon_service
+    prefix = _find_key(harness, f'once/{_POOL}/assignment').removesuffix(
+        'assignment'
+    )
+    odd = make_odd_record(_ODD_MEMBER, '1,000 levels as a whole')
+    for number in range(count):
+        harness.store.put_bytes(f'{prefix}members/odd{number}', odd)
+    harness.run(_wait_for_reads(harness, reads))
+
+
+@then('they are logged in at most {limit:d} lines')
+def check_few_lines(context, limit):
+    counts = Counter(event for event, _ in context.log_lines)
+    lines = (
+        counts['once_record_unreadable'] + counts['unreadable_records_omitted']
+    )
+    assert 0 < lines <= limit, lines
+
+
 @when('another writer has {change} in the assignment while a sidecar starts')
 def change_assignment(context, change):
     harness = context.daemon_service
