--- a/tests/features/foreign_entries.feature
+++ b/tests/features/foreign_entries.feature
@@ -58,6 +58,29 @@
       | 1,000 levels as a whole    | assignment  |
       | 1e400 as epoch             | assignment  |
 
+  Scenario: The store has an odd assignment and many odd members
+    # Guards against a log that grows with each record and each read.
+    Given an entry and a sidecar that own the keys of a pool
+    When another writer stores 1000 odd members for 9 reads
+    And another writer stores 1e400 as epoch of a member at assignment for 3 reads
+    Then they are logged in at most 25 lines
+    And no loop has failed, and the sidecar is sure of its keys once it is gone
+
+  Scenario Outline: The assignment has <change>
+    # Guards against an assignment that no sidecar has written, after which the
+    # keys of a pool have no owner for good, or run although they have run.
+    Given an entry and a sidecar that own the keys of a pool
+    When another writer has <change> in the assignment while a sidecar starts
+    Then the pool is shared by both sidecars once it is back
+
+    Examples:
+      | change                       |
+      | 9223372036854775807 as epoch |
+      | -1 as epoch                  |
+      | {} as a whole                |
+      | [] as ranges                 |
+      | [] as members                |
+
   Scenario Outline: The store has <change> of the manifest
     # Guards against a manifest that ends the processes that read it, or keeps
     # them from following the configuration for good.
@@ -67,10 +90,22 @@
     And all apply the next configuration once the manifest is back
 
     Examples:
-      | change                        |
-      | 1,000 levels as a whole       |
-      | 1e400 as generation           |
-      | {} as files                   |
+      | change                            |
+      | 1,000 levels as a whole           |
+      | 1e400 as generation               |
+      | {} as files                       |
+      | 9223372036854775807 as generation |
+      | -1 as generation                  |
+      | 0 as generation                   |
+      | {} as a whole                     |
+      | [] as history                     |
+
+  Scenario: The manifest lists a file that is missing
+    # Guards against a generation that is passed over without a trace.
+    Given an entry and a sidecar that own the keys of a pool
+    When another writer lists a file in the manifest that is missing
+    Then the generation is logged as refused
+    And all apply the next configuration once the manifest is back
 
   Scenario Outline: The store has <change> of the budget of model loads
     # Guards against a record that ends the loop which orders models, or keeps
--- a/tests/features/steps/foreign_entries.py
+++ b/tests/features/steps/foreign_entries.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import itertools
+from collections import Counter
 
 import msgspec
 from behave import given, then, when
@@ -10,7 +11,11 @@
 from measure.fleet import CLUSTER_KEY
 from measure.large import Size, make_files
 from ragworthollow.conf import global_settings
+from ragworthollow.configuration.change_record import ChangeRecord
+from ragworthollow.configuration.change_rules import advance_manifest
+from ragworthollow.configuration.file_entry import FileEntry
 from ragworthollow.configuration.keys import MANIFEST_KEY
+from ragworthollow.configuration.manifest import Manifest
 from ragworthollow.engines.load_budget import try_consume_load
 from ragworthollow.platform.instance_list_decoding import decode_instance_list
 from ragworthollow.transport.session import make_session
@@ -27,7 +32,6 @@
     'address': _ODD_ADDRESS,
 }
 _ODD_MEMBER = {'incarnation': 'odd-1', 'address': _ODD_ADDRESS}
-_ODD_MANIFEST = {'generation': 2, 'files': [], 'history': []}
 _BUDGET_KEY = 'weights/budget'
 _RANGE_PATH = '/api/kv-range'
 
@@ -218,17 +222,123 @@
     _check_loops(context)
 
 
+@when('another writer stores {count:d} odd members for {reads:d} reads')
+def store_many(context, count, reads):
+    harness = context.daemon_service
+    prefix = _find_key(harness, f'once/{_POOL}/assignment').removesuffix(
+        'assignment'
+    )
+    odd = make_odd_record(_ODD_MEMBER, '1,000 levels as a whole')
+    for number in range(count):
+        harness.store.put_bytes(f'{prefix}members/odd{number}', odd)
+    harness.run(_wait_for_reads(harness, reads))
+
+
+@then('they are logged in at most {limit:d} lines')
+def check_few_lines(context, limit):
+    counts = Counter(event for event, _ in context.log_lines)
+    lines = (
+        counts['once_record_unreadable'] + counts['unreadable_records_omitted']
+    )
+    assert 0 < lines <= limit, lines
+
+
+@when('another writer has {change} in the assignment while a sidecar starts')
+def change_assignment(context, change):
+    harness = context.daemon_service
+    harness.run(_change_assignment(harness, change))
+
+
+async def _change_assignment(harness, change):
+    key = _find_key(harness, f'once/{_POOL}/assignment')
+    sound = base64.b64decode(harness.store.entries[key].value)
+    odd = make_odd_record(msgspec.json.decode(sound), change)
+    harness.store.put_bytes(key, odd)
+    harness.running.append(await harness.start_sidecar(_POOL, 'second'))
+    await _wait_for_reads(harness, 4)
+    # Its owner did not hand over any range.
+    assert not harness.running[-1]._role._ownership.owns_any()
+    harness.store.put_bytes(key, sound)
+
+
+@then('the pool is shared by both sidecars once it is back')
+def check_shared(context):
+    harness = context.daemon_service
+    harness.run(harness.wait_until(lambda: _is_shared(harness)))
+    _check_loops(context)
+
+
+def _is_shared(harness):
+    all_ranges = list(range(global_settings.ONCE_RANGES))
+    return (
+        all(sidecar.owns_any() for sidecar in _list_sidecars(harness))
+        and sorted(_list_owned(harness)) == all_ranges
+    )
+
+
+def _list_owned(harness):
+    """List the ranges that each sidecar is certain to own."""
+    now_ms = get_monotonic_ms()
+    return [
+        index
+        for sidecar in _list_sidecars(harness)
+        for index, owner in enumerate(sidecar.assignment.ranges)
+        if sidecar.is_ours(owner) and sidecar.is_certain(now_ms)
+    ]
+
+
+def _list_sidecars(harness):
+    return [one._role._ownership for one in harness.running[1:]]
+
+
 @when('another writer replaces the manifest by {change} for {count:d} reads')
 def replace_manifest(context, change, count):
     harness = context.daemon_service
     context.manifest_key = _find_key(harness, MANIFEST_KEY)
     context.manifest = harness.store.entries[context.manifest_key].value
-    odd = make_odd_record(_ODD_MANIFEST, change)
+    sound = msgspec.json.decode(base64.b64decode(context.manifest))
+    odd = make_odd_record(sound, change)
     harness.store.put_bytes(context.manifest_key, odd)
     harness.run(_wait_for_reads(harness, count))
     _check_loops(context)
 
 
+@when('another writer lists a file in the manifest that is missing')
+def list_missing_file(context):
+    harness = context.daemon_service
+    context.manifest_key = _find_key(harness, MANIFEST_KEY)
+    context.manifest = harness.store.entries[context.manifest_key].value
+    manifest = msgspec.json.decode(
+        base64.b64decode(context.manifest), type=Manifest
+    )
+    next_number = manifest.generation + 1
+    added = FileEntry(
+        name='30-odd.yaml', owner='odd', sha256='odd', generation=next_number
+    )
+    change = ChangeRecord(
+        change_id='odd',
+        generation=next_number,
+        operator='odd',
+        time_ms=0,
+        files=(added.name,),
+    )
+    odd = advance_manifest(manifest, [*manifest.files, added], change)
+    harness.store.put_bytes(context.manifest_key, msgspec.json.encode(odd))
+
+
+@then('the generation is logged as refused')
+def check_refused(context):
+    context.daemon_service.run(
+        context.daemon_service.wait_until(
+            lambda: any(
+                event == 'configuration_refused'
+                and '30-odd.yaml' in fields['detail']
+                for event, fields in context.log_lines
+            )
+        )
+    )
+
+
 @then('a sidecar starts, and a change is refused for the manifest')
 def check_unreadable_manifest(context):
     harness = context.daemon_service
