Find an engine's crash by the engine, not by the name it had

The fleet gives engines other names while their streams run, and remembers a crash under the name of that moment. The judge looked it up under the name with which the stream had begun.

The judge now looks up the crash of the engine that ran the request. A stream that is cut while its engine goes on still counts, whatever its name: there is a scenario for either. That of the crash fails without the change.

--- a/measure/gateway_judge.py
+++ b/measure/gateway_judge.py
@@ -58,11 +58,17 @@
         self._versions = find_versions(sent)
         # When each request began to run, and where.
         self._runs: dict[str, list[tuple[str, float]]] = {}
-        for upstream in fleet.upstreams.values():
+        # When an engine of each request crashed, whatever its name was then.
+        self._crashes_s: dict[str, float] = {}
+        for name, upstream in fleet.upstreams.items():
+            crash_s = fleet.crashes_s.get(name, math.inf)
             for run in upstream.runs:
                 self._runs.setdefault(run.request_id, []).append(
                     (run.instance, run.began_s)
                 )
+                self._crashes_s[run.request_id] = min(
+                    crash_s, self._crashes_s.get(run.request_id, math.inf)
+                )
         self._spoiled_by_engines = {
             request_id
             for upstream in fleet.upstreams.values()
@@ -163,10 +169,8 @@
         )
 
     def _has_lost_engine(self, sent: Sent) -> bool:
-        return is_stream(sent.path) and any(
-            self._fleet.crashes_s.get(name, math.inf) < sent.ended_s
-            for name, _ in self._runs.get(sent.request_id, ())
-        )
+        crash_s = self._crashes_s.get(sent.request_id, math.inf)
+        return is_stream(sent.path) and crash_s < sent.ended_s
 
     def _find_stop(self, sent: Sent) -> float | None:
         """Return the time of SIGTERM of the process that got a request."""
--- /dev/null
+++ b/tests/features/gateway_judge.feature
@@ -0,0 +1,14 @@
+Feature: What became of the requests of a soak of gateways
+
+  Scenario: An engine crashes under another name than it began a stream
+    # Guards against a stream that is blamed on a gateway after its engine has
+    # crashed.
+    Given a stream of an engine that another name replaces while it runs
+    When the engine crashes
+    Then the stream counts as broken_by_upstream
+
+  Scenario: An engine that got another name goes on
+    # Guards against a stream that a gateway cuts and that a new name excuses.
+    Given a stream of an engine that another name replaces while it runs
+    When the connection of the stream is closed
+    Then the stream counts as cut_by_stop
