Judge joined streams of callers who do not name the beginning

With versions and faulty engines, callers of bursts resume streams by `Last-Event-Id` alone. The judge took such a resumption for a stream that begins there, so that one joined from two versions went unseen.

The caller now tells the judge, and still not the gateway, which request began the stream. The scenario with a joined stream fails without it; the one with a stream of a single version holds.

--- a/measure/burst_caller.py
+++ b/measure/burst_caller.py
@@ -16,6 +16,8 @@
 class BurstCaller(GatewayCaller):
     """Send requests in bursts, and take up streams that were broken off."""
 
+    _kind = ''
+
     def _choose_pause_s(self) -> float:
         phase_s = time.monotonic() % _PERIOD_S
         if phase_s > _BURST_S:
@@ -46,3 +48,10 @@
             return 0
         events = read_events(last.body)
         return events[-1].event_id if events else last.last_event_id
+
+    def _get_resumed_request(self) -> str:
+        """Return what began a stream, although the request does not tell."""
+        if not self._get_last_event_id():
+            return ''
+        last = self.sent[-1]
+        return last.resumes_request_id or last.request_id
