--- /dev/null
+++ b/measure/resumption_reads/__init__.py
@@ -0,0 +1,1 @@
+"""Model of the reads that gateways share among callers who resume streams."""
