Remember the routes that a configuration has replaced

A caller who resumed a stream at a gateway that had not relayed it got the rest from another pool, answered 200, where a configuration had moved the route, had covered or uncovered its path, or had changed its split since the stream began: the gateway judged it by the present routes alone. A caller who named no stream on a split route got the pool that was drawn for its own request.

Gateways now remember the routes that a configuration replaced for as long as their streams may be resumed. Where a stream may have begun in another pool nothing is inferred (`pools`): the records in the store and the peers are asked, and otherwise the caller is refused, not run.

--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/admission.py
@@ -16,7 +16,7 @@
 )
 from ragworthollow.routes import KeyHolder, Route, RouteTable
 from ragworthollow.utils import get_boottime_ms
-from ragworthollow.utils.hashing import get_fraction, hash_secret
+from ragworthollow.utils.hashing import hash_secret
 from ragworthollow_daemon.gateway.body_budget import BodyReservation
 from ragworthollow_daemon.gateway.body_reader import BodyReader
 from ragworthollow_daemon.gateway.context import GatewayContext
@@ -97,7 +97,12 @@
                 request_parameters=request_parameters,
                 route=route,
                 holder=holder_result.ok_value,
-                pool=_choose_pool(route, request_parameters),
+                # The attempt that began a stream decides, so that every
+                # gateway takes it up in the pool in which it began.
+                pool=route.choose_pool(
+                    request_parameters.resumes_request_id
+                    or request_parameters.request_id
+                ),
                 route_table=table,
                 waited_ms=self._find_waited_ms(route, request_parameters),
                 fingerprint=_make_work_fingerprint(
@@ -170,26 +175,6 @@
         )
 
 
-def _choose_pool(route: Route, caller: RequestParameters) -> str:
-    """
-    Choose one of a route's pools by weight.
-
-    The choice follows from the attempt that began the stream, so that every
-    gateway takes up a stream in the pool in which it began.
-    """
-    weighted_pools = [
-        weighted for weighted in route.weighted_pools if weighted.weight
-    ] or route.weighted_pools[:1]
-    subject = caller.resumes_request_id or caller.request_id
-    total = sum(weighted.weight for weighted in weighted_pools)
-    remaining = get_fraction(subject, route.name) * total
-    for weighted in weighted_pools:
-        remaining -= weighted.weight
-        if remaining < 0:
-            return weighted.pool
-    return weighted_pools[-1].pool
-
-
 def make_shutdown_failure(peer: str, outcome: Outcome) -> UpstreamFailure:
     """Make the failure of a request that is cut off by a shutdown."""
     return UpstreamFailure(
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/context.py
@@ -149,6 +149,7 @@
     def set_route_table(self, table: RouteTable) -> None:
         """Activate a route table."""
         self.route_table = table
+        self.directory.route_history.record(table, get_monotonic_ms())
         self._has_route_table.set()
         if not self._quarantine.has_polled_peers:
             # The peers to exchange quarantine data with are now known.
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/request_job.py
@@ -64,6 +64,10 @@
     received_ms: float
     deadline_ms: float
 
+    def get_path(self) -> str:
+        """Return the path without its query string."""
+        return self.request.raw_path.partition('?')[0]
+
     def get_fingerprints(self) -> tuple[str, ...]:
         """Return the fingerprints of the request and of what it shares."""
         return (self.fingerprint, *self.get_shared_fingerprints())
--- a/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
+++ b/packages/ragworthollow-daemon/src/ragworthollow_daemon/gateway/resume_decision.py
@@ -13,7 +13,7 @@
 from ragworthollow_daemon.gateway.upstream_failure import UpstreamFailure
 
 _STEP = 'resume'
-_READ_SOURCES = frozenset(('versions', 'unobserved'))
+_READ_SOURCES = frozenset(('versions', 'unobserved', 'pools'))
 _ASKED_SOURCES = frozenset((*_READ_SOURCES, 'stale', 'unread'))
 
 
@@ -31,6 +31,7 @@
         `versions` (the pool has had several), `stale` (the list is too old),
         `unread` (the store did not confirm that the pool has had one version),
         `unobserved` (this gateway has not seen the lists of the stream's time),
+        `pools` (it may have begun in another pool than that of its route),
         `moved` (it began in another pool than that of its route) or `gone` (no
         instance of the version is left).
     software_version : str or None
@@ -144,6 +145,8 @@
     if directory.observation.get_age_ms() > spread_ms:
         return ResumeDecision(source='stale')
     window_ms = job.route.timeout_ms + spread_ms
+    if _may_be_in_other_pool(context, job, now_ms):
+        return ResumeDecision(source='pools', retry_after_ms=window_ms)
     last_known_ms = dict(
         directory.versions.get_last_listed_ms(job.pool, now_ms - window_ms)
     )
@@ -168,6 +171,19 @@
     )
 
 
+def _may_be_in_other_pool(
+    context: GatewayContext, job: RequestJob, now_ms: float
+) -> bool:
+    pools = context.directory.route_history.find_pools(
+        job.route.host,
+        job.get_path(),
+        request_id=job.request_parameters.resumes_request_id,
+        now_ms=now_ms,
+        spread_ms=context.settings.leaving_bound_ms,
+    )
+    return pools != {job.pool}
+
+
 def log_resume(
     context: GatewayContext, job: RequestJob, decision: ResumeDecision
 ) -> None:
--- a/packages/ragworthollow/src/ragworthollow/routes/__init__.py
+++ b/packages/ragworthollow/src/ragworthollow/routes/__init__.py
@@ -8,6 +8,7 @@
     StageDefinition,
     WeightedPool,
 )
+from ragworthollow.routes.route_history import RouteHistory
 from ragworthollow.routes.route_table import RouteTable
 from ragworthollow.routes.upstream_pool import PieceProfile, UpstreamPool
 
@@ -16,6 +17,7 @@
     'PieceProfile',
     'RequestLimits',
     'Route',
+    'RouteHistory',
     'RouteKind',
     'RouteTable',
     'StageDefinition',
--- a/packages/ragworthollow/src/ragworthollow/routes/route.py
+++ b/packages/ragworthollow/src/ragworthollow/routes/route.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from ragworthollow.routes.allowed_regions import AllowedRegions
+from ragworthollow.utils.hashing import get_fraction
 
 
 class RouteKind(enum.StrEnum):
@@ -100,6 +101,48 @@
     can_resume: bool = False
     allowed_regions: AllowedRegions | None = None
 
+    def get_split(self) -> tuple[str, bool, tuple[WeightedPool, ...]]:
+        """Return what decides which pool gets which of its streams."""
+        weighted_pools = (
+            tuple(
+                weighted for weighted in self.weighted_pools if weighted.weight
+            )
+            or self.weighted_pools[:1]
+        )
+        return self.name, self.is_stream(), weighted_pools
+
+    def choose_pool(self, request_id: str) -> str:
+        """
+        Choose one of the pools by weight, the same at every gateway.
+
+        Parameters
+        ----------
+        request_id : str
+            Identifier of the request.
+        """
+        name, _, weighted_pools = self.get_split()
+        total = sum(weighted.weight for weighted in weighted_pools)
+        remaining = get_fraction(request_id, name) * total
+        for weighted in weighted_pools:
+            remaining -= weighted.weight
+            if remaining < 0:
+                return weighted.pool
+        return weighted_pools[-1].pool
+
+    def list_pools(self, request_id: str) -> frozenset[str]:
+        """
+        Return the pools that may get a request.
+
+        Parameters
+        ----------
+        request_id : str
+            Identifier of the request; empty if it is not known.
+        """
+        if request_id:
+            return frozenset((self.choose_pool(request_id),))
+        _, _, weighted_pools = self.get_split()
+        return frozenset(weighted.pool for weighted in weighted_pools)
+
     def is_idempotent(self) -> bool:
         """Return whether a request may run more than once."""
         if self.kind is RouteKind.stream:
--- a/packages/ragworthollow/src/ragworthollow/routes/route_table.py
+++ b/packages/ragworthollow/src/ragworthollow/routes/route_table.py
@@ -1,6 +1,6 @@
 """Look up routes and API keys in one version of the configuration."""
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
 from ragworthollow.routes.key_holder import KeyHolder
 from ragworthollow.routes.priority_ranks import PriorityRanks
@@ -8,6 +8,9 @@
 from ragworthollow.routes.route import Route
 from ragworthollow.routes.upstream_pool import UpstreamPool
 
+# Host and path prefix of a route.
+Location = tuple[str, str]
+
 
 class RouteTable:
     """
@@ -44,12 +47,12 @@
         self.requires_key = requires_key
         self.limits = limits
         self._holders_by_key = holders_by_key
-        self._by_host: dict[str, dict[str, Route]] = {}
+        self._routes: dict[Location, Route] = {}
         self._resume_times_ms: dict[str, float] = {}
         self._resumable_routes: dict[str, set[str]] = {}
         priorities = set()
         for route in routes:
-            self._by_host.setdefault(route.host, {})[route.path_prefix] = route
+            self._routes[route.host, route.path_prefix] = route
             priorities.add(route.priority)
             self._add_resume_time(route)
         self._ranks = PriorityRanks(
@@ -73,19 +76,16 @@
         path : str
             Path without its query string.
         """
-        by_prefix = self._by_host.get(host.partition(':')[0].lower())
-        if by_prefix is None:
-            return None
-        end = len(path)
-        while end > 0:
-            end = path.rfind('/', 0, end)
-            if end < 0:
-                return None
-            route = by_prefix.get(path[: end + 1])
+        for location in list_locations(host, path):
+            route = self._routes.get(location)
             if route is not None:
                 return route
         return None
 
+    def get_routes(self) -> Mapping[Location, Route]:
+        """Return all routes by host and path prefix."""
+        return self._routes
+
     def get_resume_times_ms(self) -> Mapping[str, float]:
         """
         Return for how long the streams of a pool may be resumed.
@@ -121,3 +121,21 @@
             self._resumable_routes.setdefault(weighted.pool, set()).add(
                 route.name
             )
+
+
+def list_locations(host: str, path: str) -> Iterator[Location]:
+    """
+    List where the route of a request may be, the longest prefix first.
+
+    Parameters
+    ----------
+    host : str
+        Host as the caller sent it, with or without a port.
+    path : str
+        Path without its query string.
+    """
+    name = host.partition(':')[0].lower()
+    end = path.rfind('/')
+    while end >= 0:
+        yield name, path[: end + 1]
+        end = path.rfind('/', 0, end)
--- a/packages/ragworthollow/src/ragworthollow/upstreams/directory.py
+++ b/packages/ragworthollow/src/ragworthollow/upstreams/directory.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from ragworthollow.conf import global_settings
+from ragworthollow.routes.route_history import RouteHistory
 from ragworthollow.upstreams.domain_drains import DomainDrains
 from ragworthollow.upstreams.event_numberings import EventNumberings
 from ragworthollow.upstreams.instance_signals import InstanceSignals
@@ -82,6 +83,8 @@
         Software versions of the streams that this process has relayed.
     recorded_streams : RecordedStreams
         Those that the gateways have recorded in the store.
+    route_history : RouteHistory
+        Routes of earlier configurations, which lead to the pools.
     event_numberings : EventNumberings
         Numbering of the events of these streams.
     updated_ms : float
@@ -92,6 +95,7 @@
 
     def __init__(self, *, propagation_ms: float = math.inf) -> None:
         self.observation = Observation(propagation_ms=propagation_ms)
+        self.route_history = RouteHistory()
         self._by_id: dict[str, UpstreamInstance] = {}
         self._by_pool: dict[str, tuple[UpstreamInstance, ...]] = {}
         self._missing_since_ms: dict[str, float] = {}
