--- a/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
+++ b/packages/ragworthollow/src/ragworthollow/conf/global_settings.py
@@ -12,6 +12,9 @@
 MAX_CONNECTIONS = 4_000
 MAX_IN_FLIGHT = 1_000
 MAX_DEADLINE_MS = 600_000
+# Routes of earlier configurations that a gateway remembers, of which it infers
+# where streams may have begun; some 500 bytes each.
+MAX_FORMER_ROUTES = 4_096
 # Maximum number of pieces that the stages of one request have together.
 MAX_REQUEST_PIECES = 10_000
 STREAM_READ_LIMIT_BYTES = 4_000_000
--- a/packages/ragworthollow/src/ragworthollow/platform/restored_order.py
+++ b/packages/ragworthollow/src/ragworthollow/platform/restored_order.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ragworthollow.conf import global_settings
 from ragworthollow.platform.configuration_wire import CONFIGURATION_KEY
 from ragworthollow.platform.drains_wire import DRAINS_PREFIX
 from ragworthollow.platform.instances_wire import INSTANCES_PREFIX
@@ -56,8 +57,9 @@
             return _read_order(text, _Version) > _read_order(other, _Version)
         if key.startswith(INSTANCES_PREFIX):
             order = _read_order(text, _Report)
-            # Reports are more than a millisecond apart.
-            is_sound = max(order) < get_wall_ms()
+            # Reports are more than a millisecond apart, clocks may differ.
+            latest_ms = get_wall_ms() + global_settings.KEY_MAX_AGE_MS
+            is_sound = max(order) < latest_ms
             return is_sound and order > _read_order(other, _Report)
     except msgspec.DecodeError:
         # The subscribers of that key log values that cannot be decoded.
--- a/packages/ragworthollow/src/ragworthollow/routes/route_table.py
+++ b/packages/ragworthollow/src/ragworthollow/routes/route_table.py
@@ -48,11 +48,13 @@
         self.limits = limits
         self._holders_by_key = holders_by_key
         self._routes: dict[Location, Route] = {}
+        self._hosts: set[str] = set()
         self._resume_times_ms: dict[str, float] = {}
         self._resumable_routes: dict[str, set[str]] = {}
         priorities = set()
         for route in routes:
             self._routes[route.host, route.path_prefix] = route
+            self._hosts.add(route.host)
             priorities.add(route.priority)
             self._add_resume_time(route)
         self._ranks = PriorityRanks(
@@ -76,6 +78,8 @@
         path : str
             Path without its query string.
         """
+        if get_host_name(host) not in self._hosts:
+            return None
         for location in list_locations(host, path):
             route = self._routes.get(location)
             if route is not None:
@@ -134,8 +138,13 @@
     path : str
         Path without its query string.
     """
-    name = host.partition(':')[0].lower()
+    name = get_host_name(host)
     end = path.rfind('/')
     while end >= 0:
         yield name, path[: end + 1]
         end = path.rfind('/', 0, end)
+
+
+def get_host_name(host: str) -> str:
+    """Return a host as routes have it: without a port, in lower case."""
+    return host.partition(':')[0].lower()
